Workspace, design, protocol messages and package contracts

Cause: an empty repository. Change: npm workspace of twelve packages with layers enforced by lint, docs/design.md, protobuf messages with their generated code, the base package (clock, events, verdicts, seeded random, rendezvous hashing) and the public types of the packages to embed. Conclusion: the packages can be written side by side against these types.

--- /dev/null
+++ b/packages/admission/src/api.ts
@@ -0,0 +1,2 @@
+/** Public API of fair admission. */
+export * from './types.js';
--- /dev/null
+++ b/packages/budgets/src/api.ts
@@ -0,0 +1,2 @@
+/** Public API of fleet-wide budgets. */
+export * from './types.js';
--- /dev/null
+++ b/packages/claims/src/api.ts
@@ -0,0 +1,2 @@
+/** Public API of at-most-once claims. */
+export * from './types.js';
--- /dev/null
+++ b/packages/daemon/src/Section.ts
@@ -0,0 +1,25 @@
+/** One section of the blackboard. */
+import { Emitter, type Event } from '@marigoldbank/base/events';
+
+/** A value with one writer, replaced as a whole, and an event for its changes. */
+export class Section<T> {
+  private readonly changeEmitter = new Emitter<T>();
+
+  public readonly onDidChange: Event<T> = this.changeEmitter.event;
+
+  private current: T;
+
+  public constructor(initial: T) {
+    this.current = initial;
+  }
+
+  public get value(): T {
+    return this.current;
+  }
+
+  /** Replaces the value. Only the section's writer calls this. */
+  public set(value: T): void {
+    this.current = value;
+    this.changeEmitter.fire(value);
+  }
+}
--- /dev/null
+++ b/packages/ejection/src/api.ts
@@ -0,0 +1,2 @@
+/** Public API of ejection and target selection. */
+export * from './types.js';
--- /dev/null
+++ b/packages/ejection/src/types.ts
@@ -0,0 +1,130 @@
+/** Public types of evidence, ejection and target selection. */
+
+/** Outcome of one attempt at a target. */
+export type AttemptOutcome =
+  | 'succeeded'
+  /** An error status or a broken answer. */
+  | 'failed'
+  /** The target shed load before running the request. */
+  | 'shed'
+  /** The connection was lost while the request was in flight. */
+  | 'connectionLost'
+  /** The caller went away; says nothing about the target. */
+  | 'cancelled';
+
+export type AnnouncedState = 'up' | 'draining' | 'leaving';
+
+/** What a target announced about itself. */
+export interface Announcement {
+  readonly service: string;
+  readonly target: string;
+  /** `ip:port`. */
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly incarnation: number;
+  readonly sequence: number;
+  readonly state: AnnouncedState;
+  readonly slots: number;
+  readonly maxConnections: number;
+  readonly isCold: boolean;
+  /** Milliseconds since the fleet received it. */
+  readonly ageMs: number;
+}
+
+/** What one entry observed at one target since its last poll. */
+export interface TargetDigest {
+  readonly target: string;
+  readonly succeeded: number;
+  readonly failed: number;
+  readonly shed: number;
+  readonly outstanding: number;
+  /** Successful requests per latency bucket. */
+  readonly latencyBuckets: readonly number[];
+}
+
+export interface LostRequest {
+  readonly fingerprint: string;
+  readonly target: string;
+}
+
+/** Poll of an entry at a coordinator of a service. */
+export interface CoordinateRequest {
+  readonly from: string;
+  readonly service: string;
+  readonly revision: number;
+  readonly digests: readonly TargetDigest[];
+  readonly lost: readonly LostRequest[];
+  readonly cleared: readonly string[];
+}
+
+export type RotationStatus = 'inRotation' | 'ejected' | 'probation';
+
+export interface TargetStatus {
+  readonly announcement: Announcement;
+  readonly status: RotationStatus;
+  /** Share of a normal target's traffic, 0 to 1, below 1 during probation. */
+  readonly share: number;
+  readonly fleetOutstanding: number;
+  /** Why the target is not in rotation, empty otherwise. */
+  readonly reason: string;
+}
+
+export interface CoordinateResponse {
+  readonly targets: readonly TargetStatus[];
+  readonly suspectedReporters: readonly string[];
+  readonly quarantined: readonly string[];
+  readonly suspectedFingerprints: readonly string[];
+}
+
+/** Profile that an operator picks per service. */
+export type ProfileName = 'prompt-detection' | 'fair-share';
+
+export interface ServiceSettings {
+  readonly service: string;
+  readonly profile: ProfileName;
+  /** Least share of announced, not draining targets that stay in rotation, 0 to 1. */
+  readonly floor: number;
+}
+
+/** Coordinator of services: merges evidence, decides ejection, keeps announcements and quarantine. */
+export interface ICoordinator {
+  setServices(services: readonly ServiceSettings[]): void;
+  handleAnnouncements(announcements: readonly Announcement[]): void;
+  handleCoordinate(req: CoordinateRequest): CoordinateResponse;
+}
+
+/** One chosen target; `finish` must be called exactly once. */
+export interface TargetLease {
+  readonly target: string;
+  readonly address: string;
+  readonly maxConnections: number;
+  /** True while the target may still be given new work; call it synchronously at dispatch. */
+  mayDispatch(): boolean;
+  finish(outcome: AttemptOutcome, latencyMs: number): void;
+}
+
+/** The entry's side for one service: candidates, choice, evidence for the next poll. */
+export interface ITargetPool {
+  /** Adopts a coordinator's answer to the poll sent at `askedAt` (monotonic ms). */
+  update(res: CoordinateResponse, askedAt: number): void;
+  /** Chooses a target with room, or undefined. `exclude` holds targets already tried by this request. */
+  tryChoose(req: {
+    readonly isIdempotent: boolean;
+    readonly exclude: ReadonlySet<string>;
+  }): TargetLease | undefined;
+  /** Number of targets that may be given new work now. */
+  readonly candidateCount: number;
+  /** Takes the observations since the last call. */
+  takeDigest(): Pick<CoordinateRequest, 'digests' | 'lost' | 'cleared'>;
+  reportLost(fingerprint: string, target: string): void;
+  reportSucceeded(fingerprint: string): void;
+  isQuarantined(fingerprint: string): boolean;
+  readonly isSuspectedReporter: boolean;
+  status(): readonly TargetStatus[];
+}
+
+/** Limits retries to a share of the requests. */
+export interface IRetryBudget {
+  recordRequest(): void;
+  tryRetry(): boolean;
+}
--- /dev/null
+++ b/packages/lists/src/compiled.ts
@@ -0,0 +1,24 @@
+/** Lookup form of the two lists, built once per revision. */
+import type { Lists, Plan, Route, Service } from './schema.js';
+
+/** A route as matched for one request. */
+export interface CompiledRoute extends Route {
+  readonly id: string;
+}
+
+export type RouteMatch =
+  | { readonly kind: 'matched'; readonly route: CompiledRoute }
+  | { readonly kind: 'methodNotAllowed'; readonly allowed: readonly string[] }
+  | { readonly kind: 'notFound' };
+
+/** Lookups for the request path: none of them scans teams, routes or plans. */
+export interface ICompiledLists {
+  readonly lists: Lists;
+  /** @param path normalised path without query */
+  matchRoute(method: string, path: string): RouteMatch;
+  /** Team whose list names the key id. */
+  teamOfKey(keyId: string): string | undefined;
+  mayUse(team: string, routeId: string): boolean;
+  planOf(team: string): Plan | undefined;
+  service(id: string): Service | undefined;
+}
