Ejection: coordinator, target pool and retry budget; admission: fair queue

The floor's property test found that decisions cached for 25 ms broke the floor when announcements expired in between; the floor is now checked for each answer.

--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -13,18 +13,18 @@
   | { readonly kind: 'queueFull' }
   | { readonly kind: 'cancelled' };
 
+export interface AcquireRequest {
+  readonly team: string;
+  /** Monotonic ms. */
+  readonly deadlineAt: number;
+  readonly isIdempotent: boolean;
+  readonly signal?: AbortSignal;
+}
+
 /** Queue in front of one service: fair over teams, with deadlines. */
-export interface IFairQueue<T extends Permit> {
-  /**
-   * Waits until `tryAcquire` of the queue's source gives a permit.
-   * @param deadlineAt monotonic ms
-   */
-  acquire(req: {
-    readonly team: string;
-    readonly deadlineAt: number;
-    readonly isIdempotent: boolean;
-    readonly signal?: AbortSignal;
-  }): Promise<AdmissionOutcome<T>>;
+export interface IFairQueue<T extends Permit, R extends AcquireRequest = AcquireRequest> {
+  /** Waits until `tryAcquire` of the queue's source gives a permit for the request. Never rejects. */
+  acquire(req: R): Promise<AdmissionOutcome<T>>;
   /** Capacity may have appeared: serves waiting requests. */
   wake(): void;
   readonly waiting: number;
--- /dev/null
+++ b/packages/ejection/src/Baselines.ts
@@ -0,0 +1,54 @@
+/** Medians and bad rates of the peers of each target. */
+import { LeaveOneOut } from './LeaveOneOut.js';
+import type { ProfileParameters } from './profiles.js';
+import type { Baseline, TargetEvidence } from './TargetEvidence.js';
+
+/** A target whose samples describe how a healthy target behaves. */
+export interface Peer {
+  readonly target: string;
+  readonly evidence: TargetEvidence;
+}
+
+/** Least samples in the window for a target to count as a peer. */
+const LEAST_PEER_SAMPLES = 5;
+
+/** The quartile rather than the mean, so that a bad third of the targets does not pass as normal. */
+const BAD_RATE_QUANTILE = 0.25;
+
+/** Baselines of one service, compiled from its peers at one moment. */
+export class Baselines {
+  private readonly medians: LeaveOneOut;
+
+  private readonly badRates: LeaveOneOut;
+
+  public constructor(
+    peers: readonly Peer[],
+    private readonly parameters: ProfileParameters,
+    now: number,
+  ) {
+    this.medians = new LeaveOneOut(
+      peers.flatMap(({ target, evidence }) => {
+        const value = evidence.median(now, LEAST_PEER_SAMPLES);
+        return value === undefined ? [] : [{ target, value }];
+      }),
+    );
+    this.badRates = new LeaveOneOut(
+      peers.flatMap(({ target, evidence }) => {
+        const value = evidence.badRate(now, LEAST_PEER_SAMPLES);
+        return value === undefined ? [] : [{ target, value }];
+      }),
+    );
+  }
+
+  /** Baseline for one target. Without peers nothing is slow and only failures are bad. */
+  public for(target: string, isCold: boolean): Baseline {
+    const { slowFactor, slowMarginMs } = this.parameters;
+    const median = this.medians.quantile(target, 0.5);
+    const badRate = this.badRates.quantile(target, BAD_RATE_QUANTILE) ?? 0;
+    const slowAboveMs =
+      median === undefined || isCold
+        ? Number.POSITIVE_INFINITY
+        : Math.max(median * slowFactor, median + slowMarginMs);
+    return { slowAboveMs, badRate };
+  }
+}
--- /dev/null
+++ b/packages/ejection/src/OpenList.ts
@@ -0,0 +1,36 @@
+/** Candidates that are believed to have room. */
+import type { TargetState } from './TargetState.js';
+
+/** Unordered list with constant-time addition, removal and choice by position. */
+export class OpenList {
+  private readonly items: TargetState[] = [];
+
+  public get size(): number {
+    return this.items.length;
+  }
+
+  public at(position: number): TargetState {
+    return this.items[position]!;
+  }
+
+  public add(state: TargetState): void {
+    if (state.openIndex >= 0) return;
+    state.setOpenIndex(this.items.push(state) - 1);
+  }
+
+  public remove(state: TargetState): void {
+    const position = state.openIndex;
+    if (position < 0) return;
+    const last = this.items.pop()!;
+    if (last !== state) {
+      this.items[position] = last;
+      last.setOpenIndex(position);
+    }
+    state.setOpenIndex(-1);
+  }
+
+  public clear(): void {
+    this.items.forEach((state) => state.setOpenIndex(-1));
+    this.items.length = 0;
+  }
+}
--- /dev/null
+++ b/packages/ejection/src/PoisonTracker.ts
@@ -0,0 +1,134 @@
+/** Poison requests: fingerprints whose requests crash the targets that run them. */
+import {
+  CRASH_SETTLE_MS,
+  CRASH_WINDOW_MS,
+  MAX_FINGERPRINTS,
+  QUARANTINE_MS,
+  SUSPECTED_FINGERPRINT_MS,
+} from './constants.js';
+import type { LostRequest } from './types.js';
+
+/** Requests lost at one target at about the same time. */
+interface Crash {
+  readonly target: string;
+  readonly startedAt: number;
+  lastAt: number;
+  readonly losses: { readonly fingerprint: string; readonly reporter: string }[];
+}
+
+/** Losses that tell against a target. */
+export interface CountedLoss {
+  readonly target: string;
+  readonly reporter: string;
+}
+
+/**
+ * A fingerprint lost on two targets without a success in between is quarantined. Innocent requests that were in flight
+ * at the same crashes are told apart: a crash with a quarantined fingerprint is explained and no longer counts against
+ * the others, and of several fingerprints with the same two crashes none is quarantined before a third crash.
+ */
+export class PoisonTracker {
+  private readonly open: Crash[] = [];
+
+  /** Unexplained crashes per fingerprint, oldest fingerprint first. */
+  private readonly suspects = new Map<string, Crash[]>();
+
+  /** Quarantined fingerprints and the time at which they are released. */
+  private readonly releaseAt = new Map<string, number>();
+
+  public addLost(lost: readonly LostRequest[], reporter: string, now: number): void {
+    lost.forEach(({ fingerprint, target }) => {
+      const crash = this.crashAt(target, now);
+      crash.lastAt = now;
+      crash.losses.push({ fingerprint, reporter });
+      const crashes = this.suspects.get(fingerprint) ?? [];
+      if (!crashes.includes(crash)) crashes.push(crash);
+      this.suspects.set(fingerprint, crashes);
+    });
+    while (this.suspects.size > MAX_FINGERPRINTS) {
+      this.suspects.delete(this.suspects.keys().next().value!);
+    }
+  }
+
+  /** The fingerprint succeeded: its losses were not its own fault. */
+  public clear(fingerprint: string): void {
+    this.suspects.delete(fingerprint);
+  }
+
+  /** Judges the crashes whose losses are complete, and returns the losses that tell against their target. */
+  public judge(now: number): CountedLoss[] {
+    this.expire(now);
+    const settled = this.open.filter((crash) => now - crash.lastAt >= CRASH_SETTLE_MS);
+    if (settled.length === 0) return [];
+    const rest = this.open.filter((crash) => now - crash.lastAt < CRASH_SETTLE_MS);
+    this.open.splice(0, this.open.length, ...rest);
+    return settled.flatMap((crash) => this.judgeCrash(crash, now));
+  }
+
+  public get quarantined(): string[] {
+    return [...this.releaseAt.keys()];
+  }
+
+  public get suspected(): string[] {
+    return [...this.suspects.keys()];
+  }
+
+  private crashAt(target: string, now: number): Crash {
+    const known = this.open.find(
+      (crash) => crash.target === target && now - crash.startedAt <= CRASH_WINDOW_MS,
+    );
+    if (known !== undefined) return known;
+    const crash: Crash = { target, startedAt: now, lastAt: now, losses: [] };
+    this.open.push(crash);
+    return crash;
+  }
+
+  private judgeCrash(crash: Crash, now: number): CountedLoss[] {
+    const fingerprints = [...new Set(crash.losses.map(({ fingerprint }) => fingerprint))];
+    const repeated = fingerprints
+      .map((fingerprint) => ({ fingerprint, targets: this.targetsOf(fingerprint) }))
+      .filter(({ targets }) => targets >= 2);
+    const most = Math.max(...repeated.map(({ targets }) => targets));
+    const worst = repeated.filter(({ targets }) => targets === most);
+    if (worst.length === 1 || most >= 3) {
+      worst.forEach(({ fingerprint }) => this.quarantine(fingerprint, now));
+    }
+    if (fingerprints.some((fingerprint) => this.releaseAt.has(fingerprint))) {
+      this.explain(crash);
+      return [];
+    }
+    if (repeated.length > 0) return [];
+    return crash.losses.map(({ reporter }) => ({ target: crash.target, reporter }));
+  }
+
+  private targetsOf(fingerprint: string): number {
+    const crashes = this.suspects.get(fingerprint) ?? [];
+    return new Set(crashes.map(({ target }) => target)).size;
+  }
+
+  private quarantine(fingerprint: string, now: number): void {
+    this.releaseAt.set(fingerprint, now + QUARANTINE_MS);
+    const crashes = this.suspects.get(fingerprint) ?? [];
+    crashes.forEach((crash) => this.explain(crash));
+    this.suspects.delete(fingerprint);
+  }
+
+  /** The crash no longer counts against any fingerprint. */
+  private explain(crash: Crash): void {
+    crash.losses.forEach(({ fingerprint }) => {
+      const rest = this.suspects.get(fingerprint)?.filter((other) => other !== crash);
+      if (rest === undefined) return;
+      if (rest.length === 0) this.suspects.delete(fingerprint);
+      else this.suspects.set(fingerprint, rest);
+    });
+  }
+
+  private expire(now: number): void {
+    [...this.releaseAt]
+      .filter(([, releaseAt]) => now >= releaseAt)
+      .forEach(([fingerprint]) => this.releaseAt.delete(fingerprint));
+    [...this.suspects]
+      .filter(([, crashes]) => now - crashes.at(-1)!.lastAt > SUSPECTED_FINGERPRINT_MS)
+      .forEach(([fingerprint]) => this.suspects.delete(fingerprint));
+  }
+}
--- /dev/null
+++ b/packages/ejection/src/Reporters.ts
@@ -0,0 +1,100 @@
+/** Entries that report to a coordinator about one service. */
+import { REPORTER_TIMEOUT_MS, SUSPICION_MS } from './constants.js';
+import type { ProfileParameters } from './profiles.js';
+import type { TargetEvidence } from './TargetEvidence.js';
+import type { TargetDigest } from './types.js';
+
+interface Reporter {
+  lastPollAt: number;
+  suspectedUntil: number;
+  /** Outstanding requests per target at the last poll. */
+  outstanding: Map<string, number>;
+}
+
+/** Targets that a reporter must have judged before it can be suspected. */
+const LEAST_JUDGED_TARGETS = 3;
+
+/** Share of the other reporters' opinions that may agree with a suspected reporter. */
+const MOST_AGREEMENT = 0.25;
+
+/** Keeps each reporter's last poll, the outstanding requests per target, and which reporters are suspected. */
+export class Reporters {
+  private readonly reporters = new Map<string, Reporter>();
+
+  private readonly outstanding = new Map<string, number>();
+
+  public adopt(from: string, digests: readonly TargetDigest[], now: number): void {
+    const known = this.reporters.get(from);
+    if (known !== undefined) this.subtract(known);
+    const outstanding = new Map(digests.map((digest) => [digest.target, digest.outstanding]));
+    outstanding.forEach((count, target) => this.add(target, count));
+    const suspectedUntil = known?.suspectedUntil ?? 0;
+    this.reporters.set(from, { lastPollAt: now, suspectedUntil, outstanding });
+  }
+
+  /** Requests outstanding at a target over all entries, as last reported. */
+  public fleetOutstanding(target: string): number {
+    return this.outstanding.get(target) ?? 0;
+  }
+
+  public isTrusted(reporter: string, now: number): boolean {
+    const known = this.reporters.get(reporter);
+    return known === undefined || known.suspectedUntil <= now;
+  }
+
+  public suspected(now: number): string[] {
+    return [...this.reporters.keys()].filter((reporter) => !this.isTrusted(reporter, now));
+  }
+
+  /** Forgets silent reporters and returns them. */
+  public expire(now: number): string[] {
+    const silent = [...this.reporters].filter(
+      ([, { lastPollAt }]) => now - lastPollAt > REPORTER_TIMEOUT_MS,
+    );
+    silent.forEach(([name, reporter]) => {
+      this.subtract(reporter);
+      // A suspected reporter stays known, since it may come back with the same bad links.
+      if (reporter.suspectedUntil > now) reporter.outstanding.clear();
+      else this.reporters.delete(name);
+    });
+    return silent.map(([name]) => name);
+  }
+
+  /** Suspects a reporter that finds most targets bad while the others do not. */
+  public reviewSuspicion(
+    evidence: readonly TargetEvidence[],
+    parameters: ProfileParameters,
+    now: number,
+  ): void {
+    const names = [...this.reporters.keys()];
+    const opinions = new Map(
+      names.map((name) => [name, evidence.map((item) => item.opinion(name, parameters, now))]),
+    );
+    const trusted = names.filter((name) => this.isTrusted(name, now));
+    const bad = evidence.map((_, i) => trusted.filter((name) => opinions.get(name)![i]).length);
+    const judged = evidence.map(
+      (_, i) => trusted.filter((name) => opinions.get(name)![i] !== undefined).length,
+    );
+    opinions.forEach((own, name) => {
+      const isCounted = trusted.includes(name) ? 1 : 0;
+      const seen = own.flatMap((opinion, i) => (opinion === undefined ? [] : [i]));
+      const seenBad = seen.filter((i) => own[i]);
+      if (seen.length < LEAST_JUDGED_TARGETS) return;
+      if (seenBad.length < parameters.suspectShare * seen.length) return;
+      const others = seenBad.reduce((sum, i) => sum + judged[i]! - isCounted, 0);
+      const agreeing = seenBad.reduce((sum, i) => sum + bad[i]! - isCounted, 0);
+      if (others < LEAST_JUDGED_TARGETS || agreeing > MOST_AGREEMENT * others) return;
+      this.reporters.get(name)!.suspectedUntil = now + SUSPICION_MS;
+    });
+  }
+
+  private add(target: string, count: number): void {
+    const sum = (this.outstanding.get(target) ?? 0) + count;
+    if (sum > 0) this.outstanding.set(target, sum);
+    else this.outstanding.delete(target);
+  }
+
+  private subtract(reporter: Reporter): void {
+    reporter.outstanding.forEach((count, target) => this.add(target, -count));
+  }
+}
--- /dev/null
+++ b/packages/ejection/src/RetryBudget.test.ts
@@ -0,0 +1,43 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { RetryBudget } from './RetryBudget.js';
+
+/** Largest ratio of retries to requests at any moment of a sequence. */
+function worstRatio(budget: RetryBudget, steps: readonly boolean[]): number {
+  let requests = 0;
+  let retries = 0;
+  return Math.max(
+    0,
+    ...steps.map((isRequest) => {
+      if (isRequest) {
+        budget.recordRequest();
+        requests += 1;
+      } else if (budget.tryRetry()) retries += 1;
+      return retries === 0 ? 0 : retries / requests;
+    }),
+  );
+}
+
+describe('RetryBudget', () => {
+  it('never permits more than 10% retries, in any order', () => {
+    fc.assert(
+      fc.property(fc.array(fc.boolean(), { minLength: 1, maxLength: 400 }), (steps) => {
+        expect(worstRatio(new RetryBudget(), steps)).toBeLessThanOrEqual(0.1 + 1e-9);
+      }),
+      { seed: 3 },
+    );
+  });
+
+  it('finds the excess of an unlimited budget (the check can fail)', () => {
+    const steps = [true, false, false, true, false];
+    expect(worstRatio(new RetryBudget(Number.POSITIVE_INFINITY), steps)).toBeGreaterThan(0.1);
+  });
+
+  it('saves up only a bounded number of retries', () => {
+    const budget = new RetryBudget();
+    for (let i = 0; i < 10_000; i += 1) budget.recordRequest();
+    const granted = Array.from({ length: 100 }, () => budget.tryRetry()).filter(Boolean).length;
+    expect(granted).toEqual(20);
+  });
+});
--- /dev/null
+++ b/packages/ejection/src/Rotation.ts
@@ -0,0 +1,99 @@
+/** Whether one target is in rotation: ejection, probation, return. */
+import {
+  EJECTION_BASE_MS,
+  EJECTION_DECAY_MS,
+  EJECTION_MAX_MS,
+  PROBATION_IDLE_STEP_MS,
+  PROBATION_START_SHARE,
+  PROBATION_STEP_MS,
+  PROBATION_STEP_SAMPLES,
+} from './constants.js';
+import type { RotationStatus } from './types.js';
+
+/** States: in rotation -> ejected -> probation -> in rotation, or back to ejected on a relapse. */
+export class Rotation {
+  private statusValue: RotationStatus = 'inRotation';
+
+  private shareValue = 1;
+
+  private reasonValue = '';
+
+  /** Ejections that have not decayed. */
+  private level = 0;
+
+  /** End of the ejection, start of the probation step, or time from which the level decays. */
+  private since = 0;
+
+  /** Bad rate at the ejection. */
+  private badness = 0;
+
+  public get status(): RotationStatus {
+    return this.statusValue;
+  }
+
+  public get share(): number {
+    return this.shareValue;
+  }
+
+  public get reason(): string {
+    return this.reasonValue;
+  }
+
+  public get badRateAtEjection(): number {
+    return this.badness;
+  }
+
+  public eject(now: number, badRate: number): void {
+    const lengthMs = Math.min(EJECTION_MAX_MS, EJECTION_BASE_MS * 2 ** this.level);
+    this.level += 1;
+    this.statusValue = 'ejected';
+    this.shareValue = 0;
+    this.badness = badRate;
+    this.since = now + lengthMs;
+    const percent = Math.round(badRate * 100);
+    this.reasonValue = `${percent}% failed or slow, ejected for ${lengthMs / 1000} s`;
+  }
+
+  /** Returns to rotation at once, because the floor requires it. */
+  public reinstate(now: number): void {
+    this.enterRotation(now);
+    this.reasonValue = 'kept in rotation by the floor';
+  }
+
+  /** Moves on with time. `goodSamples` is the number of good samples in this probation step. */
+  public advance(now: number, goodSamples: number): 'changed' | 'unchanged' {
+    if (this.statusValue === 'ejected') return this.advanceEjected(now);
+    if (this.statusValue === 'probation') return this.advanceProbation(now, goodSamples);
+    if (this.level > 0 && now - this.since >= EJECTION_DECAY_MS) {
+      this.level -= 1;
+      this.since = now;
+    }
+    return 'unchanged';
+  }
+
+  private advanceEjected(now: number): 'changed' | 'unchanged' {
+    if (now < this.since) return 'unchanged';
+    this.statusValue = 'probation';
+    this.shareValue = PROBATION_START_SHARE;
+    this.reasonValue = 'probation after ejection';
+    this.since = now;
+    return 'changed';
+  }
+
+  private advanceProbation(now: number, goodSamples: number): 'changed' | 'unchanged' {
+    const stepMs = now - this.since;
+    const isProven = stepMs >= PROBATION_STEP_MS && goodSamples >= PROBATION_STEP_SAMPLES;
+    if (!isProven && stepMs < PROBATION_IDLE_STEP_MS) return 'unchanged';
+    this.since = now;
+    this.shareValue = Math.min(1, this.shareValue * 2);
+    if (this.shareValue >= 1) this.enterRotation(now);
+    return 'changed';
+  }
+
+  private enterRotation(now: number): void {
+    this.statusValue = 'inRotation';
+    this.shareValue = 1;
+    this.reasonValue = '';
+    this.since = now;
+  }
+}
--- /dev/null
+++ b/packages/ejection/src/TargetEvidence.ts
@@ -0,0 +1,184 @@
+/** Evidence about one target, merged over its reporters. */
+import { BASELINE_WINDOW_MS, EVIDENCE_ROUND_MS, REPORTER_WINDOW_MS } from './constants.js';
+import { FadingCounts } from './FadingCounts.js';
+import { countAbove, countSamples, LATENCY_BUCKET_COUNT, medianMs } from './latency.js';
+import type { ProfileParameters } from './profiles.js';
+
+/** What the target's peers look like. */
+export interface Baseline {
+  /** A successful sample above this is bad. */
+  readonly slowAboveMs: number;
+  /** Bad rate of the peers. */
+  readonly badRate: number;
+}
+
+/** Least faded samples with which a reporter has an opinion. */
+const LEAST_OPINION = 0.5;
+
+/** CUSUM, latency histogram and reporters of one target. */
+export class TargetEvidence {
+  private readonly buckets = new Float64Array(LATENCY_BUCKET_COUNT);
+
+  private readonly window = new FadingCounts(BASELINE_WINDOW_MS);
+
+  private readonly recent = new FadingCounts(REPORTER_WINDOW_MS);
+
+  private readonly reporters = new Map<string, FadingCounts>();
+
+  private round = 0;
+
+  /** CUSUM up to which it may grow in this round. */
+  private roundCeiling = 0;
+
+  private cusumValue = 0;
+
+  /** Successful samples since the last call of `takeGood`. */
+  private good = 0;
+
+  public get cusum(): number {
+    return this.cusumValue;
+  }
+
+  /** Adds one reporter's samples. Those of an untrusted reporter only form its own opinion. */
+  public add(
+    reporter: string,
+    samples: { readonly buckets: readonly number[]; readonly failed: number },
+    baseline: Baseline,
+    parameters: ProfileParameters,
+    now: number,
+    isTrusted: boolean,
+  ): void {
+    const succeeded = countSamples(samples.buckets);
+    const total = succeeded + samples.failed;
+    if (total === 0) return;
+    const bad = samples.failed + countAbove(samples.buckets, baseline.slowAboveMs);
+    const own = this.reporterCounts(reporter, now);
+    if (!isTrusted) {
+      own.add(total, bad);
+      return;
+    }
+    this.recent.fade(now);
+    const allowed =
+      parameters.reporterCap * Math.max(1, this.recent.total / Math.max(1, this.reporters.size));
+    const scale = Math.min(1, Math.max(0, allowed - own.total) / total);
+    own.add(total, bad);
+    this.recent.add(total, bad);
+    this.addToBaseline(samples.buckets, total, bad, now);
+    this.good += total - bad;
+    this.addToCusum(total * scale, bad * scale, baseline, parameters, now);
+  }
+
+  /** Median latency in ms; undefined without enough samples. */
+  public median(now: number, leastSamples: number): number | undefined {
+    this.fadeBaseline(now);
+    const succeeded = countSamples(this.buckets);
+    return succeeded < leastSamples ? undefined : medianMs(this.buckets, succeeded);
+  }
+
+  /** Bad rate; undefined without enough samples. */
+  public badRate(now: number, leastSamples: number): number | undefined {
+    this.fadeBaseline(now);
+    return this.window.total < leastSamples ? undefined : this.window.badRate;
+  }
+
+  /** Bad rate over the last second or so, 0 without samples. */
+  public recentBadRate(now: number): number {
+    this.recent.fade(now);
+    return this.recent.badRate;
+  }
+
+  /** What a reporter thinks of the target: bad, not bad, or nothing for lack of samples. */
+  public opinion(
+    reporter: string,
+    parameters: ProfileParameters,
+    now: number,
+  ): boolean | undefined {
+    const counts = this.reporters.get(reporter);
+    counts?.fade(now);
+    if (counts === undefined || counts.total < LEAST_OPINION) return undefined;
+    return counts.badRate >= parameters.witnessBadShare;
+  }
+
+  /** True if enough of the trusted reporters find the target bad. */
+  public hasWitnesses(
+    parameters: ProfileParameters,
+    now: number,
+    isTrusted: (reporter: string) => boolean,
+  ): boolean {
+    const opinions = [...this.reporters.keys()]
+      .filter(isTrusted)
+      .map((reporter) => this.opinion(reporter, parameters, now))
+      .filter((opinion) => opinion !== undefined);
+    const bad = opinions.filter(Boolean).length;
+    return bad > 0 && bad >= parameters.witnessShare * opinions.length;
+  }
+
+  /** Drops the reporter's samples. */
+  public forget(reporter: string): void {
+    this.reporters.delete(reporter);
+  }
+
+  /** Starts from nothing: the target is a new process, or a decision has used the evidence. */
+  public reset(): void {
+    this.cusumValue = 0;
+    this.roundCeiling = 0;
+    this.round = 0;
+    this.good = 0;
+    this.reporters.clear();
+  }
+
+  public takeGood(): number {
+    const { good } = this;
+    this.good = 0;
+    return good;
+  }
+
+  public get goodSamples(): number {
+    return this.good;
+  }
+
+  private reporterCounts(reporter: string, now: number): FadingCounts {
+    let counts = this.reporters.get(reporter);
+    if (counts === undefined) {
+      counts = new FadingCounts(REPORTER_WINDOW_MS);
+      this.reporters.set(reporter, counts);
+    }
+    counts.fade(now);
+    return counts;
+  }
+
+  private fadeBaseline(now: number): void {
+    const factor = this.window.fade(now);
+    if (factor === 1) return;
+    for (let i = 0; i < LATENCY_BUCKET_COUNT; i += 1) this.buckets[i]! *= factor;
+  }
+
+  private addToBaseline(buckets: readonly number[], total: number, bad: number, now: number): void {
+    this.fadeBaseline(now);
+    this.window.add(total, bad);
+    const length = Math.min(buckets.length, LATENCY_BUCKET_COUNT);
+    for (let i = 0; i < length; i += 1) this.buckets[i]! += buckets[i]!;
+  }
+
+  private addToCusum(
+    total: number,
+    bad: number,
+    baseline: Baseline,
+    parameters: ProfileParameters,
+    now: number,
+  ): void {
+    const { cusumThreshold, gainPerRound } = parameters;
+    const round = Math.floor(now / EVIDENCE_ROUND_MS);
+    if (round !== this.round) {
+      this.round = round;
+      this.roundCeiling = this.cusumValue + gainPerRound * cusumThreshold;
+    }
+    const normal = Math.max(parameters.leastPeerBadRate, baseline.badRate);
+    // With many bad samples everywhere, a target must be clearly worse than its peers.
+    const worse = Math.max(parameters.badShare, Math.min(0.95, 3 * normal));
+    const ratio =
+      bad * Math.log(worse / normal) + (total - bad) * Math.log((1 - worse) / (1 - normal));
+    const ceiling = Math.min(this.roundCeiling, 2 * cusumThreshold);
+    this.cusumValue = Math.min(ceiling, Math.max(0, this.cusumValue + ratio));
+  }
+}
--- /dev/null
+++ b/packages/ejection/src/TargetPool.ts
@@ -0,0 +1,288 @@
+/** An entry's targets of one service: candidates, choice, evidence for the next poll. */
+import type { Clock } from '@marigoldbank/base/clock';
+import { Emitter, type Event } from '@marigoldbank/base/events';
+import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import type { Random } from '@marigoldbank/base/random';
+import { TOMBSTONE_MS } from './constants.js';
+import { FingerprintBook } from './FingerprintBook.js';
+import { leastInRotation } from './floor.js';
+import { OpenList } from './OpenList.js';
+import { TargetState, type TargetRole } from './TargetState.js';
+import type {
+  AttemptOutcome,
+  CoordinateRequest,
+  CoordinateResponse,
+  ITargetPool,
+  TargetLease,
+  TargetStatus,
+} from './types.js';
+
+export interface TargetPoolOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Id of this entry, as in its polls. */
+  readonly entry: string;
+  readonly dataCentre: string;
+  /** Least share of announced, not draining targets that stay candidates, 0 to 1. */
+  readonly floor: () => number;
+  /** Number of entries in the view, which share a target's connections. */
+  readonly entryCount: () => number;
+}
+
+interface ChooseRequest {
+  readonly isIdempotent: boolean;
+  readonly exclude: ReadonlySet<string>;
+}
+
+const DEFAULT_LATENCY_MS = 20;
+
+/** Order in which targets that are not in use come back when the floor requires it. */
+function reinstatementRank(state: TargetState): number {
+  if (state.status.status === 'probation') return 1 - state.status.share;
+  return state.status.status === 'inRotation' ? 2 : 3;
+}
+
+/**
+ * Keeps compiled lists of candidates with room, one for the own data centre and one for the others, so that a choice
+ * does not visit all targets. The floor is checked at every update and whenever a lease ends or an avoidance changes.
+ */
+export class TargetPool implements ITargetPool, IDisposable {
+  private readonly states = new Map<string, TargetState>();
+
+  private readonly local = new OpenList();
+
+  private readonly remote = new OpenList();
+
+  private readonly fingerprints: FingerprintBook;
+
+  private readonly capacityEmitter = new Emitter<void>();
+
+  /** Fires when a target may have room again: wake the queue in front of the service. */
+  public readonly onCapacity: Event<void> = this.capacityEmitter.event;
+
+  private askedAt = Number.NEGATIVE_INFINITY;
+
+  /** The lists are stale from then on, since a lease has ended. */
+  private compileAt = Number.POSITIVE_INFINITY;
+
+  private candidates = 0;
+
+  private typicalLatencyMs = DEFAULT_LATENCY_MS;
+
+  private isSuspected = false;
+
+  private isDisposed = false;
+
+  public constructor(private readonly options: TargetPoolOptions) {
+    this.fingerprints = new FingerprintBook(options.clock);
+  }
+
+  public update(res: CoordinateResponse, askedAt: number): void {
+    // A late answer to an earlier poll holds older decisions.
+    if (askedAt < this.askedAt) return;
+    this.askedAt = askedAt;
+    res.targets.forEach((status) => this.adopt(status, askedAt));
+    this.forgetGone();
+    this.refreshLatencies();
+    this.fingerprints.adopt(res);
+    this.isSuspected = res.suspectedReporters.includes(this.options.entry);
+    this.compile();
+    this.capacityEmitter.fire();
+  }
+
+  public tryChoose(req: ChooseRequest): TargetLease | undefined {
+    const now = this.options.clock.now();
+    this.compileIfStale(now);
+    const state = this.chooseFrom(this.local, req, now) ?? this.chooseFrom(this.remote, req, now);
+    return state === undefined ? undefined : this.lease(state);
+  }
+
+  public get candidateCount(): number {
+    this.compileIfStale(this.options.clock.now());
+    return this.candidates;
+  }
+
+  public takeDigest(): Pick<CoordinateRequest, 'digests' | 'lost' | 'cleared'> {
+    const digests = [...this.states.values()]
+      .map((state) => state.takeDigest())
+      .filter((digest) => digest !== undefined);
+    return { digests, ...this.fingerprints.take() };
+  }
+
+  /** Every attempt that ended as `connectionLost` is reported here too, with the request's fingerprint. */
+  public reportLost(fingerprint: string, target: string): void {
+    this.fingerprints.reportLost(fingerprint, target);
+  }
+
+  public reportSucceeded(fingerprint: string): void {
+    this.fingerprints.reportSucceeded(fingerprint);
+  }
+
+  public isQuarantined(fingerprint: string): boolean {
+    return this.fingerprints.isQuarantined(fingerprint);
+  }
+
+  public get isSuspectedReporter(): boolean {
+    return this.isSuspected;
+  }
+
+  public status(): readonly TargetStatus[] {
+    return [...this.states.values()].map((state) => state.status);
+  }
+
+  public dispose(): void {
+    this.isDisposed = true;
+    this.capacityEmitter.dispose();
+  }
+
+  private adopt(status: TargetStatus, askedAt: number): void {
+    const { target } = status.announcement;
+    const known = this.states.get(target);
+    if (known !== undefined) known.update(status, askedAt);
+    else this.states.set(target, new TargetState(status, askedAt, this.options.random));
+  }
+
+  private forgetGone(): void {
+    const now = this.options.clock.now();
+    [...this.states]
+      .filter(([, state]) => state.outstanding === 0 && now - state.expiresAt > TOMBSTONE_MS)
+      .forEach(([target]) => this.states.delete(target));
+  }
+
+  private refreshLatencies(): void {
+    const latencies = [...this.states.values()]
+      .map((state) => state.latencyMs)
+      .filter((latency) => latency !== undefined)
+      .sort((a, b) => a - b);
+    this.typicalLatencyMs = latencies[Math.floor(latencies.length / 2)] ?? DEFAULT_LATENCY_MS;
+    this.states.forEach((state) => state.fadeLatency(this.typicalLatencyMs));
+  }
+
+  private compileIfStale(now: number): void {
+    if (now >= this.compileAt) this.compile();
+  }
+
+  /** Rebuilds the lists. At least the floor's share of the usable targets becomes candidates. */
+  private compile(): void {
+    const now = this.options.clock.now();
+    this.states.forEach((state) => state.setRole('unused'));
+    const usable = [...this.states.values()].filter((state) => now < state.usableUntil);
+    usable.forEach((state) => state.setRole(TargetPool.roleOf(state, now)));
+    const unused = usable.filter((state) => state.role !== 'normal');
+    const least = leastInRotation(usable.length, this.options.floor());
+    const missing = Math.max(0, least - (usable.length - unused.length));
+    unused
+      .sort((a, b) => reinstatementRank(a) - reinstatementRank(b))
+      .slice(0, missing)
+      .forEach((state) => state.setRole('normal'));
+    this.compileAt = Math.min(Number.POSITIVE_INFINITY, ...usable.map((s) => s.usableUntil));
+    this.local.clear();
+    this.remote.clear();
+    const used = usable.filter((state) => state.role !== 'unused');
+    this.candidates = used.length;
+    used.forEach((state) => this.open(state, now));
+  }
+
+  private static roleOf(state: TargetState, now: number): TargetRole {
+    if (state.avoidance.isAvoided(now)) return 'unused';
+    if (state.status.status === 'inRotation') return 'normal';
+    return state.status.status === 'probation' ? 'probation' : 'unused';
+  }
+
+  private listOf(state: TargetState): OpenList {
+    return state.announcement.dataCentre === this.options.dataCentre ? this.local : this.remote;
+  }
+
+  private open(state: TargetState, now: number): void {
+    if (state.role !== 'unused' && this.hasRoom(state, now)) this.listOf(state).add(state);
+  }
+
+  private hasRoom(state: TargetState, now: number): boolean {
+    return state.hasRoom(now, this.connectionsOf(state));
+  }
+
+  private connectionsOf(state: TargetState): number {
+    const entries = Math.max(1, this.options.entryCount());
+    return Math.max(1, Math.floor(state.announcement.maxConnections / entries));
+  }
+
+  /** Power of two choices. A target on probation is taken when drawn first, since it needs samples. */
+  private chooseFrom(list: OpenList, req: ChooseRequest, now: number): TargetState | undefined {
+    const first = this.draw(list, req, now, undefined);
+    if (first === undefined || first.role === 'probation') return first;
+    const second = this.draw(list, req, now, first);
+    if (second === undefined || second.role === 'probation') return first;
+    const typical = this.typicalLatencyMs;
+    return second.score(typical) < first.score(typical) ? second : first;
+  }
+
+  /** Draws from a random position on; targets found without room leave the list until they have some. */
+  private draw(
+    list: OpenList,
+    req: ChooseRequest,
+    now: number,
+    other: TargetState | undefined,
+  ): TargetState | undefined {
+    if (list.size === 0) return undefined;
+    let position = this.options.random.int(list.size);
+    let rejected = 0;
+    while (rejected < list.size) {
+      const state = list.at(position % list.size);
+      if (!this.hasRoom(state, now)) {
+        list.remove(state);
+      } else if (state !== other && this.isAllowed(state, req)) {
+        return state;
+      } else {
+        rejected += 1;
+        position += 1;
+      }
+    }
+    return undefined;
+  }
+
+  private isAllowed(state: TargetState, req: ChooseRequest): boolean {
+    if (req.exclude.has(state.announcement.target)) return false;
+    if (state.role !== 'probation') return true;
+    return req.isIdempotent && this.options.random.chance(state.status.share);
+  }
+
+  private lease(state: TargetState): TargetLease {
+    const { target, address } = state.announcement;
+    let isFinished = false;
+    state.begin();
+    return {
+      target,
+      address,
+      maxConnections: this.connectionsOf(state),
+      mayDispatch: () =>
+        !isFinished && state.role !== 'unused' && this.options.clock.now() < state.usableUntil,
+      finish: (outcome, latencyMs) => {
+        if (isFinished) return;
+        isFinished = true;
+        this.finish(state, outcome, latencyMs);
+      },
+    };
+  }
+
+  private finish(state: TargetState, outcome: AttemptOutcome, latencyMs: number): void {
+    const now = this.options.clock.now();
+    state.end();
+    const avoidedMs = state.record(outcome, latencyMs, this.typicalLatencyMs, now);
+    if (avoidedMs !== undefined) {
+      this.compile();
+      this.later(avoidedMs, () => this.compile());
+    }
+    this.open(state, now);
+    const pauseMs = state.limit.pausedUntil - now;
+    if (pauseMs > 0) this.later(pauseMs, () => this.open(state, this.options.clock.now()));
+    this.capacityEmitter.fire();
+  }
+
+  private later(delayMs: number, fn: () => void): void {
+    this.options.clock.setTimeout(() => {
+      if (this.isDisposed) return;
+      fn();
+      this.capacityEmitter.fire();
+    }, delayMs);
+  }
+}
--- /dev/null
+++ b/packages/ejection/src/TargetState.ts
@@ -0,0 +1,195 @@
+/** What an entry knows of one target. */
+import type { Random } from '@marigoldbank/base/random';
+import { isNewer } from './AnnouncementStore.js';
+import { Avoidance } from './Avoidance.js';
+import { ANNOUNCEMENT_LEASE_MS } from './constants.js';
+import { latencyBucket, LATENCY_BUCKET_COUNT } from './latency.js';
+import { LocalLimit } from './LocalLimit.js';
+import type { Announcement, AttemptOutcome, TargetDigest, TargetStatus } from './types.js';
+
+/** How the entry uses a target: not at all, as any other, or for a share of idempotent requests. */
+export type TargetRole = 'unused' | 'normal' | 'probation';
+
+const LATENCY_SMOOTHING = 0.2;
+
+/** A failure counts as slow in the choice, since a target that fails fast must not attract requests. */
+const FAILURE_LATENCY_FACTOR = 3;
+
+/** Share of the distance to the typical latency that an unused estimate moves per update. */
+const LATENCY_FADING = 0.02;
+
+export class TargetState {
+  public readonly avoidance = new Avoidance();
+
+  public limit: LocalLimit;
+
+  private roleValue: TargetRole = 'unused';
+
+  private openIndexValue = -1;
+
+  private outstandingValue = 0;
+
+  /** End of the lease that the newest announcement gives (monotonic ms). */
+  private leaseUntil: number;
+
+  private latency: number | undefined;
+
+  private hasNewLatency = false;
+
+  private counts = { succeeded: 0, failed: 0, shed: 0 };
+
+  private buckets = new Array<number>(LATENCY_BUCKET_COUNT).fill(0);
+
+  public constructor(
+    private current: TargetStatus,
+    askedAt: number,
+    private readonly random: Random,
+  ) {
+    this.leaseUntil = askedAt + ANNOUNCEMENT_LEASE_MS - current.announcement.ageMs;
+    this.limit = this.newLimit(current.announcement);
+  }
+
+  public get announcement(): Announcement {
+    return this.current.announcement;
+  }
+
+  public get role(): TargetRole {
+    return this.roleValue;
+  }
+
+  public setRole(role: TargetRole): void {
+    this.roleValue = role;
+  }
+
+  /** Position in the list of candidates with room, -1 outside of it. */
+  public get openIndex(): number {
+    return this.openIndexValue;
+  }
+
+  public setOpenIndex(position: number): void {
+    this.openIndexValue = position;
+  }
+
+  public get outstanding(): number {
+    return this.outstandingValue;
+  }
+
+  /** A request starts. */
+  public begin(): void {
+    this.outstandingValue += 1;
+  }
+
+  /** A request has ended. */
+  public end(): void {
+    this.outstandingValue -= 1;
+  }
+
+  public get status(): TargetStatus {
+    return this.current;
+  }
+
+  public get usableUntil(): number {
+    return this.announcement.state === 'up' ? this.leaseUntil : Number.NEGATIVE_INFINITY;
+  }
+
+  public get expiresAt(): number {
+    return this.leaseUntil;
+  }
+
+  /** Adopts a coordinator's status; an older announcement than the known one is not adopted. */
+  public update(status: TargetStatus, askedAt: number): void {
+    const known = this.announcement;
+    const { announcement } = status;
+    const leaseUntil = askedAt + ANNOUNCEMENT_LEASE_MS - announcement.ageMs;
+    if (isNewer(known, announcement)) {
+      this.current = { ...status, announcement: known };
+    } else {
+      const isSame = !isNewer(announcement, known);
+      this.leaseUntil = isSame ? Math.max(this.leaseUntil, leaseUntil) : leaseUntil;
+      this.current = status;
+    }
+    if (this.announcement.incarnation !== known.incarnation) {
+      this.limit = this.newLimit(this.announcement);
+      this.avoidance.onSuccess();
+      this.latency = undefined;
+    }
+    this.limit.setSlots(this.announcement.slots);
+    this.limit.onFleetLoad(status.fleetOutstanding);
+  }
+
+  public hasRoom(now: number, maxOutstanding: number): boolean {
+    if (now >= this.usableUntil || this.outstanding >= maxOutstanding) return false;
+    if (this.avoidance.isOnTrial && this.outstanding > 0) return false;
+    return this.limit.hasRoom(this.outstanding, now);
+  }
+
+  /** Expected cost of one more request; the smaller the better. */
+  public score(typicalLatencyMs: number): number {
+    return (this.outstanding + 1) * (this.latency ?? typicalLatencyMs);
+  }
+
+  public get latencyMs(): number | undefined {
+    return this.latency;
+  }
+
+  /** An estimate without new samples fades, so that a target is tried again after a slow period. */
+  public fadeLatency(typicalLatencyMs: number): void {
+    if (this.latency !== undefined && !this.hasNewLatency) {
+      this.latency += LATENCY_FADING * (typicalLatencyMs - this.latency);
+    }
+    this.hasNewLatency = false;
+  }
+
+  /** Counts an outcome. Returns the length of an avoidance that starts with it, or undefined. */
+  public record(
+    outcome: AttemptOutcome,
+    latencyMs: number,
+    typicalLatencyMs: number,
+    now: number,
+  ): number | undefined {
+    switch (outcome) {
+      case 'succeeded':
+        this.counts.succeeded += 1;
+        this.buckets[latencyBucket(latencyMs)]! += 1;
+        this.smoothLatency(latencyMs);
+        this.limit.onSuccess(this.latency ?? latencyMs, now);
+        this.avoidance.onSuccess();
+        return undefined;
+      case 'shed':
+        this.counts.shed += 1;
+        this.limit.onShed(this.latency ?? typicalLatencyMs, now);
+        return undefined;
+      case 'failed':
+      case 'connectionLost':
+        // Lost connections are counted by the coordinator once it knows whether the request was at fault.
+        if (outcome === 'failed') this.counts.failed += 1;
+        this.smoothLatency(Math.max(latencyMs, FAILURE_LATENCY_FACTOR * typicalLatencyMs));
+        return this.avoidance.onFailure(now);
+      default:
+        return undefined;
+    }
+  }
+
+  /** Takes the counts since the last call; undefined when there is nothing to report. */
+  public takeDigest(): TargetDigest | undefined {
+    const { counts, buckets, outstanding } = this;
+    if (counts.succeeded + counts.failed + counts.shed + outstanding === 0) return undefined;
+    this.counts = { succeeded: 0, failed: 0, shed: 0 };
+    this.buckets = new Array<number>(LATENCY_BUCKET_COUNT).fill(0);
+    const used = buckets.findLastIndex((count) => count > 0) + 1;
+    const latencyBuckets = buckets.slice(0, used);
+    return { target: this.announcement.target, ...counts, outstanding, latencyBuckets };
+  }
+
+  private smoothLatency(latencyMs: number): void {
+    this.hasNewLatency = true;
+    this.latency =
+      this.latency === undefined
+        ? latencyMs
+        : this.latency + LATENCY_SMOOTHING * (latencyMs - this.latency);
+  }
+
+  private newLimit({ slots, isCold }: Announcement): LocalLimit {
+    return new LocalLimit(slots, isCold, this.random);
+  }
+}
--- a/packages/ejection/src/api.ts
+++ b/packages/ejection/src/api.ts
@@ -1,2 +1,7 @@
 /** Public API of ejection and target selection. */
 export * from './types.js';
+export * from './Coordinator.js';
+export * from './TargetPool.js';
+export * from './RetryBudget.js';
+export * from './latency.js';
+export * from './profiles.js';
--- /dev/null
+++ b/packages/ejection/src/profiles.ts
@@ -0,0 +1,43 @@
+/** Profiles: named sets of the parameters that decide between promptness and caution. */
+import type { ProfileName } from './types.js';
+
+export interface ProfileParameters {
+  /** CUSUM (natural log of a likelihood ratio) at which a target is ejected. */
+  readonly cusumThreshold: number;
+  /** Share of bad samples that counts as a bad target. */
+  readonly badShare: number;
+  /** Least bad rate assumed for peers, so that one bad sample among healthy peers decides nothing. */
+  readonly leastPeerBadRate: number;
+  /** A sample is slow above this multiple of the peers' median. */
+  readonly slowFactor: number;
+  /** A sample is slow only this much above the peers' median, which keeps jitter of fast services out. */
+  readonly slowMarginMs: number;
+  /** Largest growth of a CUSUM in one round, as a share of the threshold. A single stall ends within two rounds. */
+  readonly gainPerRound: number;
+  /** Share of a target's reporters that must find it bad. */
+  readonly witnessShare: number;
+  /** Share of bad samples at which one reporter finds a target bad. */
+  readonly witnessBadShare: number;
+  /** Weight of one reporter at a target at most this multiple of the mean of all. */
+  readonly reporterCap: number;
+  /** Share of targets that a reporter must find bad, while the others do not, to be suspected. */
+  readonly suspectShare: number;
+}
+
+const COMMON = {
+  badShare: 0.25,
+  leastPeerBadRate: 0.02,
+  slowFactor: 3,
+  slowMarginMs: 5,
+  gainPerRound: 0.4,
+  witnessShare: 0.5,
+  witnessBadShare: 0.1,
+  reporterCap: 3,
+  suspectShare: 0.5,
+};
+
+/** Parameters of each profile. */
+export const PROFILES: Record<ProfileName, ProfileParameters> = {
+  'prompt-detection': { ...COMMON, cusumThreshold: 10 },
+  'fair-share': { ...COMMON, cusumThreshold: 16 },
+};
