--- a/packages/fleet/src/changes.ts
+++ b/packages/fleet/src/changes.ts
@@ -1,5 +1,11 @@
 /** Changes of the replicated configuration, their results and the audit trail. */
-import { listsSchema } from '@marigoldbank/lists/schema';
+import {
+  listsSchema,
+  planSchema,
+  routeSchema,
+  serviceSchema,
+  teamSchema,
+} from '@marigoldbank/lists/schema';
 import { z } from 'zod';
 import { entryRecordSchema } from './config.js';
 
@@ -12,6 +18,14 @@
   at: z.string(),
 };
 
+/** Difference between two versions of the lists; null removes an entry. */
+export const listsPatchSchema = z.object({
+  teams: z.record(z.string(), teamSchema.nullable()),
+  services: z.record(z.string(), serviceSchema.nullable()),
+  routes: z.record(z.string(), routeSchema.nullable()),
+  plans: z.record(z.string(), planSchema.nullable()),
+});
+
 export const changeSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('applyLists'),
@@ -20,6 +34,13 @@
     baseListsRevision: z.number().int(),
     lists: listsSchema,
   }),
+  /** What the leader writes to the log in place of `applyLists`: its size follows the edit, not the lists. */
+  z.object({
+    kind: z.literal('patchLists'),
+    ...header,
+    baseListsRevision: z.number().int(),
+    patch: listsPatchSchema,
+  }),
   z.object({
     kind: z.literal('issueKey'),
     ...header,
@@ -73,6 +94,7 @@
   hash: z.string(),
 });
 
+export type ListsPatch = z.infer<typeof listsPatchSchema>;
 export type Change = z.infer<typeof changeSchema>;
 export type ChangeKind = Change['kind'];
 export type ChangeResult = z.infer<typeof changeResultSchema>;
--- a/packages/fleet/src/config.ts
+++ b/packages/fleet/src/config.ts
@@ -1,5 +1,5 @@
 /** The replicated configuration as entries adopt it. */
-import { listsSchema } from '@marigoldbank/lists/schema';
+import { EMPTY_LISTS, listsSchema } from '@marigoldbank/lists/schema';
 import { z } from 'zod';
 
 export const entryRecordSchema = z.object({
@@ -35,9 +35,22 @@
   view: viewSchema,
   /** Entries that an operator drains. */
   drainingEntries: z.array(z.string()),
+  /** VMs that an operator removed; they join again only by an operator's `addEntry`. */
+  removedEntries: z.array(z.string()),
 });
 
 export type EntryRecord = z.infer<typeof entryRecordSchema>;
 export type FleetView = z.infer<typeof viewSchema>;
 export type IssuedKey = z.infer<typeof issuedKeySchema>;
 export type FleetConfig = z.infer<typeof fleetConfigSchema>;
+
+/** The configuration before the first change. */
+export const EMPTY_CONFIG: FleetConfig = {
+  revision: 0,
+  listsRevision: 0,
+  lists: EMPTY_LISTS,
+  keys: {},
+  view: { epoch: 0, entries: [] },
+  drainingEntries: [],
+  removedEntries: [],
+};
