--- /dev/null
+++ b/packages/daemon/src/control/EntryReports.ts
@@ -0,0 +1,57 @@
+/** What the entries last reported to this leader, and which revision is accepted. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { FleetConfig } from '@marigoldbank/fleet/config';
+import type { EntryReport, EntryState } from './types.js';
+
+/** An entry counts as current for this long after its last confirmed poll. */
+const CURRENT_MS = 2_000;
+
+interface TimedReport extends EntryReport {
+  readonly at: number;
+}
+
+export class EntryReports {
+  private readonly reports = new Map<string, TimedReport>();
+
+  public constructor(private readonly clock: Clock) {}
+
+  public record(report: EntryReport): void {
+    this.reports.set(report.entry.vm, { ...report, at: this.clock.now() });
+  }
+
+  /** Forgets all reports; a new leader learns them from the polls. */
+  public clear(): void {
+    this.reports.clear();
+  }
+
+  public states(config: FleetConfig): EntryState[] {
+    const now = this.clock.now();
+    return config.view.entries.map((record) => {
+      const report = this.reports.get(record.vm);
+      const lastPollAgeMs = report === undefined ? undefined : now - report.at;
+      return {
+        record,
+        revision: report?.revision ?? 0,
+        isCurrent: lastPollAgeMs !== undefined && lastPollAgeMs <= CURRENT_MS,
+        isDraining: (report?.isDraining ?? false) || config.drainingEntries.includes(record.vm),
+        lastPollAgeMs,
+      };
+    });
+  }
+
+  /** Highest revision that a majority of the view has in force. */
+  public majorityRevision(config: FleetConfig): number {
+    const revisions = this.states(config)
+      .map((state) => state.revision)
+      .sort((a, b) => b - a);
+    const majority = Math.floor(revisions.length / 2) + 1;
+    return revisions.length === 0 ? config.revision : revisions[majority - 1]!;
+  }
+
+  /** VMs whose report is recent and that take new callers. */
+  public currentEntries(config: FleetConfig): string[] {
+    return this.states(config)
+      .filter((state) => state.isCurrent && !state.isDraining)
+      .map((state) => state.record.vm);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/operator-routes.ts
@@ -0,0 +1,160 @@
+/** Serves the operators' command line. */
+import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import { changeSchema, type Change } from '@marigoldbank/fleet/changes';
+import {
+  OperatorService,
+  type EntryStatusSchema,
+  type FleetStatusSchema,
+  type ProposeResponseSchema,
+  type VoterStatusSchema,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/operator_pb';
+import type { LogStatus, Member } from '@marigoldbank/replicated-log';
+import { toJsonBytes, toNotLeaderMessage } from './config-routes.js';
+import type { ControlNode } from './ControlNode.js';
+import type { EntryState, FleetStatus, NotLeader, ProposalOutcome } from './types.js';
+
+interface NotLeaderResult {
+  result: { case: 'notLeader'; value: ReturnType<typeof toNotLeaderMessage> };
+}
+
+function toNotLeaderResult(outcome: NotLeader): NotLeaderResult {
+  return { result: { case: 'notLeader', value: toNotLeaderMessage(outcome) } };
+}
+
+/** Changes that only control itself may make. */
+const INTERNAL_KINDS: ReadonlySet<Change['kind']> = new Set(['joinEntries', 'patchLists']);
+
+function parseChange(data: Uint8Array): Change {
+  let json: unknown;
+  try {
+    json = JSON.parse(new TextDecoder().decode(data));
+  } catch {
+    throw new ConnectError('the change is not JSON', Code.InvalidArgument);
+  }
+  const parsed = changeSchema.safeParse(json);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const path = issue?.path.join('.') ?? '';
+    throw new ConnectError(`invalid change at "${path}": ${issue?.message}`, Code.InvalidArgument);
+  }
+  if (INTERNAL_KINDS.has(parsed.data.kind)) {
+    throw new ConnectError(`operators may not send ${parsed.data.kind}`, Code.InvalidArgument);
+  }
+  return parsed.data;
+}
+
+function toProposeResponse(
+  outcome: ProposalOutcome,
+): MessageInitShape<typeof ProposeResponseSchema> {
+  switch (outcome.kind) {
+    case 'notLeader':
+      return toNotLeaderResult(outcome);
+    case 'unknown':
+      return { result: { case: 'unknown', value: {} } };
+    default: {
+      const value = { result: toJsonBytes(outcome.result), revision: BigInt(outcome.revision) };
+      return { result: { case: 'recorded', value } };
+    }
+  }
+}
+
+function toAge(ageMs: number | undefined): bigint {
+  return BigInt(Math.round(ageMs ?? Number.MAX_SAFE_INTEGER));
+}
+
+function toEntryStatus(state: EntryState): MessageInitShape<typeof EntryStatusSchema> {
+  return {
+    entry: state.record,
+    revision: BigInt(state.revision),
+    isCurrent: state.isCurrent,
+    isDraining: state.isDraining,
+    lastPollAgeMs: toAge(state.lastPollAgeMs),
+  };
+}
+
+function isSameMember(a: Member, b: Member): boolean {
+  return a.vm === b.vm && a.incarnation === b.incarnation;
+}
+
+function toVoterStatuses(
+  log: LogStatus,
+  now: number,
+): MessageInitShape<typeof VoterStatusSchema>[] {
+  const toStatus =
+    (isLearner: boolean) =>
+    (member: Member): MessageInitShape<typeof VoterStatusSchema> => {
+      const isLeader = isSameMember(member, log.self);
+      const progress = log.progress.find((item) => isSameMember(item.member, member));
+      const matchIndex = isLeader ? log.lastIndex : (progress?.matchIndex ?? 0);
+      const contactAt = isLeader ? now : progress?.lastContactAt;
+      return {
+        member: { ...member },
+        isLearner,
+        isLeader,
+        matchIndex: BigInt(matchIndex),
+        lastContactAgeMs: toAge(contactAt === undefined ? undefined : now - contactAt),
+      };
+    };
+  return [
+    ...log.membership.voters.map(toStatus(false)),
+    ...log.membership.learners.map(toStatus(true)),
+  ];
+}
+
+function toFleetStatus(
+  status: FleetStatus,
+  now: number,
+): MessageInitShape<typeof FleetStatusSchema> {
+  return {
+    revision: BigInt(status.revision),
+    listsRevision: BigInt(status.listsRevision),
+    acceptedRevision: BigInt(status.acceptedRevision),
+    term: BigInt(status.log.term),
+    commitIndex: BigInt(status.log.commitIndex),
+    entries: status.entries.map(toEntryStatus),
+    voters: toVoterStatuses(status.log, now),
+  };
+}
+
+/** Registers the operator service of a control VM. */
+export function registerOperator(router: ConnectRouter, node: ControlNode): void {
+  router.service(OperatorService, {
+    propose: async (req) => toProposeResponse(await node.propose(parseChange(req.change))),
+    changeStatus: async (req) => {
+      const outcome = await node.changeProgress(Number(req.revision));
+      if (outcome.kind === 'notLeader') return toNotLeaderResult(outcome);
+      const { isAccepted, entriesInForce, entriesTotal, missing } = outcome;
+      const value = { isAccepted, entriesInForce, entriesTotal, missing: [...missing] };
+      return { result: { case: 'progress', value } };
+    },
+    status: async () => {
+      const outcome = await node.status();
+      if (outcome.kind === 'notLeader') return toNotLeaderResult(outcome);
+      return { result: { case: 'status', value: toFleetStatus(outcome, node.clock.now()) } };
+    },
+    getLists: async () => {
+      const outcome = await node.readConfig();
+      if (outcome.kind === 'notLeader') return toNotLeaderResult(outcome);
+      const { config } = outcome;
+      const value = {
+        listsRevision: BigInt(config.listsRevision),
+        revision: BigInt(config.revision),
+        content: toJsonBytes({ lists: config.lists, keyIds: Object.keys(config.keys) }),
+      };
+      return { result: { case: 'lists', value } };
+    },
+    audit: async (req) => {
+      const outcome = await node.audit(Number(req.fromSequence), req.limit);
+      if (outcome.kind === 'notLeader') return toNotLeaderResult(outcome);
+      const value = { records: toJsonBytes(outcome.records), total: BigInt(outcome.total) };
+      return { result: { case: 'page', value } };
+    },
+    backup: async () => {
+      const outcome = await node.backup();
+      if (outcome.kind === 'notLeader') return toNotLeaderResult(outcome);
+      const value = { content: outcome.content, revision: BigInt(outcome.revision) };
+      return { result: { case: 'backup', value } };
+    },
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/control/types.ts
@@ -0,0 +1,73 @@
+/** Answers of a control VM. */
+import type { AuditRecord, Change, ChangeResult } from '@marigoldbank/fleet/changes';
+import type { EntryRecord, FleetConfig } from '@marigoldbank/fleet/config';
+import type { LogStatus } from '@marigoldbank/replicated-log';
+
+/** What an entry tells control when it polls. */
+export interface EntryReport {
+  readonly entry: EntryRecord;
+  readonly incarnation: string;
+  readonly isDraining: boolean;
+  /** Revision in force at the entry, 0 without configuration. */
+  readonly revision: number;
+}
+
+export interface NotLeader {
+  readonly kind: 'notLeader';
+  /** Internal address of the leader, if known. */
+  readonly leaderAddress: string | undefined;
+}
+
+/** What the entry needs to reach the committed revision. */
+export type ConfigUpdate =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'changes'; readonly changes: readonly Change[] }
+  | { readonly kind: 'config'; readonly config: FleetConfig };
+
+export interface PollConfirmed {
+  readonly kind: 'confirmed';
+  readonly committedRevision: number;
+  readonly acceptedRevision: number;
+  readonly acceptedAgeMs: number;
+  readonly update: ConfigUpdate;
+  readonly currentEntries: readonly string[];
+}
+
+export type PollOutcome = PollConfirmed | NotLeader;
+
+export type ProposalOutcome =
+  | { readonly kind: 'recorded'; readonly result: ChangeResult; readonly revision: number }
+  | { readonly kind: 'unknown' }
+  | NotLeader;
+
+export interface ChangeProgress {
+  readonly kind: 'progress';
+  readonly isAccepted: boolean;
+  readonly entriesInForce: number;
+  readonly entriesTotal: number;
+  readonly missing: readonly string[];
+}
+
+export interface EntryState {
+  readonly record: EntryRecord;
+  readonly revision: number;
+  readonly isCurrent: boolean;
+  readonly isDraining: boolean;
+  /** Undefined if the entry never polled this leader. */
+  readonly lastPollAgeMs: number | undefined;
+}
+
+export interface FleetStatus {
+  readonly kind: 'status';
+  readonly revision: number;
+  readonly listsRevision: number;
+  readonly acceptedRevision: number;
+  readonly log: LogStatus;
+  readonly entries: readonly EntryState[];
+}
+
+export interface AuditPage {
+  readonly kind: 'page';
+  readonly records: readonly AuditRecord[];
+  readonly total: number;
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -18,6 +18,14 @@
   dataFolder: z.string().optional().describe('Folder for durable state'),
   callerAddress: addressSchema.optional().describe('Where callers connect; needed by an entry'),
   internalAddress: addressSchema.describe('Where other daemons, upstreams and operators connect'),
+  listen: z
+    .strictObject({
+      caller: addressSchema.optional().describe('Where to listen for callers, if it differs'),
+      internal: addressSchema.optional().describe('Where to listen internally, if it differs'),
+    })
+    .default({})
+    .describe('Local addresses, where they differ from the addresses that others connect to'),
+  outgoingAddress: z.string().optional().describe('Local IP for connections to other daemons'),
   control: z
     .array(z.strictObject({ vm: z.string().min(1), address: addressSchema }))
     .min(1)
