--- /dev/null
+++ b/packages/bench/src/process/Fleet.ts
@@ -0,0 +1,246 @@
+/** A fleet of real daemons on loopback for tests, the demo and measurements. */
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import { stringify } from 'smol-toml';
+import { DaemonProcess } from './DaemonProcess.js';
+import { findFreePort } from './ports.js';
+import { Relay } from './Relay.js';
+
+export const PEER_SECRET = 'peer-secret-of-the-test-fleet';
+export const OPERATOR_SECRET = 'operator-secret-of-the-test-fleet';
+export const ANNOUNCEMENT_SECRET = 'announcement-secret-of-the-test-fleet';
+
+const DATA_CENTRES = ['dc-a', 'dc-b', 'dc-c'];
+
+const POLL_MS = 50;
+
+export interface FleetOptions {
+  readonly controlCount: number;
+  readonly entryCount: number;
+  /** Puts a relay in front of every internal address, so that directions can be cut. */
+  readonly hasRelays: boolean;
+  /** Number of entries, counted from the first, that keep a copy of the configuration on disk. */
+  readonly entriesWithDisk?: number;
+}
+
+interface Vm {
+  readonly vm: string;
+  readonly dataCentre: string;
+  readonly isControl: boolean;
+  readonly ip: string;
+  readonly internalAddress: string;
+  readonly listenInternal: string;
+  readonly callerAddress: string | undefined;
+  readonly process: DaemonProcess;
+}
+
+/** Polls until `check` holds. Rejects after `timeoutMs`. */
+export async function waitUntil(
+  what: string,
+  check: () => Promise<boolean> | boolean,
+  timeoutMs: number,
+): Promise<void> {
+  const end = performance.now() + timeoutMs;
+  for (;;) {
+    if (await check()) return;
+    if (performance.now() > end) throw new Error(`not within ${timeoutMs} ms: ${what}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+}
+
+/** Whether a GET answers with status 200. */
+export async function isOk(url: string): Promise<boolean> {
+  try {
+    const res = await fetch(url, { signal: AbortSignal.timeout(500) });
+    await res.arrayBuffer();
+    return res.ok;
+  } catch {
+    return false;
+  }
+}
+
+export class Fleet {
+  public readonly folder = mkdtempSync(path.join(os.tmpdir(), 'marigoldbank-'));
+
+  private readonly vms = new Map<string, Vm>();
+
+  private readonly relays: Relay[] = [];
+
+  private readonly cuts = new Set<string>();
+
+  private constructor(private readonly options: FleetOptions) {}
+
+  /** Writes settings and starts all processes; does not wait until they serve. */
+  public static async start(options: FleetOptions): Promise<Fleet> {
+    const fleet = new Fleet(options);
+    await fleet.plan();
+    fleet.vms.forEach((vm) => {
+      fleet.writeSettings(vm);
+      vm.process.start();
+    });
+    return fleet;
+  }
+
+  public get controls(): string[] {
+    return [...this.vms.values()].filter((vm) => vm.isControl).map((vm) => vm.vm);
+  }
+
+  public get entries(): string[] {
+    return [...this.vms.values()].filter((vm) => !vm.isControl).map((vm) => vm.vm);
+  }
+
+  public get controlAddresses(): string[] {
+    return this.controls.map((vm) => this.vm(vm).listenInternal);
+  }
+
+  public process(vm: string): DaemonProcess {
+    return this.vm(vm).process;
+  }
+
+  public callerUrl(vm: string): string {
+    return `http://${this.vm(vm).callerAddress}`;
+  }
+
+  /** Internal URL that is not behind a relay. */
+  public internalUrl(vm: string): string {
+    return `http://${this.vm(vm).listenInternal}`;
+  }
+
+  /** Drops everything that flows from one VM to the other. */
+  public cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  /** Cuts both directions between two groups. */
+  public separate(one: readonly string[], other: readonly string[]): void {
+    one.forEach((a) =>
+      other.forEach((b) => {
+        this.cut(a, b);
+        this.cut(b, a);
+      }),
+    );
+  }
+
+  /** Ends all cuts. Connections that lost data are closed. */
+  public heal(): void {
+    this.cuts.clear();
+    this.relays.forEach((relay) => relay.dropConnections());
+  }
+
+  /** Waits until every running entry reports that it is ready. */
+  public async waitReady(timeoutMs: number, vms = this.entries): Promise<void> {
+    await Promise.all(
+      vms.map((vm) =>
+        waitUntil(`${vm} is ready`, () => isOk(`${this.internalUrl(vm)}/readyz`), timeoutMs),
+      ),
+    );
+  }
+
+  /** Kills all processes and removes their files. */
+  public async stop(): Promise<void> {
+    await Promise.all(
+      [...this.vms.values()].map(async ({ process: daemon }) => {
+        daemon.thaw();
+        await daemon.kill();
+      }),
+    );
+    this.relays.forEach((relay) => relay.close());
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  private vm(name: string): Vm {
+    const vm = this.vms.get(name);
+    if (vm === undefined) throw new RangeError(`no VM ${name}`);
+    return vm;
+  }
+
+  private async plan(): Promise<void> {
+    const { controlCount, entryCount } = this.options;
+    const names = [
+      ...Array.from({ length: controlCount }, (_, i) => `control-${i + 1}`),
+      ...Array.from({ length: entryCount }, (_, i) => `entry-${i + 1}`),
+    ];
+    const planned = await Promise.all(names.map((name, i) => this.planVm(name, i)));
+    planned.forEach((vm) => this.vms.set(vm.vm, vm));
+    if (this.options.hasRelays) await Promise.all(planned.map((vm) => this.startRelay(vm)));
+  }
+
+  private async planVm(name: string, i: number): Promise<Vm> {
+    const isControl = name.startsWith('control');
+    const ip = `127.0.0.${i + 10}`;
+    const relayIp = `127.0.1.${i + 10}`;
+    const listenInternal = `${ip}:${await findFreePort(ip)}`;
+    const internalAddress = this.options.hasRelays
+      ? `${relayIp}:${await findFreePort(relayIp)}`
+      : listenInternal;
+    const folder = path.join(this.folder, name);
+    mkdirSync(folder, { recursive: true });
+    return {
+      vm: name,
+      dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!,
+      isControl,
+      ip,
+      internalAddress,
+      listenInternal,
+      callerAddress: isControl ? undefined : `${ip}:${await findFreePort(ip)}`,
+      process: new DaemonProcess({
+        vm: name,
+        settingsFile: path.join(folder, 'settings.toml'),
+        dataFolder: this.hasDisk(name) ? path.join(folder, 'data') : undefined,
+        logFile: path.join(folder, 'daemon.log'),
+      }),
+    };
+  }
+
+  private hasDisk(name: string): boolean {
+    if (name.startsWith('control')) return true;
+    return Number(name.split('-')[1]) <= (this.options.entriesWithDisk ?? 0);
+  }
+
+  private async startRelay(vm: Vm): Promise<void> {
+    const byIp = new Map([...this.vms.values()].map((other) => [other.ip, other.vm]));
+    const relay = new Relay({
+      vm: vm.vm,
+      listen: Fleet.parse(vm.internalAddress),
+      forward: Fleet.parse(vm.listenInternal),
+      vmOfAddress: (ip) => byIp.get(ip),
+      isCut: (from, to) => this.cuts.has(`${from}>${to}`),
+    });
+    await relay.listen();
+    this.relays.push(relay);
+  }
+
+  private writeSettings(vm: Vm): void {
+    const settings = {
+      vm: vm.vm,
+      dataCentre: vm.dataCentre,
+      roles: [vm.isControl ? 'control' : 'entry'],
+      ...(vm.process.options.dataFolder === undefined
+        ? {}
+        : { dataFolder: vm.process.options.dataFolder }),
+      ...(vm.callerAddress === undefined ? {} : { callerAddress: vm.callerAddress }),
+      internalAddress: vm.internalAddress,
+      outgoingAddress: vm.ip,
+      bootstrap: vm.isControl,
+      listen: { internal: vm.listenInternal },
+      control: this.controls.map((name) => ({
+        vm: name,
+        address: this.vm(name).internalAddress,
+      })),
+      secrets: {
+        peer: PEER_SECRET,
+        operator: OPERATOR_SECRET,
+        announcement: ANNOUNCEMENT_SECRET,
+      },
+    };
+    writeFileSync(vm.process.options.settingsFile, stringify(settings));
+  }
+
+  private static parse(address: string): { host: string; port: number } {
+    const [host, port] = address.split(':');
+    return { host: host!, port: Number(port) };
+  }
+}
