Replicated log: elections, replication and durable storage

Cause: the daemon needs a working log to be joined with the control role.

Conclusion: three members on FileLogStorage elect a leader, commit and keep everything over a restart.

--- /dev/null
+++ b/packages/replicated-log/src/Applier.ts
@@ -0,0 +1,84 @@
+/** Applies committed entries to the state machine and takes snapshots. */
+import { Emitter } from '@marigoldbank/base/events';
+import type { ConsensusState } from './ConsensusState.js';
+import type { DurableWriter } from './DurableWriter.js';
+import type { Snapshot } from './LogStorage.js';
+import type { StateMachine } from './StateMachine.js';
+import type { LogEntry } from './types.js';
+
+const EMPTY_RESULT = new Uint8Array();
+
+/** A committed entry with the state machine's result, empty unless it is a command. */
+export interface AppliedEntry {
+  readonly entry: LogEntry;
+  readonly result: Uint8Array;
+}
+
+/** Limits of the log kept in memory and on disk. */
+export interface SnapshotPolicy {
+  readonly snapshotEveryEntries: number;
+  readonly retainedEntries: number;
+}
+
+export class Applier {
+  private readonly appliedEmitter = new Emitter<AppliedEntry>();
+
+  /** Fires for each committed entry, in order. */
+  public readonly onApplied = this.appliedEmitter.event;
+
+  private snapshotIndex = 0;
+
+  public constructor(
+    private readonly state: ConsensusState,
+    private readonly writer: DurableWriter,
+    private readonly stateMachine: StateMachine,
+    private readonly policy: SnapshotPolicy,
+  ) {
+    const { snapshot } = state.log;
+    if (snapshot !== undefined) this.restore(snapshot);
+  }
+
+  /** Raises the commit index and applies the entries up to it. */
+  public commitTo(index: number): void {
+    const target = Math.min(index, this.state.log.lastIndex);
+    while (this.state.commitIndex < target) {
+      const entry = this.state.log.entryAt(this.state.commitIndex + 1)!;
+      this.state.commitIndex = entry.index;
+      this.applyEntry(entry);
+    }
+    this.takeSnapshotIfDue();
+  }
+
+  /** Replaces the state by a received snapshot that is ahead of the commit index. */
+  public install(snapshot: Snapshot): void {
+    this.state.log.installSnapshot(snapshot);
+    this.restore(snapshot);
+    this.writer.markInstalledSnapshot(snapshot.index);
+  }
+
+  private restore(snapshot: Snapshot): void {
+    this.stateMachine.restore(snapshot.data);
+    this.snapshotIndex = snapshot.index;
+    this.state.commitIndex = snapshot.index;
+  }
+
+  private applyEntry(entry: LogEntry): void {
+    const result =
+      entry.kind === 'command' ? this.stateMachine.apply(entry.index, entry.data) : EMPTY_RESULT;
+    this.appliedEmitter.fire({ entry, result });
+  }
+
+  private takeSnapshotIfDue(): void {
+    const { commitIndex, log } = this.state;
+    if (commitIndex - this.snapshotIndex < this.policy.snapshotEveryEntries) return;
+    const snapshot: Snapshot = {
+      index: commitIndex,
+      term: log.termAt(commitIndex)!,
+      membership: log.membershipAt(commitIndex),
+      data: this.stateMachine.snapshot(),
+    };
+    this.snapshotIndex = commitIndex;
+    log.compact(snapshot, commitIndex - this.policy.retainedEntries);
+    this.writer.markSnapshot();
+  }
+}
--- /dev/null
+++ b/packages/replicated-log/src/DurableWriter.ts
@@ -0,0 +1,175 @@
+/** Writes the state in memory to the storage: everything that changed during one write goes into the next one. */
+import { Emitter } from '@marigoldbank/base/events';
+import type { ConsensusState } from './ConsensusState.js';
+import { StoppedError } from './StoppedError.js';
+import type { LogStorage } from './LogStorage.js';
+
+interface Deferred {
+  readonly promise: Promise<void>;
+  resolve(): void;
+  reject(err: unknown): void;
+}
+
+function createDeferred(): Deferred {
+  let resolve: () => void = () => {};
+  let reject: (err: unknown) => void = () => {};
+  const promise = new Promise<void>((onResolve, onReject) => {
+    resolve = onResolve;
+    reject = onReject;
+  });
+  // A failure is also reported by `onFailure`, so a batch that nobody waits for is not unhandled.
+  promise.catch(() => {});
+  return { promise, resolve, reject };
+}
+
+/** Serialises writes and joins concurrent ones into a batch with one sync. */
+export class DurableWriter {
+  private readonly durableEmitter = new Emitter<void>();
+
+  private readonly failureEmitter = new Emitter<unknown>();
+
+  /** Fires after each batch. */
+  public readonly onDurable = this.durableEmitter.event;
+
+  /** Fires once, when the storage failed. Nothing is written afterwards. */
+  public readonly onFailure = this.failureEmitter.event;
+
+  private isVoteDirty = false;
+
+  private isIdentityDirty = false;
+
+  private isSnapshotDirty = false;
+
+  private dirtyFrom: number | undefined;
+
+  private durableTo: number;
+
+  private next: Deferred | undefined;
+
+  private current: Deferred | undefined;
+
+  private stopped: StoppedError | undefined;
+
+  public constructor(
+    private readonly storage: LogStorage,
+    private readonly state: ConsensusState,
+  ) {
+    this.durableTo = state.log.lastIndex;
+  }
+
+  /** Highest index up to which the log in memory is stored. */
+  public get durableIndex(): number {
+    return this.durableTo;
+  }
+
+  public markVote(): void {
+    this.isVoteDirty = true;
+    this.ensureBatch();
+  }
+
+  public markIdentity(): void {
+    this.isIdentityDirty = true;
+    this.ensureBatch();
+  }
+
+  /** The entries from `index` on were appended or replaced. */
+  public markLog(index: number): void {
+    this.dirtyFrom = Math.min(this.dirtyFrom ?? index, index);
+    this.durableTo = Math.min(this.durableTo, index - 1);
+    this.ensureBatch();
+  }
+
+  /** An own snapshot was taken; the log is rewritten with it. */
+  public markSnapshot(): void {
+    this.isSnapshotDirty = true;
+    this.ensureBatch();
+  }
+
+  /** A received snapshot replaced the log. */
+  public markInstalledSnapshot(index: number): void {
+    this.isSnapshotDirty = true;
+    this.markLog(index + 1);
+  }
+
+  /** Resolves when everything marked so far is durable. */
+  public flush(): Promise<void> {
+    if (this.stopped !== undefined) return Promise.reject(this.stopped);
+    return (this.next ?? this.current)?.promise ?? Promise.resolve();
+  }
+
+  /** Completes pending writes and accepts no more. */
+  public async close(): Promise<void> {
+    await this.flush().catch(() => {});
+    this.stopped ??= new StoppedError();
+  }
+
+  private ensureBatch(): void {
+    if (this.stopped !== undefined || this.next !== undefined) return;
+    this.next = createDeferred();
+    if (this.current === undefined) {
+      this.run().catch((err: unknown) => this.fail(err));
+    }
+  }
+
+  private async run(): Promise<void> {
+    while (this.next !== undefined) {
+      this.current = this.next;
+      // Changes made in the same turn of the event loop join this batch.
+      await Promise.resolve();
+      this.next = undefined;
+      await this.writeBatch();
+      this.current.resolve();
+      this.current = undefined;
+      this.durableEmitter.fire();
+    }
+  }
+
+  private async writeBatch(): Promise<void> {
+    if (this.isIdentityDirty) {
+      this.isIdentityDirty = false;
+      await this.storage.saveIdentity(this.state.identity);
+    }
+    // The term must not be older on disk than the entries written under it.
+    if (this.isVoteDirty) {
+      this.isVoteDirty = false;
+      await this.storage.saveVote({ term: this.state.term, votedFor: this.state.votedFor });
+    }
+    if (this.isSnapshotDirty) {
+      await this.writeSnapshot();
+    } else if (this.dirtyFrom !== undefined) {
+      await this.writeEntries(this.dirtyFrom);
+    }
+  }
+
+  private async writeSnapshot(): Promise<void> {
+    const { log } = this.state;
+    const { snapshot, firstIndex, lastIndex } = log;
+    const retained = log.slice(firstIndex);
+    this.isSnapshotDirty = false;
+    this.dirtyFrom = undefined;
+    if (snapshot === undefined) return;
+    await this.storage.saveSnapshot(snapshot, retained);
+    this.advanceDurable(lastIndex);
+  }
+
+  private async writeEntries(from: number): Promise<void> {
+    const { log } = this.state;
+    const { lastIndex } = log;
+    const entries = log.slice(from);
+    this.dirtyFrom = undefined;
+    if (entries.length > 0) await this.storage.append(entries);
+    this.advanceDurable(lastIndex);
+  }
+
+  /** Entries replaced during the write are not durable yet. */
+  private advanceDurable(writtenTo: number): void {
+    this.durableTo = Math.min(writtenTo, (this.dirtyFrom ?? Infinity) - 1);
+  }
+
+  private fail(err: unknown): void {
+    this.stopped = new StoppedError(err);
+    this.current?.reject(this.stopped);
+    this.next?.reject(this.stopped);
+    this.failureEmitter.fire(err);
+  }
+}
--- /dev/null
+++ b/packages/replicated-log/src/FakeNetwork.ts
@@ -0,0 +1,110 @@
+/** Network in memory with faults, for tests. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { Random } from '@marigoldbank/base/random';
+import type { IReplicatedLog } from './types.js';
+
+/** Receives the messages to one address. */
+export type MessageHandler = Pick<
+  IReplicatedLog,
+  'handleRequestVote' | 'handleAppendEntries' | 'handleInstallSnapshot'
+>;
+
+/** Faults of all links. Different delays of two messages reorder them. */
+export interface NetworkFaults {
+  readonly minDelayMs: number;
+  readonly maxDelayMs: number;
+  readonly dropProbability: number;
+  readonly duplicateProbability: number;
+}
+
+export const PERFECT_NETWORK: NetworkFaults = {
+  minDelayMs: 0,
+  maxDelayMs: 1,
+  dropProbability: 0,
+  duplicateProbability: 0,
+};
+
+export type MessageCall<T> = (handler: MessageHandler) => Promise<T>;
+
+/** Delivers messages between addresses after a random delay, unless they are lost. */
+export class FakeNetwork {
+  public faults: NetworkFaults = PERFECT_NETWORK;
+
+  private readonly handlers = new Map<string, MessageHandler>();
+
+  private readonly blocked = new Set<string>();
+
+  /** Messages that wait for a frozen process. */
+  private readonly held = new Map<string, (() => void)[]>();
+
+  public constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  public attach(address: string, handler: MessageHandler): void {
+    this.handlers.set(address, handler);
+  }
+
+  public detach(address: string): void {
+    this.handlers.delete(address);
+    this.held.delete(address);
+  }
+
+  /** Loses all messages in one direction. */
+  public block(from: string, to: string): void {
+    this.blocked.add(`${from}>${to}`);
+  }
+
+  public unblockAll(): void {
+    this.blocked.clear();
+  }
+
+  /** Holds messages to a frozen process until it is thawed. */
+  public freeze(address: string): void {
+    if (!this.held.has(address)) this.held.set(address, []);
+  }
+
+  public thaw(address: string): void {
+    const deliveries = this.held.get(address) ?? [];
+    this.held.delete(address);
+    deliveries.forEach((deliver) => deliver());
+  }
+
+  /** Sends a request and the answer through the faults. A lost message leaves the promise pending. */
+  public call<T>(from: string, to: string, call: MessageCall<T>): Promise<T> {
+    return new Promise((resolve, reject) => {
+      const answer = (): void => {
+        const handler = this.handlers.get(to);
+        if (handler === undefined) {
+          reject(new Error(`connection to ${to} refused`));
+          return;
+        }
+        call(handler)
+          .then((res) => this.send(to, from, () => resolve(res)))
+          .catch((err: unknown) => this.send(to, from, () => reject(err)));
+      };
+      this.send(from, to, answer);
+    });
+  }
+
+  private send(from: string, to: string, deliver: () => void): void {
+    const { minDelayMs, maxDelayMs, dropProbability, duplicateProbability } = this.faults;
+    if (this.random.chance(dropProbability)) return;
+    const copies = this.random.chance(duplicateProbability) ? 2 : 1;
+    Array.from({ length: copies }).forEach(() => {
+      const delayMs = minDelayMs + this.random.float() * (maxDelayMs - minDelayMs);
+      this.clock.setTimeout(() => this.arrive(from, to, deliver), delayMs);
+    });
+  }
+
+  private arrive(from: string, to: string, deliver: () => void): void {
+    if (this.blocked.has(`${from}>${to}`)) return;
+    const held = this.held.get(to);
+    if (held === undefined) {
+      deliver();
+    } else {
+      held.push(deliver);
+    }
+  }
+}
--- /dev/null
+++ b/packages/replicated-log/src/Founding.ts
@@ -0,0 +1,147 @@
+/** Start of a new group: the founders agree on each other's incarnations before any of them may vote. */
+import { toDisposable, type IDisposable } from '@marigoldbank/base/lifecycle';
+import { setPeriodic } from '@marigoldbank/base/clock';
+import type { ConsensusContext } from './context.js';
+import type { InstallSnapshotRequest, InstallSnapshotResponse, Member } from './types.js';
+
+/** Term of founding messages; no leader ever has it. */
+export const FOUNDING_TERM = 0;
+
+const REFUSED: InstallSnapshotResponse = { term: FOUNDING_TERM, success: false };
+
+const ACCEPTED: InstallSnapshotResponse = { term: FOUNDING_TERM, success: true };
+
+function isComplete(founders: readonly Member[]): boolean {
+  return founders.length > 0 && founders.every(({ incarnation }) => incarnation !== '');
+}
+
+function incarnationOf(founders: readonly Member[], vm: string): string {
+  return founders.find((founder) => founder.vm === vm)?.incarnation ?? '';
+}
+
+function haveSameVms(a: readonly Member[], b: readonly Member[]): boolean {
+  return a.length === b.length && a.every(({ vm }) => b.some((other) => other.vm === vm));
+}
+
+/** The own list with the incarnations that only the other list knows, or undefined if they contradict. */
+function merge(own: readonly Member[], other: readonly Member[]): Member[] | undefined {
+  const isContradiction = own.some(({ vm, incarnation }) => {
+    const theirs = incarnationOf(other, vm);
+    return incarnation !== '' && theirs !== '' && incarnation !== theirs;
+  });
+  if (isContradiction) return undefined;
+  return own.map((founder) => ({
+    ...founder,
+    incarnation: founder.incarnation || incarnationOf(other, founder.vm),
+  }));
+}
+
+/**
+ * Each founder keeps a durable list of the founders' incarnations in which an entry never changes once it is set. A
+ * founder becomes a voter when every other founder has confirmed that it holds the same complete list. A founder whose
+ * disk was wiped has a new incarnation, which contradicts the lists of the others, so it never becomes a voter.
+ */
+export class Founding implements IDisposable {
+  private readonly confirmedBy = new Set<string>();
+
+  private timer: IDisposable = toDisposable(() => {});
+
+  public constructor(private readonly ctx: ConsensusContext) {}
+
+  /** Starts the exchange, unless the group exists already. */
+  public start(): void {
+    const { clock, tuning } = this.ctx;
+    if (!this.isFounding) return;
+    this.timer = setPeriodic(clock, () => this.exchange(), tuning.foundingIntervalMs);
+    this.exchange();
+  }
+
+  /** Records the sender's list and answers whether both lists are complete and the same. */
+  public async handle(req: InstallSnapshotRequest): Promise<InstallSnapshotResponse> {
+    const { state, writer } = this.ctx;
+    const theirs = req.membership.voters;
+    if (!haveSameVms(state.identity.founders, theirs)) return REFUSED;
+    const merged = merge(state.identity.founders, theirs);
+    if (merged === undefined) return REFUSED;
+    if (this.isPristine && !isComplete(state.identity.founders)) this.record(merged);
+    await writer.flush();
+    const isSame = isComplete(theirs) && isComplete(state.identity.founders);
+    return isSame ? ACCEPTED : REFUSED;
+  }
+
+  public dispose(): void {
+    this.timer.dispose();
+  }
+
+  private get isFounding(): boolean {
+    const { identity, log } = this.ctx.state;
+    return identity.founders.length > 0 && !identity.isFounded && log.membershipIndex === 0;
+  }
+
+  /** A member that has taken part in a group must not take part in founding another one. */
+  private get isPristine(): boolean {
+    const { term, log } = this.ctx.state;
+    return term === 0 && log.lastIndex === 0;
+  }
+
+  private record(founders: readonly Member[]): void {
+    const { state, writer } = this.ctx;
+    state.identity = { ...state.identity, founders };
+    writer.markIdentity();
+  }
+
+  private exchange(): void {
+    const { state, writer } = this.ctx;
+    if (!this.isFounding) {
+      this.dispose();
+      return;
+    }
+    const { founders } = state.identity;
+    this.finishIfConfirmed();
+    writer
+      .flush()
+      .then(() => this.othersIn(founders).forEach((founder) => this.send(founder, founders)))
+      .catch(() => {
+        // The writer reports its failure to the owner of the log.
+      });
+  }
+
+  private send(to: Member, founders: readonly Member[]): void {
+    const { state, transport } = this.ctx;
+    transport
+      .installSnapshot(to, {
+        leader: state.self,
+        term: FOUNDING_TERM,
+        lastIndex: 0,
+        lastTerm: 0,
+        membership: { voters: founders, learners: [] },
+        offset: 0,
+        chunk: new Uint8Array(),
+        isLast: true,
+        toIncarnation: to.incarnation,
+      })
+      .then((res) => {
+        if (!res.success || !isComplete(founders)) return;
+        this.confirmedBy.add(to.vm);
+        this.finishIfConfirmed();
+      })
+      .catch(() => {
+        // The next exchange asks again.
+      });
+  }
+
+  private finishIfConfirmed(): void {
+    const { state, writer } = this.ctx;
+    const { founders } = state.identity;
+    if (!this.isFounding || !isComplete(founders)) return;
+    if (!this.othersIn(founders).every(({ vm }) => this.confirmedBy.has(vm))) return;
+    state.identity = { ...state.identity, isFounded: true };
+    state.log.setFoundingMembership({ voters: founders, learners: [] });
+    writer.markIdentity();
+    this.dispose();
+  }
+
+  private othersIn(founders: readonly Member[]): Member[] {
+    return founders.filter(({ vm }) => vm !== this.ctx.state.self.vm);
+  }
+}
--- /dev/null
+++ b/packages/replicated-log/src/Leader.ts
@@ -0,0 +1,305 @@
+/** One leadership: from winning an election to stepping down. */
+import { DisposableStore, type IDisposable } from '@marigoldbank/base/lifecycle';
+import { setPeriodic } from '@marigoldbank/base/clock';
+import type { AppliedEntry } from './Applier.js';
+import type { ConsensusContext } from './context.js';
+import { encodeMembership } from './membership.js';
+import type { ChangePlan } from './membershipChanges.js';
+import { allMembers, isSameMember, reachedByMajority } from './quorum.js';
+import { ReadRounds } from './ReadRounds.js';
+import { Replicator } from './Replicator.js';
+import type {
+  LogEntryKind,
+  Member,
+  MemberProgress,
+  Membership,
+  MembershipOutcome,
+  ProposeOutcome,
+  ReadOutcome,
+} from './types.js';
+
+const NO_DATA = new Uint8Array();
+
+const NOT_LEADER = { kind: 'notLeader', leader: undefined } as const;
+
+/** How a leader gives up. */
+export interface LeaderListener {
+  observeTerm(term: number): void;
+  stepDown(): void;
+}
+
+/** Outcome of one entry: applied, or leadership ended first. */
+type EntryOutcome = (applied: AppliedEntry | undefined) => void;
+
+export class Leader implements IDisposable {
+  private readonly store = new DisposableStore();
+
+  private readonly reads: ReadRounds;
+
+  private readonly waiting = new Map<number, EntryOutcome>();
+
+  private replicators: Replicator[] = [];
+
+  /** Replicators of removed members, which may not know of their removal yet. */
+  private readonly departing = new Set<Replicator>();
+
+  private readonly term: number;
+
+  private readonly startedAt: number;
+
+  private noopIndex = 0;
+
+  private sequence = 0;
+
+  private roundSentAt: number | undefined;
+
+  public constructor(
+    private readonly ctx: ConsensusContext,
+    private readonly listener: LeaderListener,
+  ) {
+    this.term = ctx.state.term;
+    this.startedAt = ctx.clock.now();
+    this.reads = new ReadRounds(ctx.state.self, (acknowledgedBy) =>
+      ctx.rules.isReadConfirmed(acknowledgedBy, ctx.state.membership.voters),
+    );
+  }
+
+  /** Starts heartbeats and writes the first entries of the term. */
+  public start(): void {
+    const { ctx, store } = this;
+    const { log } = ctx.state;
+    store.add(ctx.applier.onApplied((applied) => this.onApplied(applied)));
+    store.add(ctx.writer.onDurable(() => this.advanceCommit()));
+    store.add(setPeriodic(ctx.clock, () => this.onHeartbeat(), ctx.tuning.heartbeatIntervalMs));
+    this.updateReplicators();
+    this.noopIndex = log.lastIndex + 1;
+    this.append('noop', NO_DATA);
+    if (log.membershipIndex === 0) {
+      // Later members learn the founders from the log.
+      this.append('membership', encodeMembership(log.membership));
+    }
+    this.broadcast();
+  }
+
+  public dispose(): void {
+    this.store.dispose();
+    [...this.replicators, ...this.departing].forEach((replicator) => replicator.stop());
+    this.reads.abandon();
+    const outcomes = [...this.waiting.values()];
+    this.waiting.clear();
+    outcomes.forEach((resolve) => resolve(undefined));
+  }
+
+  /** Whether a majority answered a message sent within the shortest election timeout. */
+  public hasQuorumContact(
+    voters: readonly Member[] = this.ctx.state.membership.voters,
+    since: number = this.startedAt,
+  ): boolean {
+    const now = this.ctx.clock.now();
+    const contacts = voters.map((voter) => this.contactOf(voter, now, since));
+    return reachedByMajority(contacts) >= now - this.ctx.tuning.electionTimeoutMinMs;
+  }
+
+  public async propose(data: Uint8Array): Promise<ProposeOutcome> {
+    if (!this.checkQuorum()) return NOT_LEADER;
+    const applied = await this.appendAndWait('command', data);
+    if (applied === undefined) return { kind: 'unknown' };
+    return { kind: 'committed', index: applied.entry.index, result: applied.result };
+  }
+
+  public async confirmRead(): Promise<ReadOutcome> {
+    if (!this.checkQuorum()) return NOT_LEADER;
+    if (!(await this.whenReady()) || this.store.isDisposed) return NOT_LEADER;
+    const outcome = this.reads.add(this.sequence, this.ctx.state.commitIndex);
+    this.requestRound();
+    return outcome;
+  }
+
+  /** Applies one change of membership; a second one is rejected until the first is committed. */
+  public async changeMembership(
+    plan: (membership: Membership) => ChangePlan,
+  ): Promise<MembershipOutcome> {
+    const { state } = this.ctx;
+    if (!this.checkQuorum() || !(await this.whenReady())) return NOT_LEADER;
+    if (this.store.isDisposed) return NOT_LEADER;
+    if (state.log.membershipIndex > state.commitIndex) {
+      return { kind: 'rejected', reason: 'another change of membership is not committed yet' };
+    }
+    const change = plan(state.membership);
+    if (change.kind === 'rejected') return change;
+    if (!this.hasQuorumContact(change.membership.voters, -Infinity)) {
+      return {
+        kind: 'rejected',
+        reason: 'a majority of the voters after the change is out of reach',
+      };
+    }
+    const applied = await this.appendAndWait('membership', encodeMembership(change.membership));
+    return applied === undefined
+      ? { kind: 'unknown' }
+      : { kind: 'committed', membership: change.membership };
+  }
+
+  /** Whether the leader knows the learner's log to hold everything committed. */
+  public isCaughtUp(learner: Member): boolean {
+    const replicator = this.replicatorOf(learner);
+    const { rules, state } = this.ctx;
+    return replicator !== undefined && rules.isCaughtUp(replicator.matchIndex, state.commitIndex);
+  }
+
+  public get progress(): MemberProgress[] {
+    const { learners } = this.ctx.state.membership;
+    return this.replicators.map(({ member, matchIndex, lastContactAt }) => {
+      const isLearner = learners.some((learner) => isSameMember(learner, member));
+      return { member, isLearner, matchIndex, lastContactAt };
+    });
+  }
+
+  private append(kind: LogEntryKind, data: Uint8Array): number {
+    const { state, writer } = this.ctx;
+    const index = state.log.lastIndex + 1;
+    state.log.append({ index, term: this.term, kind, data });
+    writer.markLog(index);
+    if (kind === 'membership') this.updateReplicators();
+    return index;
+  }
+
+  private appendAndWait(kind: LogEntryKind, data: Uint8Array): Promise<AppliedEntry | undefined> {
+    const index = this.append(kind, data);
+    const outcome = new Promise<AppliedEntry | undefined>((resolve) => {
+      this.waiting.set(index, resolve);
+    });
+    this.replicators.forEach((replicator) => replicator.replicate());
+    return outcome;
+  }
+
+  /** Resolves when an entry of the own term is committed; false if leadership ended first. */
+  private async whenReady(): Promise<boolean> {
+    if (this.store.isDisposed) return false;
+    if (this.ctx.state.commitIndex >= this.noopIndex) return true;
+    return new Promise<boolean>((resolve) => {
+      const former = this.waiting.get(this.noopIndex);
+      this.waiting.set(this.noopIndex, (applied) => {
+        former?.(applied);
+        resolve(applied !== undefined);
+      });
+    });
+  }
+
+  private onApplied(applied: AppliedEntry): void {
+    const { index } = applied.entry;
+    const resolve = this.waiting.get(index);
+    this.waiting.delete(index);
+    resolve?.(applied);
+  }
+
+  private advanceCommit(): void {
+    const { state, applier, writer } = this.ctx;
+    if (this.store.isDisposed) return;
+    const matches = state.membership.voters.map((voter) =>
+      isSameMember(voter, state.self)
+        ? writer.durableIndex
+        : (this.replicatorOf(voter)?.matchIndex ?? 0),
+    );
+    const index = reachedByMajority(matches);
+    // An entry of an older term held by a majority may still be replaced, so it is committed only with a later one.
+    if (index <= state.commitIndex || state.log.termAt(index) !== this.term) return;
+    applier.commitTo(index);
+    this.onCommitted();
+  }
+
+  private onCommitted(): void {
+    const { state } = this.ctx;
+    if (state.log.membershipIndex > state.commitIndex) return;
+    this.releaseDeparting();
+    if (!state.isVoter) {
+      // The last heartbeat tells the others that the removal of this leader is committed.
+      this.broadcast();
+      this.listener.stepDown();
+    }
+  }
+
+  private onHeartbeat(): void {
+    if (!this.checkQuorum()) return;
+    this.broadcast();
+    this.replicators.forEach((replicator) => replicator.replicate());
+    this.departing.forEach((replicator) => replicator.replicate());
+  }
+
+  private broadcast(): void {
+    this.replicators.forEach((replicator) => replicator.heartbeat());
+  }
+
+  private checkQuorum(): boolean {
+    if (this.store.isDisposed) return false;
+    if (this.hasQuorumContact()) return true;
+    this.listener.stepDown();
+    return false;
+  }
+
+  private contactOf(voter: Member, now: number, since: number): number {
+    if (isSameMember(voter, this.ctx.state.self)) return now;
+    return Math.max(since, this.replicatorOf(voter)?.answeredSentAt ?? -Infinity);
+  }
+
+  private replicatorOf(member: Member): Replicator | undefined {
+    return this.replicators.find((replicator) => isSameMember(replicator.member, member));
+  }
+
+  /** Starts replicators for new members. Removed ones are told only when their removal is committed. */
+  private updateReplicators(): void {
+    const { state, clock, tuning } = this.ctx;
+    const members = allMembers(state.membership);
+    const isMember = (replicator: Replicator): boolean =>
+      members.some((member) => isSameMember(member, replicator.member));
+    const removed = this.replicators.filter((replicator) => !isMember(replicator));
+    removed.forEach((replicator) => {
+      replicator.withhold(state.log.lastIndex);
+      this.departing.add(replicator);
+      const stop = (): void => this.forget(replicator);
+      this.store.add(clock.setTimeout(stop, tuning.farewellMs));
+    });
+    this.replicators = members
+      .filter((member) => !isSameMember(member, state.self))
+      .map((member) => this.replicatorOf(member) ?? this.createReplicator(member));
+  }
+
+  private releaseDeparting(): void {
+    this.departing.forEach((replicator) => {
+      replicator.withhold(Infinity);
+      replicator.replicate();
+    });
+  }
+
+  private forget(replicator: Replicator): void {
+    replicator.stop();
+    this.departing.delete(replicator);
+  }
+
+  private createReplicator(member: Member): Replicator {
+    return new Replicator(this.ctx, this.term, member, {
+      onAnswer: (replicator, sequence) => this.onAnswer(replicator, sequence),
+      onMatch: () => this.advanceCommit(),
+      onHigherTerm: (term) => this.listener.observeTerm(term),
+      nextSequence: () => {
+        this.sequence += 1;
+        return this.sequence;
+      },
+    });
+  }
+
+  private onAnswer(replicator: Replicator, sequence: number): void {
+    if (!this.reads.acknowledge(replicator.member, sequence)) return;
+    this.roundSentAt = undefined;
+    if (this.reads.hasPending) this.requestRound();
+  }
+
+  /** Sends a round of heartbeats for waiting reads. Reads asked during a round share the next one. */
+  private requestRound(): void {
+    const now = this.ctx.clock.now();
+    const isOutstanding =
+      this.roundSentAt !== undefined && now - this.roundSentAt < this.ctx.tuning.resendAfterMs;
+    if (isOutstanding || !this.reads.hasPending) return;
+    this.roundSentAt = now;
+    this.broadcast();
+  }
+}
--- /dev/null
+++ b/packages/replicated-log/src/ReadRounds.ts
@@ -0,0 +1,58 @@
+/** Confirmed reads: a majority acknowledges a message that was sent after the question. */
+import type { Member, ReadOutcome } from './types.js';
+
+interface PendingRead {
+  /** Messages with a higher number were sent after the question. */
+  readonly afterSequence: number;
+  readonly index: number;
+  readonly acknowledgedBy: Set<Member>;
+  resolve(outcome: ReadOutcome): void;
+}
+
+/** Reads that wait for acknowledgements. */
+export class ReadRounds {
+  private pending: PendingRead[] = [];
+
+  public constructor(
+    private readonly self: Member,
+    private readonly isConfirmed: (acknowledgedBy: readonly Member[]) => boolean,
+  ) {}
+
+  /** Waits until a majority acknowledged a message numbered above `afterSequence`. */
+  public add(afterSequence: number, index: number): Promise<ReadOutcome> {
+    return new Promise((resolve) => {
+      const acknowledgedBy = new Set([this.self]);
+      this.pending.push({ afterSequence, index, acknowledgedBy, resolve });
+      this.settle();
+    });
+  }
+
+  public get hasPending(): boolean {
+    return this.pending.length > 0;
+  }
+
+  /** Counts an acknowledgement; returns whether it confirmed any read. */
+  public acknowledge(member: Member, sequence: number): boolean {
+    if (this.pending.length === 0) return false;
+    this.pending
+      .filter((read) => sequence > read.afterSequence)
+      .forEach((read) => read.acknowledgedBy.add(member));
+    return this.settle();
+  }
+
+  /** Answers every waiting read with `notLeader`. */
+  public abandon(): void {
+    const reads = this.pending;
+    this.pending = [];
+    reads.forEach((read) => read.resolve({ kind: 'notLeader', leader: undefined }));
+  }
+
+  private settle(): boolean {
+    const isDone = (read: PendingRead): boolean => this.isConfirmed([...read.acknowledgedBy]);
+    const done = this.pending.filter(isDone);
+    if (done.length === 0) return false;
+    this.pending = this.pending.filter((read) => !done.includes(read));
+    done.forEach((read) => read.resolve({ kind: 'confirmed', index: read.index }));
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/replicated-log/src/constants.ts
@@ -0,0 +1,34 @@
+/** Default timings and limits. Options can override each of them. */
+
+/** Period of a leader's heartbeats. */
+export const HEARTBEAT_INTERVAL_MS = 50;
+
+/** Shortest election timeout; a leader without a majority for this long steps down. */
+export const ELECTION_TIMEOUT_MIN_MS = 300;
+
+/** Longest election timeout. */
+export const ELECTION_TIMEOUT_MAX_MS = 600;
+
+/** After this time without an answer a request counts as lost and its entries are sent again. */
+export const RESEND_AFTER_MS = 150;
+
+/** Period of the exchange of incarnations between founders. */
+export const FOUNDING_INTERVAL_MS = 100;
+
+/** How long a removed member is still told about its removal. */
+export const FAREWELL_MS = 2_000;
+
+/** Most entries of one append request. */
+export const MAX_ENTRIES_PER_APPEND = 512;
+
+/** Most bytes of command data of one append request, unless a single entry is larger. */
+export const MAX_BYTES_PER_APPEND = 1_048_576;
+
+/** Size of one chunk of a snapshot. */
+export const SNAPSHOT_CHUNK_BYTES = 262_144;
+
+/** A snapshot is taken after this many applied entries. */
+export const SNAPSHOT_EVERY_ENTRIES = 10_000;
+
+/** Entries kept before a snapshot, so that a follower slightly behind needs no snapshot. */
+export const RETAINED_ENTRIES = 1_000;
--- /dev/null
+++ b/packages/replicated-log/src/openReplicatedLog.test.ts
@@ -0,0 +1,84 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { describe, it } from 'node:test';
+import { delay, SystemClock } from '@marigoldbank/base/clock';
+import { Random } from '@marigoldbank/base/random';
+import { expect } from 'earl';
+import { FileLogStorage, openReplicatedLog, StateMachine, type ReplicatedLog } from './api.js';
+import { FakeNetwork, FakeTransport } from './testing.js';
+
+const clock = new SystemClock();
+
+const VMS = ['a', 'b', 'c'];
+
+/** Keeps all commands as text. */
+class Journal extends StateMachine {
+  public lines: string[] = [];
+
+  public override apply(index: number, data: Uint8Array): Uint8Array {
+    this.lines.push(Buffer.from(data).toString());
+    return Buffer.from(`${index}`);
+  }
+
+  public override snapshot(): Uint8Array {
+    return Buffer.from(JSON.stringify(this.lines));
+  }
+
+  public override restore(snapshot: Uint8Array): void {
+    this.lines = JSON.parse(Buffer.from(snapshot).toString()) as string[];
+  }
+}
+
+async function waitFor<T>(probe: () => T | undefined): Promise<T> {
+  const deadline = clock.now() + 10_000;
+  while (clock.now() < deadline) {
+    const value = probe();
+    if (value !== undefined) return value;
+    await delay(clock, 10);
+  }
+  throw new Error('the condition did not come true in 10 s');
+}
+
+async function openGroup(folder: string): Promise<{ logs: ReplicatedLog[]; journals: Journal[] }> {
+  const network = new FakeNetwork(clock, new Random(1));
+  const journals = VMS.map(() => new Journal());
+  const bootstrap = VMS.map((vm) => ({ vm, incarnation: '', address: `10.0.0.1:${vm}` }));
+  const logs = await Promise.all(
+    bootstrap.map(async ({ vm, address }, i) => {
+      const storage = new FileLogStorage(path.join(folder, vm));
+      const transport = new FakeTransport(network, address);
+      const options = { vm, address, storage, transport, bootstrap, stateMachine: journals[i]! };
+      const log = await openReplicatedLog(options);
+      network.attach(address, log);
+      return log;
+    }),
+  );
+  return { logs, journals };
+}
+
+const findLeader = (logs: readonly ReplicatedLog[]): ReplicatedLog | undefined =>
+  logs.find((log) => log.status().role === 'leader');
+
+describe('openReplicatedLog', () => {
+  it('elects a leader, commits, and keeps everything over a restart of all members', async () => {
+    const folder = await mkdtemp(path.join(tmpdir(), 'replicated-log-'));
+    const first = await openGroup(folder);
+    const leader = await waitFor(() => findLeader(first.logs));
+    const outcomes = await Promise.all(
+      Array.from({ length: 50 }, (_, i) => leader.propose(Buffer.from(`line ${i}`))),
+    );
+    expect(outcomes.every(({ kind }) => kind === 'committed')).toEqual(true);
+    expect((await leader.confirmRead()).kind).toEqual('confirmed');
+    await Promise.all(first.logs.map((log) => log.close()));
+
+    const second = await openGroup(folder);
+    const next = await waitFor(() => findLeader(second.logs));
+    expect((await next.confirmRead()).kind).toEqual('confirmed');
+    await waitFor(() => second.journals.every(({ lines }) => lines.length === 50) || undefined);
+    const expected = Array.from({ length: 50 }, (_, i) => `line ${i}`);
+    second.journals.forEach(({ lines }) => expect(lines).toEqual(expected));
+    await Promise.all(second.logs.map((log) => log.close()));
+    await rm(folder, { recursive: true });
+  });
+});
--- /dev/null
+++ b/packages/replicated-log/src/testing.ts
@@ -0,0 +1,4 @@
+/** Fakes for tests of embedders. */
+export { FakeNetwork, PERFECT_NETWORK } from './FakeNetwork.js';
+export type { MessageHandler, NetworkFaults } from './FakeNetwork.js';
+export { FakeTransport } from './FakeTransport.js';
