Add fleet-wide budgets with lent tokens

Cause: teams have one rate and burst over all entries, and no entry sees all requests.

Change: FleetBudgets holds whole-token buckets per data centre, lends tokens with a lifetime and counts loans against the capacity until they end, are reported used, or are returned. Shares during a change of the view or of the limits are the smallest under any of the values in use.

The loan messages gain optional fields: urgent, loan, reports. Without them a lender counts each loan until its lifetime ends.

--- /dev/null
+++ b/packages/budgets/src/AdoptionHistory.ts
@@ -0,0 +1,80 @@
+/** What an entry adopted, and from when on nothing older is in use anywhere. */
+
+export interface Adoption<T> {
+  readonly value: T;
+  readonly adoptedAt: number;
+  /** From this time on no entry acts on an older value. Infinity until it is known. */
+  readonly releasedAt: number;
+}
+
+/** Adopted values in order. A value that may have had unknown predecessors starts a new history. */
+export class AdoptionHistory<T> {
+  private records: readonly Adoption<T>[] = [];
+
+  private newestBreakpoint = -Infinity;
+
+  /** Grows with every change of the history. */
+  public version = 0;
+
+  public constructor(private readonly maxRecords: number) {}
+
+  public get newest(): Adoption<T> | undefined {
+    return this.records.at(-1);
+  }
+
+  public get oldest(): Adoption<T> | undefined {
+    return this.records[0];
+  }
+
+  /** Latest known time, past or future, at which the active values change. */
+  public get latestBreakpoint(): number {
+    return this.newestBreakpoint;
+  }
+
+  public adopt(value: T, at: number, isContinuation: boolean): void {
+    const kept = isContinuation ? this.records : [];
+    const record: Adoption<T> = { value, adoptedAt: at, releasedAt: Infinity };
+    this.update([...kept, record].slice(-this.maxRecords));
+  }
+
+  /** Nothing older than the values that satisfy `matches` is in use from `at` on. */
+  public release(matches: (value: T) => boolean, at: number): void {
+    const isReleased = (record: Adoption<T>): boolean =>
+      record.releasedAt === Infinity && matches(record.value);
+    if (!this.records.some(isReleased)) return;
+    this.update(
+      this.records.map((record) => (isReleased(record) ? { ...record, releasedAt: at } : record)),
+    );
+  }
+
+  /** Drops the values before the last one that is released at `now`. */
+  public pruneReleased(now: number): void {
+    const last = this.records.findLastIndex((record) => record.releasedAt <= now);
+    if (last > 0) this.update(this.records.slice(last));
+  }
+
+  /** Values that some entry may act on at time `at`: empty if unknown older ones may be in use as well. */
+  public activeAt(at: number): readonly T[] {
+    const adopted = this.records.filter((record) => record.adoptedAt <= at);
+    const last = adopted.findLastIndex((record) => record.releasedAt <= at);
+    return last < 0 ? [] : adopted.slice(last).map((record) => record.value);
+  }
+
+  /** Times from `from` to `to` at which the active values change, in order. */
+  public breakpoints(from: number, to: number): number[] {
+    return this.records
+      .flatMap((record) => [record.adoptedAt, record.releasedAt])
+      .filter((time) => time >= from && time <= to)
+      .sort((a, b) => a - b);
+  }
+
+  private update(records: readonly Adoption<T>[]): void {
+    this.records = records;
+    this.version += 1;
+    this.newestBreakpoint = Math.max(
+      ...records
+        .flatMap((record) => [record.adoptedAt, record.releasedAt])
+        .filter((time) => time !== Infinity),
+    );
+  }
+}
--- /dev/null
+++ b/packages/budgets/src/HeldBuckets.ts
@@ -0,0 +1,167 @@
+/** The buckets that this entry holds, with the share that is safe at any time. */
+import { firstOfEachDataCentre } from '@marigoldbank/base/rendezvous';
+import { AdoptionHistory } from './AdoptionHistory.js';
+import { IDLE_MS, type BudgetTiming } from './constants.js';
+import { HeldBucket } from './HeldBucket.js';
+import { IdleMap } from './IdleMap.js';
+import { NO_SHARE, safeShare, type Placement, type Share } from './shares.js';
+import type { TokenBucket } from './TokenBucket.js';
+import type { BudgetView, LimitLookup } from './types.js';
+
+/** An idle team's bucket is rebuilt from as many views; older ones count as unknown. */
+const MAX_VIEWS = 4;
+const MAX_LIMITS = 8;
+
+export class HeldBuckets {
+  private readonly views = new AdoptionHistory<BudgetView>(MAX_VIEWS);
+
+  private readonly limits = new AdoptionHistory<LimitLookup>(MAX_LIMITS);
+
+  private readonly held = new IdleMap<HeldBucket>();
+
+  public constructor(
+    private readonly self: string,
+    private readonly startedAt: number,
+    private readonly timing: BudgetTiming,
+  ) {}
+
+  /** Number of buckets in memory. */
+  public get size(): number {
+    return this.held.size;
+  }
+
+  public get view(): BudgetView | undefined {
+    return this.views.newest?.value;
+  }
+
+  public get limitLookup(): LimitLookup | undefined {
+    return this.limits.newest?.value;
+  }
+
+  /** Adopts a view. Only the direct successor, adopted while current, lets buckets continue. */
+  public adoptView(view: BudgetView, now: number, isCurrent: boolean): void {
+    const previous = this.view;
+    if (previous !== undefined && view.epoch <= previous.epoch) return;
+    this.views.adopt(view, now, isCurrent && view.epoch === (previous?.epoch ?? NaN) + 1);
+  }
+
+  public adoptLimits(limits: LimitLookup, now: number, isCurrent: boolean): void {
+    if (limits === this.limitLookup) return;
+    this.limits.pruneReleased(now);
+    this.limits.adopt(limits, now, isCurrent);
+  }
+
+  public releaseView(epoch: number, acceptedAt: number, now: number): void {
+    this.views.release((view) => view.epoch <= epoch, this.releaseTime(acceptedAt, now));
+  }
+
+  public releaseLimits(acceptedAt: number, now: number): void {
+    this.limits.release(() => true, this.releaseTime(acceptedAt, now));
+  }
+
+  /** The bucket of a team, accrued up to `now`; nothing if this entry has no share of it. */
+  public find(team: string, now: number): TokenBucket | undefined {
+    const held = this.held.use(team, now) ?? this.create(team, now);
+    if (held === undefined) return undefined;
+    this.sync(team, held, now);
+    return held.bucket;
+  }
+
+  /** Like `find`, but only for a bucket that is in memory. */
+  public findExisting(team: string, now: number): TokenBucket | undefined {
+    const held = this.held.peek(team);
+    if (held !== undefined) this.sync(team, held, now);
+    return held?.bucket;
+  }
+
+  /** Time until a share that is not yet safe to use becomes so; 0 if nothing is awaited. */
+  public waitMs(now: number): number {
+    const times = [this.views.newest?.releasedAt, this.limits.newest?.releasedAt];
+    const awaited = Math.max(...times.map((time) => (time === undefined ? Infinity : time)));
+    return Math.max(0, awaited - now);
+  }
+
+  /** Drops full buckets of idle teams: they are rebuilt as full ones when they are needed again. */
+  public sweep(now: number): void {
+    this.held.sweep(now - IDLE_MS, now, (team, held) => {
+      this.sync(team, held, now);
+      return held.bucket.isFull;
+    });
+  }
+
+  public clear(): void {
+    this.held.clear();
+  }
+
+  private releaseTime(acceptedAt: number, now: number): number {
+    return Math.max(
+      acceptedAt + this.timing.acceptanceWaitMs,
+      this.startedAt + this.timing.restartWaitMs,
+      now,
+    );
+  }
+
+  /** A bucket that is not in memory was full or never used: it is replayed from the oldest view. */
+  private create(team: string, now: number): HeldBucket | undefined {
+    const { oldest } = this.views;
+    if (oldest === undefined) return undefined;
+    const held = new HeldBucket(oldest.adoptedAt, this.timing.lenderLifetimeMs);
+    if (this.shareAt(team, held, now).capacity === 0) return undefined;
+    return this.held.add(team, held, now);
+  }
+
+  private get version(): number {
+    return this.views.version + this.limits.version;
+  }
+
+  private sync(team: string, held: HeldBucket, now: number): void {
+    const { from, isSameVersion } = held.markSynced(this.version, now);
+    const latest = Math.max(this.views.latestBreakpoint, this.limits.latestBreakpoint);
+    if (isSameVersion && latest < from) held.bucket.advance(now);
+    else this.replay(team, held, from, now);
+  }
+
+  private replay(team: string, held: HeldBucket, from: number, now: number): void {
+    const { bucket } = held;
+    const oldestAt = this.views.oldest?.adoptedAt ?? now;
+    if (from < oldestAt) {
+      bucket.clear(oldestAt);
+      bucket.setShare(NO_SHARE, oldestAt);
+    }
+    // Changes of limits between two uses may be forgotten: the smaller share holds for that time.
+    const first = this.shareAt(team, held, from);
+    const before = bucket.currentShare;
+    const capacity = Math.min(first.capacity, before.capacity);
+    bucket.setShare({ capacity, rate: Math.min(first.rate, before.rate) }, from);
+    [...this.views.breakpoints(from, now), ...this.limits.breakpoints(from, now)]
+      .sort((a, b) => a - b)
+      .forEach((time) => bucket.setShare(this.shareAt(team, held, time), time));
+    bucket.setShare(this.shareAt(team, held, now), now);
+  }
+
+  private shareAt(team: string, held: HeldBucket, at: number): Share {
+    const oldestLimits = this.limits.oldest;
+    const lookups =
+      oldestLimits !== undefined &&
+      oldestLimits.adoptedAt > at &&
+      oldestLimits.releasedAt < Infinity
+        ? [oldestLimits.value]
+        : this.limits.activeAt(at);
+    const limit = lookups.at(-1)?.(team);
+    if (limit === undefined) return NO_SHARE;
+    const bursts = lookups.flatMap((lookup) => lookup(team)?.burst ?? []);
+    const placements = this.views.activeAt(at).map((view) => this.place(team, held, view));
+    return safeShare(placements, limit, bursts);
+  }
+
+  private place(team: string, held: HeldBucket, view: BudgetView): Placement {
+    const known = held.placements.get(view);
+    if (known !== undefined) return known;
+    const holders = firstOfEachDataCentre(team, view.entries);
+    const index = holders.findIndex((holder) => holder.vm === this.self);
+    const placement = { index, count: holders.length };
+    if (held.placements.size >= MAX_VIEWS) held.placements.clear();
+    held.placements.set(view, placement);
+    return placement;
+  }
+}
--- /dev/null
+++ b/packages/budgets/src/LoanClient.ts
@@ -0,0 +1,213 @@
+/** Sends loan requests to holders: batched per holder, with a timeout, skipping holders that do not answer. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import {
+  BORROW_TIMEOUT_MS,
+  DEFAULT_RETRY_AFTER_MS,
+  PROBE_INTERVAL_MS,
+  SETTLE_DELAY_MS,
+} from './constants.js';
+import { Lot } from './Lot.js';
+import type { BorrowRequest, BorrowResponse, BudgetTransport } from './types.js';
+
+/** A holder's answer to a loan request. */
+export interface LoanAnswer {
+  readonly granted: number;
+  readonly retryAfterMs: number;
+}
+
+interface PendingItem {
+  readonly team: string;
+  readonly wanted: number;
+  readonly urgent: number;
+  readonly resolve: (answer: LoanAnswer | undefined) => void;
+}
+
+interface Lender {
+  readonly vm: string;
+  pending: PendingItem[];
+  /** Loans with uses or returns that were not reported yet. */
+  readonly unreported: Set<Lot>;
+  isFlushScheduled: boolean;
+  isReportScheduled: boolean;
+  /** Set while the lender does not answer: it is asked again after the next probe succeeded. */
+  isSuspect: boolean;
+  probeAt: number;
+}
+
+export interface LoanClientOptions {
+  readonly self: string;
+  readonly clock: Clock;
+  readonly transport: BudgetTransport;
+  readonly loanLifetimeMs: number;
+  readonly epoch: () => number;
+  /** Called for every loan, also for one that arrives after its request timed out. */
+  readonly onLoan: (lot: Lot) => void;
+}
+
+export class LoanClient implements IDisposable {
+  private readonly lenders = new Map<string, Lender>();
+
+  private readonly timers = new Set<IDisposable>();
+
+  private isDisposed = false;
+
+  public constructor(private readonly options: LoanClientOptions) {}
+
+  /** False while the lender is known not to answer. Starts a probe when one is due. */
+  public isAskable(vm: string): boolean {
+    const lender = this.lenders.get(vm);
+    if (lender === undefined || !lender.isSuspect) return true;
+    const now = this.options.clock.now();
+    if (now >= lender.probeAt) {
+      lender.probeAt = now + PROBE_INTERVAL_MS;
+      this.send(lender, []);
+    }
+    return false;
+  }
+
+  /** Asks for tokens; undefined if no answer came in time. Requests of the same turn share a message. */
+  public request(
+    vm: string,
+    team: string,
+    wanted: number,
+    urgent: number,
+  ): Promise<LoanAnswer | undefined> {
+    const lender = this.lenderFor(vm);
+    return new Promise((resolve) => {
+      lender.pending.push({ team, wanted, urgent, resolve });
+      if (lender.isFlushScheduled) return;
+      lender.isFlushScheduled = true;
+      queueMicrotask(() => {
+        lender.isFlushScheduled = false;
+        const items = lender.pending;
+        lender.pending = [];
+        this.send(lender, items);
+      });
+    });
+  }
+
+  /** Notes that tokens of a loan were used or are given back; the lender learns it within `SETTLE_DELAY_MS`. */
+  public report(lot: Lot): void {
+    if (lot.data.loan === '') return;
+    const lender = this.lenderFor(lot.data.lender);
+    lender.unreported.add(lot);
+    if (lender.isReportScheduled) return;
+    lender.isReportScheduled = true;
+    this.schedule(() => {
+      lender.isReportScheduled = false;
+      if (lender.unreported.size > 0) this.send(lender, []);
+    }, SETTLE_DELAY_MS);
+  }
+
+  /** Calls `fn` after `delayMs` unless disposed before. */
+  public schedule(fn: () => void, delayMs: number): IDisposable {
+    const timer = this.options.clock.setTimeout(() => {
+      this.timers.delete(timer);
+      if (!this.isDisposed) fn();
+    }, delayMs);
+    this.timers.add(timer);
+    return {
+      dispose: () => {
+        this.timers.delete(timer);
+        timer.dispose();
+      },
+    };
+  }
+
+  /** Forgets lenders that are no longer entries. */
+  public retain(vms: ReadonlySet<string>): void {
+    [...this.lenders.keys()].filter((vm) => !vms.has(vm)).forEach((vm) => this.lenders.delete(vm));
+  }
+
+  public dispose(): void {
+    this.isDisposed = true;
+    this.timers.forEach((timer) => timer.dispose());
+    this.timers.clear();
+    [...this.lenders.values()]
+      .flatMap((lender) => lender.pending)
+      .forEach((item) => item.resolve(undefined));
+  }
+
+  private lenderFor(vm: string): Lender {
+    const known = this.lenders.get(vm);
+    if (known !== undefined) return known;
+    const lender: Lender = {
+      vm,
+      pending: [],
+      unreported: new Set(),
+      isFlushScheduled: false,
+      isReportScheduled: false,
+      isSuspect: false,
+      probeAt: 0,
+    };
+    this.lenders.set(vm, lender);
+    return lender;
+  }
+
+  private send(lender: Lender, items: readonly PendingItem[]): void {
+    if (this.isDisposed) {
+      items.forEach((item) => item.resolve(undefined));
+      return;
+    }
+    const { clock, transport } = this.options;
+    const sentAt = clock.now();
+    let isAnswered = false;
+    const fail = (): void => {
+      if (isAnswered) return;
+      isAnswered = true;
+      Object.assign(lender, { isSuspect: true, probeAt: clock.now() + PROBE_INTERVAL_MS });
+      items.forEach((item) => item.resolve(undefined));
+    };
+    const timeout = this.schedule(fail, BORROW_TIMEOUT_MS);
+    const accept = (res: BorrowResponse): void => {
+      isAnswered = true;
+      timeout.dispose();
+      Object.assign(lender, { isSuspect: false });
+      this.accept(lender, items, res, sentAt);
+    };
+    transport
+      .borrow(lender.vm, this.buildRequest(lender, items))
+      .then(accept)
+      .catch(() => {
+        timeout.dispose();
+        fail();
+      });
+  }
+
+  private buildRequest(lender: Lender, items: readonly PendingItem[]): BorrowRequest {
+    const reports = [...lender.unreported].map((lot) => ({
+      team: lot.data.team,
+      loan: lot.data.loan,
+      used: lot.used,
+      returned: lot.returned,
+    }));
+    lender.unreported.clear();
+    return {
+      from: this.options.self,
+      viewEpoch: this.options.epoch(),
+      items: items.map(({ team, wanted, urgent }) => ({ team, wanted, urgent })),
+      reports,
+    };
+  }
+
+  private accept(
+    lender: Lender,
+    items: readonly PendingItem[],
+    res: BorrowResponse,
+    sentAt: number,
+  ): void {
+    items.forEach((item) => {
+      const answer = res.items.find(({ team }) => team === item.team);
+      const granted = Math.min(answer?.granted ?? 0, item.wanted);
+      if (granted > 0) {
+        const loan = answer?.loan ?? '';
+        const expiresAt = sentAt + this.options.loanLifetimeMs;
+        this.options.onLoan(
+          new Lot({ team: item.team, lender: lender.vm, loan, expiresAt, count: granted }),
+        );
+      }
+      item.resolve({ granted, retryAfterMs: answer?.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS });
+    });
+  }
+}
--- /dev/null
+++ b/packages/budgets/src/Lot.ts
@@ -0,0 +1,57 @@
+/** One loan as the borrower sees it. */
+
+export interface LotData {
+  readonly team: string;
+  readonly lender: string;
+  /** Name of the loan in reports; empty if the lender gave none. */
+  readonly loan: string;
+  /** Monotonic ms; a token is valid before this time. */
+  readonly expiresAt: number;
+  readonly count: number;
+}
+
+export class Lot {
+  private freeCount: number;
+
+  private usedCount = 0;
+
+  private returnedCount = 0;
+
+  public constructor(public readonly data: LotData) {
+    this.freeCount = data.count;
+  }
+
+  /** Tokens neither reserved, used nor returned. */
+  public get free(): number {
+    return this.freeCount;
+  }
+
+  public get used(): number {
+    return this.usedCount;
+  }
+
+  public get returned(): number {
+    return this.returnedCount;
+  }
+
+  /** Reserves a free token. */
+  public take(): void {
+    this.freeCount -= 1;
+  }
+
+  /** Uses a reserved token. */
+  public use(): void {
+    this.usedCount += 1;
+  }
+
+  /** Frees a reserved token. */
+  public cancel(): void {
+    this.freeCount += 1;
+  }
+
+  /** Gives free tokens back to the lender. */
+  public giveBack(count: number): void {
+    this.freeCount -= count;
+    this.returnedCount += count;
+  }
+}
--- a/packages/budgets/src/api.ts
+++ b/packages/budgets/src/api.ts
@@ -1,2 +1,3 @@
 /** Public API of fleet-wide budgets. */
+export { FleetBudgets, type FleetBudgetsOptions } from './FleetBudgets.js';
 export * from './types.js';
