--- a/packages/daemon/src/transport/peer-codec.ts
+++ b/packages/daemon/src/transport/peer-codec.ts
@@ -7,6 +7,8 @@
 
 const PER_MILLE = 1_000;
 
+const MAX_UINT32 = 0xffffffff;
+
 const ANNOUNCED_STATES: Readonly<Record<string, ejection.AnnouncedState>> = {
   up: 'up',
   draining: 'draining',
@@ -131,20 +133,35 @@
 }
 
 export function toBorrowRequest(message: pb.BorrowRequest): budgets.BorrowRequest {
-  return { from: message.from, viewEpoch: Number(message.viewEpoch), items: message.items };
+  return {
+    from: message.from,
+    viewEpoch: Number(message.viewEpoch),
+    items: message.items,
+    reports: message.reports,
+  };
 }
 
 export function fromBorrowRequest(
   req: budgets.BorrowRequest,
 ): MessageInitShape<typeof pb.BorrowRequestSchema> {
-  return { from: req.from, viewEpoch: BigInt(req.viewEpoch), items: [...req.items] };
+  return {
+    from: req.from,
+    viewEpoch: BigInt(req.viewEpoch),
+    items: req.items.map((item) => ({ ...item, urgent: item.urgent ?? item.wanted })),
+    reports: [...(req.reports ?? [])],
+  };
 }
 
 export function fromBorrowResponse(
   res: budgets.BorrowResponse,
 ): MessageInitShape<typeof pb.BorrowResponseSchema> {
   return {
-    items: res.items.map((item) => ({ ...item, retryAfterMs: Math.ceil(item.retryAfterMs) })),
+    items: res.items.map((item) => ({
+      team: item.team,
+      granted: item.granted,
+      retryAfterMs: Math.min(MAX_UINT32, Math.ceil(item.retryAfterMs)),
+      loan: item.loan ?? '',
+    })),
   };
 }
 
--- a/packages/fleet/src/ConfigStateMachine.test.ts
+++ b/packages/fleet/src/ConfigStateMachine.test.ts
@@ -125,7 +125,7 @@
     Array.from({ length: 20 }, (_, i) =>
       apply(createApply(`c${i}`, machine.config.listsRevision, createLists([`team-${i}`]))),
     );
-    const {records} = machine.audit;
+    const { records } = machine.audit;
     expect(verifyAudit(records).kind).toEqual('intact');
     const isBroken = (altered: readonly AuditRecord[]): boolean =>
       verifyAudit(altered).kind === 'broken';
--- a/packages/lists/src/CompiledLists.test.ts
+++ b/packages/lists/src/CompiledLists.test.ts
@@ -40,7 +40,7 @@
     return rank === undefined ? [] : [{ id, methods, rank }];
   });
   const best = matching
-    .filter(({ methods }) => methods.includes(method))
+    .filter(({ methods }) => methods.some((known) => known === method))
     .sort((a, b) => (a.rank < b.rank ? -1 : Number(a.rank > b.rank)))
     .at(0);
   if (best !== undefined) return best.id;
--- a/packages/lists/src/TomlDocument.ts
+++ b/packages/lists/src/TomlDocument.ts
@@ -79,7 +79,7 @@
 
   /** Position of the value at the path, or of the nearest table above that the file contains. */
   public positionOf(path: KeyPath): FilePosition {
-    for (let {length} = path; length > 0; length -= 1) {
+    for (let { length } = path; length > 0; length -= 1) {
       const position = this.positions.get(positionKey(path.slice(0, length)));
       if (position !== undefined) return position;
     }
