--- /dev/null
+++ b/packages/daemon/src/entry/EntryServer.ts
@@ -0,0 +1,141 @@
+/** The caller listener of an entry. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { delay } from '@marigoldbank/base/clock';
+import { checkRequest } from './checkRequest.js';
+import { ADDRESS_TTL_SECONDS, LEAVE_NOTICE_MS, OWN_PATH_PREFIX } from './constants.js';
+import { createCallerApp } from './callerApp.js';
+import { ProxyPipeline, type Transaction } from './ProxyPipeline.js';
+import { answerBrokenRequest } from './brokenRequests.js';
+import type { EntryContext } from './types.js';
+
+const MS_PER_SECOND = 1_000;
+const CHECKING_INTERVAL_MS = 500;
+
+/** Listens for callers, and leaves without cutting a request. */
+export class EntryServer {
+  private readonly server: Server;
+
+  private readonly pipeline: ProxyPipeline;
+
+  private readonly handleOwn: (req: IncomingMessage, res: ServerResponse) => void;
+
+  /** Requests in progress per connection. */
+  private readonly running = new WeakMap<Duplex, number>();
+
+  private isLeaving = false;
+
+  private isDraining = false;
+
+  private readonly ctx: EntryContext;
+
+  public constructor(ctx: EntryContext) {
+    this.ctx = ctx;
+    this.pipeline = new ProxyPipeline(ctx, () => this.isDraining);
+    this.handleOwn = createCallerApp(ctx, () => this.isLeaving);
+    this.server = this.createServer();
+  }
+
+  /** Port that the listener got. */
+  public get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Starts to listen. */
+  public listen(port: number, host: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.removeListener('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * Leaves: out of the address answers at once, new connections for one ttl plus polling time, then no new connections
+   * while kept ones are served until they close. Resolves when the last connection has closed.
+   */
+  public async drain(): Promise<void> {
+    this.isLeaving = true;
+    await delay(this.ctx.clock, ADDRESS_TTL_SECONDS * MS_PER_SECOND + LEAVE_NOTICE_MS);
+    this.isDraining = true;
+    await this.stopAccepting();
+  }
+
+  /** Closes at once and cuts what runs. */
+  public async close(): Promise<void> {
+    const closed = this.stopAccepting();
+    this.server.closeAllConnections();
+    await closed;
+    this.server.close();
+  }
+
+  /**
+   * Closes only the listening socket. The close of the HTTP server would also close kept connections, on which a
+   * request may be under way; they end after their advertised keep-alive time.
+   */
+  private stopAccepting(): Promise<void> {
+    return new Promise((resolve) => {
+      NetServer.prototype.close.call(this.server, () => resolve());
+    });
+  }
+
+  private createServer(): Server {
+    const { limits } = this.ctx;
+    const server = createServer({
+      maxHeaderSize: limits.maxHeaderBytes,
+      headersTimeout: limits.headersTimeoutMs,
+      requestTimeout: limits.requestTimeoutMs,
+      keepAliveTimeout: limits.keepAliveTimeoutMs,
+      connectionsCheckingInterval: CHECKING_INTERVAL_MS,
+      insecureHTTPParser: false,
+      noDelay: true,
+    });
+    // Node.js drops headers beyond its own limit without a word; the request check counts them instead.
+    server.maxHeadersCount = 0;
+    server.maxConnections = limits.maxConnections;
+    server.on('request', (req, res) => this.accept(req, res, () => undefined));
+    server.on('checkContinue', (req, res) => this.accept(req, res, () => res.writeContinue()));
+    server.on('checkExpectation', (req, res) => this.accept(req, res, () => undefined));
+    server.on('connect', (_req, socket) => answerBrokenRequest(socket, undefined, false));
+    server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+      answerBrokenRequest(socket, err.code, (this.running.get(socket) ?? 0) > 0);
+    });
+    return server;
+  }
+
+  private accept(req: IncomingMessage, res: ServerResponse, askForBody: () => void): void {
+    this.track(req.socket, res);
+    const result = checkRequest(
+      {
+        method: req.method ?? '',
+        url: req.url ?? '',
+        httpVersion: req.httpVersion,
+        rawHeaders: req.rawHeaders,
+      },
+      this.ctx.limits,
+    );
+    const tx: Transaction = { req, res, askForBody };
+    if (result.kind === 'refused') {
+      this.settle(this.pipeline.refuse(tx, result.refusal));
+    } else if (result.request.path.startsWith(OWN_PATH_PREFIX)) {
+      if (this.isDraining) res.setHeader('connection', 'close');
+      this.handleOwn(req, res);
+    } else {
+      this.settle(this.pipeline.handle(tx, result.request));
+    }
+  }
+
+  private track(socket: Socket, res: ServerResponse): void {
+    this.running.set(socket, (this.running.get(socket) ?? 0) + 1);
+    res.once('close', () => this.running.set(socket, (this.running.get(socket) ?? 1) - 1));
+  }
+
+  private settle(work: Promise<void>): void {
+    work.catch((err: unknown) => {
+      this.ctx.logger.error('request handler failed', { error: String(err) });
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/ProxyPipeline.ts
@@ -0,0 +1,270 @@
+/** The steps of a proxied request. */
+import { createHash, randomUUID } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { CompiledRoute } from '@marigoldbank/lists/compiled';
+import { AnswerSender } from './AnswerSender.js';
+import type { ConfigSection } from '../Blackboard.js';
+import { decodeOutcome, type StoredOutcome } from './answers.js';
+import { CLAIM_WAIT_MS } from './constants.js';
+import { DispatchRun } from './DispatchRun.js';
+import { selectRequestHeaders } from './headers.js';
+import { verifyKey } from './keys.js';
+import { readBody } from './readBody.js';
+import type { Refusal } from './refusals.js';
+import { RequestRecord } from './RequestRecord.js';
+import type {
+  AdmittedRequest,
+  CheckedRequest,
+  EntryContext,
+  ServiceRouter,
+  VerifiedKey,
+} from './types.js';
+
+type Admission =
+  | {
+      readonly kind: 'admitted';
+      readonly route: CompiledRoute;
+      readonly key: VerifiedKey | undefined;
+      readonly router: ServiceRouter;
+    }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+type ClaimStep =
+  | { readonly kind: 'proceed'; readonly request: AdmittedRequest }
+  | { readonly kind: 'stored'; readonly outcome: StoredOutcome }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+/** A request with its streams. */
+export interface Transaction {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  /** Asks the caller for the body if it waits for that. */
+  readonly askForBody: () => void;
+}
+
+function refuse(refusal: Refusal): { kind: 'refused'; refusal: Refusal } {
+  return { kind: 'refused', refusal };
+}
+
+/** Identifies equal requests: team, method, target and body. */
+export function fingerprintOf(
+  team: string,
+  method: string,
+  target: string,
+  body: Uint8Array,
+): string {
+  return createHash('sha256').update(`${team}\0${method}\0${target}\0`).update(body).digest('hex');
+}
+
+/** Carries requests from their checked form to their answer. */
+export class ProxyPipeline {
+  private readonly sender: AnswerSender;
+
+  public constructor(
+    private readonly ctx: EntryContext,
+    isDraining: () => boolean,
+  ) {
+    this.sender = new AnswerSender(ctx, isDraining);
+  }
+
+  /** Handles one request; never rejects. */
+  public async handle(tx: Transaction, checked: CheckedRequest): Promise<void> {
+    const record = new RequestRecord(this.ctx, randomUUID());
+    const abort = new AbortController();
+    tx.res.once('close', () => {
+      if (!tx.res.writableFinished) abort.abort();
+    });
+    try {
+      await this.process(tx, checked, record, abort.signal);
+    } catch (err) {
+      this.ctx.logger.error('request handler failed', {
+        requestId: record.id,
+        error: err instanceof Error ? (err.stack ?? err.message) : String(err),
+      });
+      const verdict = record.isUncertain ? 'mayHaveRun' : 'notRun';
+      await this.sender.refuse(tx, record, { kind: 'internalError', verdict });
+    } finally {
+      record.end();
+    }
+  }
+
+  /** Answers a request that failed the checks of its form. */
+  public async refuse(tx: Transaction, refusal: Refusal): Promise<void> {
+    const record = new RequestRecord(this.ctx, randomUUID());
+    await this.sender.refuse(tx, record, refusal);
+    record.end();
+  }
+
+  private async process(
+    tx: Transaction,
+    checked: CheckedRequest,
+    record: RequestRecord,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const admission = this.admit(checked);
+    if (admission.kind === 'refused') {
+      await this.sender.refuse(tx, record, admission.refusal);
+      return;
+    }
+    const { route, key, router } = admission;
+    record.setRoute(route, key?.team);
+    const body = await this.receiveBody(tx, checked, route);
+    if (body.kind === 'refused') {
+      await this.sender.refuse(tx, record, body.refusal);
+      return;
+    }
+    const request = ProxyPipeline.toAdmitted(checked, admission, body.body, record, signal);
+    if (router.pool.isQuarantined(request.fingerprint)) {
+      await this.sender.refuse(tx, record, { kind: 'quarantined', verdict: 'notRun' });
+      return;
+    }
+    const claimed = await this.claim(request, checked.idempotencyKey);
+    if (claimed.kind === 'refused') {
+      await this.sender.refuse(tx, record, claimed.refusal);
+    } else if (claimed.kind === 'stored') {
+      this.sender.sendStored(tx, record, claimed.outcome);
+    } else {
+      await this.dispatch(tx, claimed.request, router, record);
+    }
+  }
+
+  private async dispatch(
+    tx: Transaction,
+    request: AdmittedRequest,
+    router: ServiceRouter,
+    record: RequestRecord,
+  ): Promise<void> {
+    const run = new DispatchRun(this.ctx, router, request);
+    record.setRun(run);
+    const result = await run.run();
+    if (result.kind === 'answered') {
+      await this.sender.answer(tx, record, request, result);
+      return;
+    }
+    if (result.refusal.verdict === 'notRun') await this.releaseClaim(request);
+    await this.sender.refuse(tx, record, result.refusal);
+  }
+
+  private admit(checked: CheckedRequest): Admission {
+    const section = this.ctx.blackboard.config.value;
+    if (section === undefined) return refuse({ kind: 'notReady', verdict: 'notRun' });
+    const match = section.lists.matchRoute(checked.method, checked.path);
+    if (match.kind === 'notFound') return refuse({ kind: 'notFound', verdict: 'notRun' });
+    if (match.kind === 'methodNotAllowed') {
+      return refuse({ kind: 'methodNotAllowed', verdict: 'notRun', allowed: match.allowed });
+    }
+    const { route } = match;
+    const router = this.ctx.findRouter(route.service);
+    if (router === undefined) return refuse({ kind: 'noTarget', verdict: 'notRun' });
+    if (!route.open) return this.admitTeam(checked, section, route, router);
+    if (checked.idempotencyKey !== undefined) {
+      const detail = 'Idempotency-Key needs a route with a key';
+      return refuse({ kind: 'badRequest', verdict: 'notRun', detail });
+    }
+    return { kind: 'admitted', route, key: undefined, router };
+  }
+
+  private admitTeam(
+    checked: CheckedRequest,
+    section: ConfigSection,
+    route: CompiledRoute,
+    router: ServiceRouter,
+  ): Admission {
+    const key = verifyKey(checked.presentedKey, section);
+    if (key === undefined) return refuse({ kind: 'unauthenticated', verdict: 'notRun' });
+    if (!section.lists.mayUse(key.team, route.id)) {
+      return refuse({ kind: 'forbidden', verdict: 'notRun' });
+    }
+    if (this.ctx.clock.now() >= this.ctx.blackboard.currency.value.currentUntil) {
+      return refuse({ kind: 'notCurrent', verdict: 'notRun' });
+    }
+    return { kind: 'admitted', route, key, router };
+  }
+
+  private async receiveBody(
+    tx: Transaction,
+    checked: CheckedRequest,
+    route: CompiledRoute,
+  ): Promise<{ kind: 'read'; body: Buffer } | { kind: 'refused'; refusal: Refusal }> {
+    const tooLarge: Refusal = {
+      kind: 'bodyTooLarge',
+      verdict: 'notRun',
+      limitBytes: route.maxBodyBytes,
+    };
+    if (!checked.hasBody) return { kind: 'read', body: Buffer.alloc(0) };
+    if ((checked.contentLength ?? 0) > route.maxBodyBytes) return refuse(tooLarge);
+    tx.askForBody();
+    const result = await readBody(tx.req, this.ctx.clock, {
+      maxBytes: route.maxBodyBytes,
+      idleTimeoutMs: this.ctx.limits.bodyIdleTimeoutMs,
+    });
+    if (result.kind === 'tooLarge') return refuse(tooLarge);
+    if (result.kind === 'tooSlow') return refuse({ kind: 'requestTimeout', verdict: 'notRun' });
+    if (result.kind === 'aborted') return refuse({ kind: 'callerGone', verdict: 'notRun' });
+    if (checked.presentedKey !== undefined && result.body.includes(checked.presentedKey)) {
+      return refuse({ kind: 'badRequest', verdict: 'notRun', detail: 'the body holds the key' });
+    }
+    return result;
+  }
+
+  private static toAdmitted(
+    checked: CheckedRequest,
+    admission: Admission & { kind: 'admitted' },
+    body: Buffer,
+    record: RequestRecord,
+    signal: AbortSignal,
+  ): AdmittedRequest {
+    const { route, key } = admission;
+    const target = checked.path + checked.query;
+    const timeoutMs = Math.min(route.timeoutMs, checked.timeoutMs ?? Infinity);
+    return {
+      id: record.id,
+      startedAt: record.startedAt,
+      deadlineAt: record.startedAt + timeoutMs,
+      method: checked.method,
+      path: checked.path,
+      target,
+      route,
+      key,
+      headers: selectRequestHeaders(checked.headers, checked.presentedKey),
+      body,
+      fingerprint: fingerprintOf(key?.team ?? '', checked.method, target, body),
+      signal,
+      claim: undefined,
+    };
+  }
+
+  private async claim(request: AdmittedRequest, idempotencyKey?: string): Promise<ClaimStep> {
+    if (idempotencyKey === undefined || request.key === undefined) {
+      return { kind: 'proceed', request };
+    }
+    const remainingMs = request.deadlineAt - this.ctx.clock.now();
+    if (remainingMs <= 0) return refuse({ kind: 'deadlineBeforeDispatch', verdict: 'notRun' });
+    const waitMs = Math.min(CLAIM_WAIT_MS, remainingMs);
+    const { team } = request.key;
+    const result = await this.ctx.claims.claim(team, idempotencyKey, request.fingerprint, waitMs);
+    switch (result.kind) {
+      case 'owned':
+        return { kind: 'proceed', request: { ...request, claim: result.claim } };
+      case 'completed': {
+        const outcome = decodeOutcome(result.outcome);
+        if (outcome !== undefined) return { kind: 'stored', outcome };
+        return refuse({ kind: 'claimInProgress', verdict: 'mayHaveRun' });
+      }
+      case 'inProgress':
+        return refuse({ kind: 'claimInProgress', verdict: 'mayHaveRun' });
+      case 'mismatch':
+        return refuse({ kind: 'claimMismatch', verdict: 'notRun' });
+      default:
+        return refuse({ kind: 'claimUnavailable', verdict: 'notRun', detail: result.reason });
+    }
+  }
+
+  private async releaseClaim(request: AdmittedRequest): Promise<void> {
+    try {
+      await request.claim?.release();
+    } catch {
+      this.ctx.logger.warn('claim was not released', { requestId: request.id });
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/UpstreamExchange.ts
@@ -0,0 +1,186 @@
+/** One request sent to one target, and its response. */
+import type { Dispatcher } from 'undici';
+import { HEADER_REQUEST_ID } from './constants.js';
+import { ExchangeError, type FailureCause } from './ExchangeError.js';
+import type { ResponseHeaders } from './headers.js';
+import type { Refusal } from './refusals.js';
+
+/** Failure of the check at dispatch. `refusal` is absent when another round may succeed. */
+export interface GateFailure {
+  readonly kind: 'leaseEnded' | 'tokenExpired' | 'refused';
+  readonly refusal?: Refusal;
+}
+
+export interface ResponseHead {
+  readonly kind: 'head';
+  readonly status: number;
+  readonly headers: ResponseHeaders;
+}
+
+export interface ExchangeFailure {
+  readonly kind: 'failed';
+  readonly verdict: 'notRun' | 'mayHaveRun';
+  readonly cause: FailureCause;
+  readonly detail: string;
+  readonly gate: GateFailure | undefined;
+}
+
+/** Receives the body of a response. */
+export interface BodySink {
+  /** Returns false when the sender should pause until `resume`. */
+  onData(chunk: Buffer): boolean;
+  onEnd(): void;
+  onFail(failure: ExchangeFailure): void;
+}
+
+/** Body bytes kept until a sink is attached. */
+const MAX_PENDING_BYTES = 65_536;
+
+const STATUS_WITHOUT_BODY = new Set([204, 304]);
+
+/** A response must show its own end, or a cut one could not be told from a complete one. */
+function findFramingFault(
+  method: string,
+  status: number,
+  headers: ResponseHeaders,
+): string | undefined {
+  const length = headers['content-length'];
+  const coding = headers['transfer-encoding'];
+  if (length !== undefined && coding !== undefined) return 'both Content-Length and chunked';
+  if (length !== undefined && !/^\d{1,15}$/.test(String(length))) return 'bad Content-Length';
+  if (coding !== undefined && String(coding).toLowerCase() !== 'chunked') return 'unknown coding';
+  const hasBody = method !== 'HEAD' && !STATUS_WITHOUT_BODY.has(status);
+  if (hasBody && length === undefined && coding === undefined) {
+    return 'neither Content-Length nor chunked';
+  }
+  return undefined;
+}
+
+/** Handler of one undici dispatch. Nothing is sent before `checkDispatch` passes in the same turn. */
+export class UpstreamExchange implements Dispatcher.DispatchHandler {
+  /** Settles once: with the head of the response, or with the failure before it. */
+  public readonly head: Promise<ResponseHead | ExchangeFailure>;
+
+  private settleHead!: (value: ResponseHead | ExchangeFailure) => void;
+
+  private controller: Dispatcher.DispatchController | undefined;
+
+  private hasBeenSent = false;
+
+  private hasHead = false;
+
+  private sink: BodySink | undefined;
+
+  private readonly pending: Buffer[] = [];
+
+  private pendingBytes = 0;
+
+  private hasEnded = false;
+
+  private failure: ExchangeFailure | undefined;
+
+  public constructor(
+    private readonly method: string,
+    private readonly requestId: string,
+    private readonly checkDispatch: () => GateFailure | undefined,
+    private readonly onDone: () => void,
+  ) {
+    this.head = new Promise((resolve) => {
+      this.settleHead = resolve;
+    });
+  }
+
+  /** True once a byte of the request may have left. */
+  public get isSent(): boolean {
+    return this.hasBeenSent;
+  }
+
+  public onRequestStart(controller: Dispatcher.DispatchController): void {
+    // undici may hand a request out a second time after a connection was reset.
+    if (this.hasBeenSent) throw new ExchangeError('connectionLost', 'resend refused');
+    if (this.failure !== undefined) throw new ExchangeError('cancelled', 'ended before dispatch');
+    const gate = this.checkDispatch();
+    if (gate !== undefined) {
+      this.fail('gate', gate.kind, gate);
+      throw new ExchangeError('gate', gate.kind);
+    }
+    this.hasBeenSent = true;
+    this.controller = controller;
+  }
+
+  public onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: ResponseHeaders,
+  ): void {
+    if (status < 200 || this.failure !== undefined) return;
+    const echo = headers[HEADER_REQUEST_ID];
+    if (echo !== undefined && echo !== this.requestId) {
+      this.abort('wrongRequestId', 'the response carries the id of another request');
+      return;
+    }
+    const fault = findFramingFault(this.method, status, headers);
+    if (fault !== undefined) {
+      this.abort('brokenResponse', fault);
+      return;
+    }
+    this.hasHead = true;
+    this.settleHead({ kind: 'head', status, headers });
+  }
+
+  public onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.failure !== undefined) return;
+    if (this.sink !== undefined) {
+      if (!this.sink.onData(chunk)) controller.pause();
+      return;
+    }
+    this.pending.push(chunk);
+    this.pendingBytes += chunk.length;
+    if (this.pendingBytes >= MAX_PENDING_BYTES) controller.pause();
+  }
+
+  public onResponseEnd(): void {
+    if (this.failure !== undefined) return;
+    this.hasEnded = true;
+    this.onDone();
+    this.sink?.onEnd();
+  }
+
+  public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+    const isKnown = err instanceof ExchangeError;
+    const cause = this.hasBeenSent ? 'connectionLost' : 'connectFailed';
+    this.fail(isKnown ? err.reason : cause, err.message);
+  }
+
+  /** Sends the body to a sink, what has already come first. */
+  public consume(sink: BodySink): void {
+    this.sink = sink;
+    const isFull = this.pending
+      .splice(0)
+      .map((chunk) => sink.onData(chunk))
+      .includes(false);
+    if (this.failure !== undefined) sink.onFail(this.failure);
+    else if (this.hasEnded) sink.onEnd();
+    else if (!isFull) this.resume();
+  }
+
+  public resume(): void {
+    if (this.failure === undefined && !this.hasEnded) this.controller?.resume();
+  }
+
+  /** Ends the exchange and destroys its connection, so that a late response reaches nobody. */
+  public abort(cause: FailureCause, detail: string): void {
+    if (this.hasEnded || this.failure !== undefined) return;
+    this.fail(cause, detail);
+    this.controller?.abort(new ExchangeError(cause, detail));
+  }
+
+  private fail(cause: FailureCause, detail: string, gate?: GateFailure): void {
+    if (this.failure !== undefined || this.hasEnded) return;
+    const verdict = this.hasBeenSent ? 'mayHaveRun' : 'notRun';
+    this.failure = { kind: 'failed', verdict, cause, detail, gate };
+    this.onDone();
+    if (!this.hasHead) this.settleHead(this.failure);
+    else this.sink?.onFail(this.failure);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/checkRequest.ts
@@ -0,0 +1,173 @@
+/** Checks on the form of a request, before anything is looked up for it. */
+import {
+  HEADER_API_KEY,
+  HEADER_IDEMPOTENCY_KEY,
+  HEADER_TIMEOUT,
+  MAX_IDEMPOTENCY_KEY_LENGTH,
+  type EntryLimits,
+} from './constants.js';
+import { holdsKey, removeKeysFromQuery } from './keys.js';
+import { normaliseTarget } from './normaliseTarget.js';
+import type { Refusal } from './refusals.js';
+import type { CheckedRequest, HeaderList } from './types.js';
+
+/** Head of a request as parsed by Node.js. */
+export interface RequestHead {
+  readonly method: string;
+  readonly url: string;
+  readonly httpVersion: string;
+  /** Names and values in turn. */
+  readonly rawHeaders: readonly string[];
+}
+
+export type CheckResult =
+  | { readonly kind: 'checked'; readonly request: CheckedRequest }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+/** Headers that change the meaning of a request when they come twice. */
+const SINGLE_HEADERS = [
+  'host',
+  'content-length',
+  'content-type',
+  'transfer-encoding',
+  'authorization',
+  'expect',
+  HEADER_API_KEY,
+  HEADER_IDEMPOTENCY_KEY,
+  HEADER_TIMEOUT,
+];
+
+const HOST_PATTERN = /^(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\])(?::\d{1,5})?$/;
+const CONTENT_LENGTH_PATTERN = /^\d{1,15}$/;
+const TIMEOUT_PATTERN = /^[1-9]\d{0,8}$/;
+const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]+$/;
+const BEARER_PATTERN = /^bearer +(\S+)$/i;
+
+function badRequest(detail: string): Refusal {
+  return { kind: 'badRequest', verdict: 'notRun', detail };
+}
+
+function toHeaderList(rawHeaders: readonly string[]): HeaderList {
+  return rawHeaders.flatMap((name, i) =>
+    i % 2 === 0 ? [[name.toLowerCase(), rawHeaders[i + 1] ?? ''] as const] : [],
+  );
+}
+
+/** Values of the headers that may come once, and the name of one that came twice. */
+function collectSingles(headers: HeaderList): { values: Map<string, string>; doubled?: string } {
+  const values = new Map<string, string>();
+  const doubled = headers.find(([name, value]) => {
+    if (!SINGLE_HEADERS.includes(name)) return false;
+    if (values.has(name)) return true;
+    values.set(name, value);
+    return false;
+  });
+  return doubled === undefined ? { values } : { values, doubled: doubled[0] };
+}
+
+function findFramingFault(single: ReadonlyMap<string, string>): string | undefined {
+  const length = single.get('content-length');
+  const coding = single.get('transfer-encoding');
+  if (length !== undefined && coding !== undefined) {
+    return 'Content-Length and Transfer-Encoding exclude each other';
+  }
+  if (length !== undefined && !CONTENT_LENGTH_PATTERN.test(length)) {
+    return 'Content-Length must be a number';
+  }
+  if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
+    return 'the only transfer coding is chunked';
+  }
+  return undefined;
+}
+
+function findHeaderFault(
+  headers: HeaderList,
+  single: ReadonlyMap<string, string>,
+): string | undefined {
+  if (!HOST_PATTERN.test(single.get('host') ?? '')) return 'one valid Host header is needed';
+  if (headers.some(([name]) => name === 'upgrade')) return 'upgrades are not supported';
+  const expectation = single.get('expect');
+  if (expectation !== undefined && expectation.toLowerCase() !== '100-continue') {
+    return 'the only expectation is 100-continue';
+  }
+  const timeout = single.get(HEADER_TIMEOUT);
+  if (timeout !== undefined && !TIMEOUT_PATTERN.test(timeout)) {
+    return 'X-Request-Timeout-Ms must be a positive number of milliseconds';
+  }
+  return findFramingFault(single);
+}
+
+function findIdempotencyKeyFault(
+  value: string | undefined,
+  presentedKey: string | undefined,
+): string | undefined {
+  if (value === undefined) return undefined;
+  if (value.length > MAX_IDEMPOTENCY_KEY_LENGTH || !IDEMPOTENCY_KEY_PATTERN.test(value)) {
+    return `Idempotency-Key must be 1 to ${MAX_IDEMPOTENCY_KEY_LENGTH} visible ASCII characters`;
+  }
+  return holdsKey(value, presentedKey) ? 'Idempotency-Key must not hold a key' : undefined;
+}
+
+function readPresentedKey(single: ReadonlyMap<string, string>): string | undefined {
+  const bearer = BEARER_PATTERN.exec(single.get('authorization') ?? '')?.[1];
+  return single.get(HEADER_API_KEY) ?? bearer;
+}
+
+function hasTwoKeys(single: ReadonlyMap<string, string>): boolean {
+  const bearer = BEARER_PATTERN.exec(single.get('authorization') ?? '')?.[1];
+  const apiKey = single.get(HEADER_API_KEY);
+  return bearer !== undefined && apiKey !== undefined && bearer !== apiKey;
+}
+
+function toRequest(
+  head: RequestHead,
+  target: { path: string; query: string },
+  headers: HeaderList,
+  single: ReadonlyMap<string, string>,
+): CheckedRequest {
+  const presentedKey = readPresentedKey(single);
+  const length = single.get('content-length');
+  const timeout = single.get(HEADER_TIMEOUT);
+  const contentLength = length === undefined ? undefined : Number(length);
+  return {
+    method: head.method,
+    path: target.path,
+    query: removeKeysFromQuery(target.query, presentedKey),
+    headers,
+    presentedKey,
+    idempotencyKey: single.get(HEADER_IDEMPOTENCY_KEY),
+    timeoutMs: timeout === undefined ? undefined : Number(timeout),
+    contentLength,
+    hasBody: single.has('transfer-encoding') || (contentLength ?? 0) > 0,
+  };
+}
+
+function findRefusal(head: RequestHead, limits: EntryLimits): Refusal | undefined {
+  if (head.url.length > limits.maxTargetBytes) return { kind: 'targetTooLong', verdict: 'notRun' };
+  if (head.rawHeaders.length / 2 > limits.maxHeaders) {
+    return { kind: 'headersTooLarge', verdict: 'notRun' };
+  }
+  // A truncated answer cannot be told from a complete one under HTTP/1.0.
+  if (head.httpVersion !== '1.1') return badRequest('HTTP/1.1 is needed');
+  return undefined;
+}
+
+/** Checks the head of a request. */
+export function checkRequest(head: RequestHead, limits: EntryLimits): CheckResult {
+  const refused = (refusal: Refusal): CheckResult => ({ kind: 'refused', refusal });
+  const early = findRefusal(head, limits);
+  if (early !== undefined) return refused(early);
+  const target = normaliseTarget(head.url);
+  if (target.kind === 'invalid') return refused(badRequest(target.detail));
+  const headers = toHeaderList(head.rawHeaders);
+  const { values, doubled } = collectSingles(headers);
+  if (doubled !== undefined) return refused(badRequest(`more than one ${doubled} header`));
+  const fault = findHeaderFault(headers, values);
+  if (fault !== undefined) return refused(badRequest(fault));
+  if (hasTwoKeys(values)) return refused(badRequest('two different keys'));
+  const presentedKey = readPresentedKey(values);
+  if (holdsKey(target.path, presentedKey)) return refused(badRequest('the path holds a key'));
+  const keyFault = findIdempotencyKeyFault(values.get(HEADER_IDEMPOTENCY_KEY), presentedKey);
+  if (keyFault !== undefined) return refused(badRequest(keyFault));
+  return { kind: 'checked', request: toRequest(head, target, headers, values) };
+}
