--- a/packages/lists/src/schema.ts
+++ b/packages/lists/src/schema.ts
@@ -3,7 +3,7 @@
 
 const ID_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
 const PATH_PATTERN =
-  /^\/(?:[A-Za-z0-9._~-]+|:[a-z][A-Za-z0-9]*|\*)?(?:\/(?:[A-Za-z0-9._~-]+|:[a-z][A-Za-z0-9]*|\*))*$/;
+  /^\/(?:(?:[A-Za-z0-9._~-]+|:[a-z][A-Za-z0-9]*|\*)(?:\/(?:[A-Za-z0-9._~-]+|:[a-z][A-Za-z0-9]*|\*))*)?$/;
 
 const DEFAULT_FLOOR = 0.6;
 const DEFAULT_TIMEOUT_MS = 5_000;
