--- a/packages/lists/src/TomlDocument.ts
+++ b/packages/lists/src/TomlDocument.ts
@@ -72,6 +72,8 @@
         path: '',
         expected: 'TOML',
         found: `a syntax error: ${err.message}`,
+        // The parser reports what is missing at the end of a line at the start of the next one.
+        hint: err.column === 0 ? 'here or at the end of the line before' : undefined,
       };
       return { kind: 'invalid', problems: [problem] };
     }
