--- /dev/null
+++ b/packages/daemon/src/controllers/LimitController.ts
@@ -0,0 +1,56 @@
+/** Passes the view and the limits in force to the budgets and the claims. */
+import type { Clock } from '@marigoldbank/base/clock';
+import { DisposableStore } from '@marigoldbank/base/lifecycle';
+import type { IFleetBudgets } from '@marigoldbank/budgets';
+import type { IClaimRegistry } from '@marigoldbank/claims';
+import type { Blackboard, ConfigSection } from '../Blackboard.js';
+
+export interface LimitControllerOptions {
+  readonly clock: Clock;
+  readonly blackboard: Blackboard;
+  readonly budgets: IFleetBudgets;
+  readonly claims: IClaimRegistry;
+}
+
+export class LimitController extends DisposableStore {
+  private section: ConfigSection | undefined;
+
+  private isMarked = false;
+
+  public constructor(private readonly options: LimitControllerOptions) {
+    super();
+    const { blackboard } = options;
+    this.add(blackboard.config.onDidChange((section) => this.adopt(section)));
+    this.add(blackboard.currency.onDidChange(() => this.markAccepted()));
+    this.adopt(blackboard.config.value);
+  }
+
+  private adopt(section: ConfigSection | undefined): void {
+    if (section === undefined) return;
+    const { budgets, claims } = this.options;
+    const { view } = section.config;
+    const before = this.section;
+    this.section = section;
+    this.isMarked = false;
+    if (before?.config.view.epoch !== view.epoch) {
+      budgets.setView(view);
+      claims.setView(view);
+    }
+    if (before?.lists !== section.lists) {
+      budgets.setLimits((team) => section.lists.planOf(team));
+    }
+    this.markAccepted();
+  }
+
+  /** Once the revision in force is accepted, everything in it is. */
+  private markAccepted(): void {
+    const { section } = this;
+    const { blackboard, budgets, clock } = this.options;
+    if (section === undefined || this.isMarked) return;
+    if (blackboard.currency.value.acceptedRevision < section.config.revision) return;
+    this.isMarked = true;
+    const now = clock.now();
+    budgets.markViewAccepted(section.config.view.epoch, now);
+    budgets.markLimitsAccepted(now);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/controllers/ServiceDirectory.ts
@@ -0,0 +1,107 @@
+/** The target pool, the queue and the retry budget of each service. */
+import { FairQueue } from '@marigoldbank/admission';
+import type { Clock } from '@marigoldbank/base/clock';
+import { DisposableStore } from '@marigoldbank/base/lifecycle';
+import type { Random } from '@marigoldbank/base/random';
+import { RetryBudget, TargetPool } from '@marigoldbank/ejection';
+import type { Blackboard } from '../Blackboard.js';
+import type { ServiceRouter, TargetPermit } from '../entry/types.js';
+
+const MAX_WAITING = 2_000;
+
+const MAX_WAITING_PER_TEAM = 500;
+
+const DEFAULT_FLOOR = 0.6;
+
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
+export interface ServiceDirectoryOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly vm: string;
+  readonly dataCentre: string;
+  readonly blackboard: Blackboard;
+}
+
+interface ServiceParts extends ServiceRouter {
+  readonly pool: TargetPool;
+  readonly lifetime: DisposableStore;
+}
+
+export class ServiceDirectory extends DisposableStore {
+  private readonly services = new Map<string, ServiceParts>();
+
+  public constructor(private readonly options: ServiceDirectoryOptions) {
+    super();
+    this.add(
+      options.blackboard.config.onDidChange((section) => {
+        this.retain(new Set(Object.keys(section?.config.lists.services ?? {})));
+      }),
+    );
+  }
+
+  /** The parts of a service that the lists in force define. */
+  public find(service: string): ServiceRouter | undefined {
+    const lists = this.options.blackboard.config.value?.lists;
+    return lists?.service(service) === undefined ? undefined : this.partsOf(service);
+  }
+
+  public poolOf(service: string): TargetPool {
+    return this.partsOf(service).pool;
+  }
+
+  /** Whether a coordinator suspects this entry's own links. */
+  public get isSuspectedReporter(): boolean {
+    return [...this.services.values()].some(({ pool }) => pool.isSuspectedReporter);
+  }
+
+  public override dispose(): void {
+    this.retain(new Set());
+    super.dispose();
+  }
+
+  private partsOf(service: string): ServiceParts {
+    const known = this.services.get(service);
+    if (known !== undefined) return known;
+    const parts = this.createParts(service);
+    this.services.set(service, parts);
+    return parts;
+  }
+
+  private createParts(service: string): ServiceParts {
+    const { clock, random, vm, dataCentre, blackboard } = this.options;
+    const lifetime = new DisposableStore();
+    const pool = lifetime.add(
+      new TargetPool({
+        clock,
+        random: random.fork(),
+        entry: vm,
+        dataCentre,
+        floor: () => blackboard.config.value?.lists.service(service)?.floor ?? DEFAULT_FLOOR,
+        entryCount: () => blackboard.config.value?.config.view.entries.length ?? 1,
+      }),
+    );
+    const queue: FairQueue<TargetPermit> = lifetime.add(
+      new FairQueue<TargetPermit>({
+        clock,
+        maxWaiting: MAX_WAITING,
+        maxWaitingPerTeam: MAX_WAITING_PER_TEAM,
+        tryAcquire: ({ isIdempotent }) => {
+          const lease = pool.tryChoose({ isIdempotent, exclude: NO_TARGETS });
+          return lease === undefined ? undefined : { lease, dispose: () => queue.wake() };
+        },
+      }),
+    );
+    lifetime.add(pool.onCapacity(() => queue.wake()));
+    return { pool, queue, retries: new RetryBudget(), lifetime };
+  }
+
+  private retain(services: ReadonlySet<string>): void {
+    [...this.services]
+      .filter(([service]) => !services.has(service))
+      .forEach(([service, parts]) => {
+        parts.lifetime.dispose();
+        this.services.delete(service);
+      });
+  }
+}
--- a/packages/daemon/src/transport/peer-routes.ts
+++ b/packages/daemon/src/transport/peer-routes.ts
@@ -2,7 +2,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { IFleetBudgets } from '@marigoldbank/budgets';
 import type { IClaimRegistry } from '@marigoldbank/claims';
-import type { Announcement, ICoordinator } from '@marigoldbank/ejection';
+import type { Announcement, CoordinateRequest, CoordinateResponse } from '@marigoldbank/ejection';
 import { PeerService } from '@marigoldbank/protocol/gen/marigoldbank/v1/peer_pb';
 import type { Blackboard } from '../Blackboard.js';
 import {
@@ -20,7 +20,7 @@
 /** What the peer service passes messages to. */
 export interface PeerHandlers {
   readonly blackboard: Blackboard;
-  readonly coordinator: ICoordinator;
+  readonly coordinate: (req: CoordinateRequest) => CoordinateResponse;
   readonly budgets: IFleetBudgets;
   readonly claims: IClaimRegistry;
   readonly onAnnouncements: (announcements: readonly Announcement[]) => void;
@@ -34,7 +34,7 @@
 
 /** Registers the peer service of an entry. */
 export function registerPeer(router: ConnectRouter, handlers: PeerHandlers): void {
-  const { blackboard, coordinator, budgets, claims } = handlers;
+  const { blackboard, coordinate, budgets, claims } = handlers;
   router.service(PeerService, {
     ask: () => ({
       revision: BigInt(blackboard.config.value?.config.revision ?? 0),
@@ -49,8 +49,7 @@
         config: encoder.encode(JSON.stringify(config)),
       };
     },
-    coordinate: (req) =>
-      fromCoordinateResponse(coordinator.handleCoordinate(toCoordinateRequest(req))),
+    coordinate: (req) => fromCoordinateResponse(coordinate(toCoordinateRequest(req))),
     announce: (req) => {
       handlers.onAnnouncements(req.announcements.map(toAnnouncement));
       return {};
