--- a/packages/daemon/src/testing/UpstreamStandIn.ts
+++ b/packages/daemon/src/testing/UpstreamStandIn.ts
@@ -175,7 +175,7 @@
     const behaviour = this.choose(seen, this.seen.length);
     this.seen.push(seen);
     if (behaviour.kind === 'shed') {
-      this.shed(res);
+      UpstreamStandIn.shed(res);
       return;
     }
     this.executed.push(seen);
@@ -186,7 +186,7 @@
     this.respond(behaviour, seen, res);
   }
 
-  private shed(res: ServerResponse): void {
+  private static shed(res: ServerResponse): void {
     res.writeHead(503, { 'marigoldbank-not-run': '1', 'content-length': 0 });
     res.end();
   }
@@ -218,9 +218,9 @@
         UpstreamStandIn.answerTwice(res, seen, body);
         break;
       default: {
-        const answer = behaviour.kind === 'answer' ? behaviour : {};
-        res.statusCode = answer.status ?? 200;
-        res.end(answer.body ?? body);
+        const answer = behaviour.kind === 'answer' ? behaviour : undefined;
+        res.statusCode = answer?.status ?? 200;
+        res.end(answer?.body ?? body);
       }
     }
   }
