--- a/packages/lists/src/TomlDocument.ts
+++ b/packages/lists/src/TomlDocument.ts
@@ -72,6 +72,8 @@
         path: '',
         expected: 'TOML',
         found: `a syntax error: ${err.message}`,
+        // The parser reports what is missing at the end of a line at the start of the next one.
+        hint: err.column === 0 ? 'here or at the end of the line before' : undefined,
       };
       return { kind: 'invalid', problems: [problem] };
     }
@@ -79,7 +81,7 @@
 
   /** Position of the value at the path, or of the nearest table above that the file contains. */
   public positionOf(path: KeyPath): FilePosition {
-    for (let {length} = path; length > 0; length -= 1) {
+    for (let { length } = path; length > 0; length -= 1) {
       const position = this.positions.get(positionKey(path.slice(0, length)));
       if (position !== undefined) return position;
     }
--- a/packages/lists/src/parse.test.ts
+++ b/packages/lists/src/parse.test.ts
@@ -38,8 +38,11 @@
   });
 
   it('reports a syntax error with its place', () => {
-    expect(problemsOf('[teams.hotel]\nplan = \n', VALID.plans)).toEqual([
-      'teams.toml:2:8: expected TOML, found a syntax error: Missing value',
+    expect(problemsOf('[teams.hotel]\nplan = "a" keys = 1\n', VALID.plans)).toEqual([
+      'teams.toml:2:12: expected TOML, found a syntax error: Must be a newline',
+    ]);
+    expect(problemsOf('[teams.hotel]\nplan =\n', VALID.plans)).toEqual([
+      'teams.toml:3:1: expected TOML, found a syntax error: Unspecified values are invalid (here or at the end of the line before)',
     ]);
   });
 
