--- a/packages/daemon/src/controllers/LimitController.ts
+++ b/packages/daemon/src/controllers/LimitController.ts
@@ -45,12 +45,13 @@
   /** Once the revision in force is accepted, everything in it is. */
   private markAccepted(): void {
     const { section } = this;
-    const { blackboard, budgets, clock } = this.options;
+    const { blackboard, budgets, claims, clock } = this.options;
     if (section === undefined || this.isMarked) return;
     if (blackboard.currency.value.acceptedRevision < section.config.revision) return;
     this.isMarked = true;
     const now = clock.now();
     budgets.markViewAccepted(section.config.view.epoch, now);
     budgets.markLimitsAccepted(now);
+    claims.markViewAccepted(section.config.view.epoch, now);
   }
 }
--- a/packages/daemon/src/entry/ProxyPipeline.ts
+++ b/packages/daemon/src/entry/ProxyPipeline.ts
@@ -252,6 +252,7 @@
         return refuse({ kind: 'claimInProgress', verdict: 'mayHaveRun' });
       }
       case 'inProgress':
+      case 'completedNotKept':
         return refuse({ kind: 'claimInProgress', verdict: 'mayHaveRun' });
       case 'mismatch':
         return refuse({ kind: 'claimMismatch', verdict: 'notRun' });
--- a/packages/daemon/src/testing/FakeClaims.ts
+++ b/packages/daemon/src/testing/FakeClaims.ts
@@ -24,6 +24,10 @@
     // One holder.
   }
 
+  public markViewAccepted(): void {
+    // Views do not change here.
+  }
+
   public claim(team: string, key: string, fingerprint: string): Promise<ClaimOutcome> {
     if (!this.isAvailable) return Promise.resolve({ kind: 'unavailable', reason: 'no majority' });
     const id = `${team}/${key}`;
--- a/packages/daemon/src/transport/peer-codec.ts
+++ b/packages/daemon/src/transport/peer-codec.ts
@@ -266,13 +266,24 @@
   };
 }
 
+function toRecoveredShard(message: pb.RecoveredShard): claims.RecoveredShard {
+  const { shard, viewEpoch, handsOverFrom } = message;
+  const handover = handsOverFrom === undefined ? {} : { handsOverFrom: Number(handsOverFrom) };
+  return { shard, viewEpoch: Number(viewEpoch), ...handover };
+}
+
+function fromRecoveredShard(
+  item: claims.RecoveredShard,
+): MessageInitShape<typeof pb.RecoveredShardSchema> {
+  const { shard, viewEpoch, handsOverFrom } = item;
+  const handover = handsOverFrom === undefined ? {} : { handsOverFrom: BigInt(handsOverFrom) };
+  return { shard, viewEpoch: BigInt(viewEpoch), ...handover };
+}
+
 export function toRecoverResponse(message: pb.RecoverClaimsResponse): claims.RecoverClaimsResponse {
   return {
     records: message.records.map(toClaimRecord),
-    shards: message.shards.map((item) => ({
-      shard: item.shard,
-      viewEpoch: Number(item.viewEpoch),
-    })),
+    shards: message.shards.map(toRecoveredShard),
     incarnations: toIncarnations(message.incarnations),
   };
 }
@@ -282,7 +293,7 @@
 ): MessageInitShape<typeof pb.RecoverClaimsResponseSchema> {
   return {
     records: res.records.map(fromClaimRecord),
-    shards: res.shards.map((item) => ({ shard: item.shard, viewEpoch: BigInt(item.viewEpoch) })),
+    shards: res.shards.map(fromRecoveredShard),
     incarnations: fromIncarnations(res.incarnations),
   };
 }
