Add at-most-once claims held by a majority of five holders

Cause: a resent non-idempotent request may reach another entry and must not run again.

Change: ClaimRegistry shards keys over holders. A restarted holder reads its shards from enough other holders of the same view; a view change seals a majority of the old holders. Acknowledgements carry incarnations, and those of earlier runs do not count. Attempts that did not win are withdrawn. Outcomes over 64 KiB are stored as a marker.

The recovery answer gains the optional field handsOverFrom; without it no shard is handed over at a view change.

--- /dev/null
+++ b/packages/claims/src/ClaimHolder.ts
@@ -0,0 +1,266 @@
+/** The claims that this entry holds for others. */
+import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import { ClaimStore, type OutcomeBudget } from './ClaimStore.js';
+import {
+  CURRENCY_MS,
+  DRIFT_FACTOR,
+  MAX_STORED_BYTES,
+  MAX_VIEWS,
+  RECOVERY_RETRY_MS,
+  RETENTION_MS,
+  SHARD_COUNT,
+  SHARDS_PER_SWEEP,
+  SWEEP_INTERVAL_MS,
+} from './constants.js';
+import { Incarnations } from './Incarnations.js';
+import { holdersOf, shardOf } from './sharding.js';
+import { ShardRecovery } from './ShardRecovery.js';
+import { ShardState } from './ShardState.js';
+import type {
+  ClaimRequest,
+  ClaimResponse,
+  ClaimTransport,
+  ClaimView,
+  HolderIncarnation,
+  RecoverClaimsRequest,
+  RecoverClaimsResponse,
+  ResolveClaimRequest,
+  ResolveClaimResponse,
+} from './types.js';
+
+export interface ClaimHolderOptions {
+  readonly self: string;
+  readonly incarnation: number;
+  readonly clock: Clock;
+  readonly transport: ClaimTransport;
+  /** No entry of the fleet made a claim within the last 10 min: the first view needs no recovery. */
+  readonly startsEmpty: boolean;
+}
+
+export class ClaimHolder implements IDisposable {
+  private readonly shards: readonly ShardState[];
+
+  private readonly incarnations = new Incarnations();
+
+  private readonly budget: OutcomeBudget = { freeBytes: MAX_STORED_BYTES };
+
+  /** Newest last. */
+  private views: readonly ClaimView[] = [];
+
+  private recoveries: readonly ShardRecovery[] = [];
+
+  private readonly timers: readonly IDisposable[];
+
+  private readonly startedAt: number;
+
+  /** From this time on claims that an earlier run of any holder acknowledged have expired. */
+  private emptyAt = Infinity;
+
+  private nextSweep = 0;
+
+  public constructor(private readonly options: ClaimHolderOptions) {
+    const { self, incarnation, clock } = options;
+    this.incarnations.note(self, incarnation);
+    this.startedAt = clock.now();
+    this.shards = Array.from(
+      { length: SHARD_COUNT },
+      (_, shard) => new ShardState(shard, new ClaimStore(clock, this.budget)),
+    );
+    this.timers = [
+      setPeriodic(clock, () => this.recover(), RECOVERY_RETRY_MS),
+      setPeriodic(clock, () => this.sweep(), SWEEP_INTERVAL_MS),
+    ];
+  }
+
+  public get view(): ClaimView | undefined {
+    return this.views.at(-1);
+  }
+
+  /** Shards of the current view that this entry holds and cannot acknowledge claims of yet. */
+  public get recoveringShards(): readonly number[] {
+    return this.recoveries
+      .filter((recovery) => recovery.view === this.view)
+      .map((recovery) => recovery.shard);
+  }
+
+  /** Number of keys in memory. */
+  public get keyCount(): number {
+    return this.shards.reduce((sum, state) => sum + state.store.keyCount, 0);
+  }
+
+  public setView(view: ClaimView): void {
+    const previous = this.view;
+    if (previous !== undefined && view.epoch <= previous.epoch) return;
+    const { self, clock } = this.options;
+    const earlier = [...this.views].reverse();
+    this.views = [...this.views, view].slice(-MAX_VIEWS);
+    this.emptyAt = Infinity;
+    const held = this.shards.filter((state) => holdersOf(view, state.shard).includes(self));
+    if (previous === undefined && this.options.startsEmpty) {
+      held.forEach((state) => state.markReady(view.epoch, undefined));
+      return;
+    }
+    const added = held.map(
+      (state) => new ShardRecovery(self, state.shard, view, earlier, clock.now()),
+    );
+    const known = new Set(this.views);
+    this.recoveries = [...this.recoveries.filter((recovery) => known.has(recovery.view)), ...added];
+    this.recover();
+  }
+
+  /** The current view was accepted at the latest at `at`. */
+  public markViewAccepted(epoch: number, at: number): void {
+    if (epoch !== this.view?.epoch) return;
+    const since = Math.max(this.startedAt, at + CURRENCY_MS * DRIFT_FACTOR);
+    this.emptyAt = Math.min(this.emptyAt, since + RETENTION_MS);
+  }
+
+  public handleClaim(req: ClaimRequest): ClaimResponse {
+    const { record } = req;
+    const shard = shardOf(record.team, record.key);
+    const state = this.shards[shard]!;
+    if (!state.isServing(req.viewEpoch)) {
+      const isOtherEpoch = this.view?.epoch !== req.viewEpoch;
+      return this.respond(shard, isOtherEpoch ? 'wrongEpoch' : 'recovering');
+    }
+    const blocking = state.store.findBlocking(record);
+    if (blocking !== undefined) return this.respond(shard, 'taken', blocking);
+    state.store.put(record);
+    const isPending = state.store.find(record)?.state === 'pending';
+    return this.respond(shard, isPending ? 'granted' : 'taken');
+  }
+
+  public handleResolve(req: ResolveClaimRequest): ResolveClaimResponse {
+    const { record } = req;
+    const { store } = this.shards[shardOf(record.team, record.key)]!;
+    const isKnown = store.find(record) !== undefined;
+    // A late result must not stand beside a newer claim of the same key.
+    if (!isKnown && store.findBlocking(record) !== undefined) return { isStored: false };
+    store.put(record);
+    return { isStored: true };
+  }
+
+  public handleRecover(req: RecoverClaimsRequest): RecoverClaimsResponse {
+    this.incarnations.note(req.from, req.incarnation);
+    const states = req.shards.flatMap((shard) => this.shards[shard] ?? []);
+    const answers = states.flatMap((state) => {
+      const answer = state.answerRecovery(req.from, req.incarnation, req.viewEpoch);
+      return answer === undefined ? [] : [{ answer, records: state.store.list() }];
+    });
+    const vms = states.flatMap((state) => this.knownHolders(state.shard));
+    return {
+      records: answers.flatMap(({ records }) => records),
+      shards: answers.map(({ answer }) => answer),
+      incarnations: this.incarnations.list([...new Set([this.options.self, ...vms])]),
+    };
+  }
+
+  public dispose(): void {
+    this.timers.forEach((timer) => timer.dispose());
+    this.recoveries = [];
+  }
+
+  private respond(
+    shard: number,
+    result: ClaimResponse['result'],
+    existing?: ClaimResponse['existing'],
+  ): ClaimResponse {
+    return {
+      result,
+      existing,
+      holder: this.options.self,
+      incarnations: this.knownIncarnations(shard),
+      viewEpoch: this.view?.epoch ?? 0,
+    };
+  }
+
+  private knownIncarnations(shard: number): HolderIncarnation[] {
+    return this.incarnations.list([...new Set([this.options.self, ...this.knownHolders(shard)])]);
+  }
+
+  private knownHolders(shard: number): string[] {
+    return this.views.flatMap((view) => holdersOf(view, shard));
+  }
+
+  /** Reads what is missing from other holders, one message to each, and from this entry itself. */
+  private recover(): void {
+    this.completeByAge();
+    const now = this.options.clock.now();
+    const views = new Set(this.recoveries.map((recovery) => recovery.view));
+    views.forEach((view) => {
+      const pending = this.recoveries.filter((recovery) => recovery.view === view);
+      const sources = new Set(pending.flatMap((recovery) => recovery.sourcesAt(now)));
+      sources.forEach((source) => {
+        const shards = pending
+          .filter((recovery) => recovery.sourcesAt(now).includes(source))
+          .map((recovery) => recovery.shard);
+        this.ask(source, view, shards);
+      });
+    });
+  }
+
+  private ask(source: string, view: ClaimView, shards: readonly number[]): void {
+    const { self, incarnation, transport } = this.options;
+    const req: RecoverClaimsRequest = { from: self, incarnation, viewEpoch: view.epoch, shards };
+    if (source === self) {
+      this.acceptRecovery(self, view, this.handleRecover(req));
+      return;
+    }
+    transport
+      .recover(source, req)
+      .then((res) => this.acceptRecovery(source, view, res))
+      .catch(() => undefined);
+  }
+
+  private acceptRecovery(source: string, view: ClaimView, res: RecoverClaimsResponse): void {
+    this.incarnations.merge(res.incarnations);
+    res.records.forEach((record) => {
+      this.shards[shardOf(record.team, record.key)]!.store.put(record);
+    });
+    const own = res.incarnations.find((known) => known.vm === source);
+    const answers = new Map(res.shards.map((answer) => [answer.shard, answer]));
+    this.recoveries
+      .filter((recovery) => recovery.view === view)
+      .forEach((recovery) => {
+        const answer = answers.get(recovery.shard);
+        if (answer === undefined || own === undefined) return;
+        recovery.add(source, own.incarnation, answer);
+      });
+    this.completeRecoveries();
+  }
+
+  private completeRecoveries(): void {
+    this.recoveries.forEach((recovery) => {
+      const result = recovery.check(this.incarnations);
+      if (result === undefined) return;
+      this.shards[recovery.shard]!.markReady(recovery.view.epoch, result.predecessor);
+    });
+    this.dropCompleted();
+  }
+
+  /** Without anyone to read from, a holder waits until nothing that it may have forgotten is valid. */
+  private completeByAge(): void {
+    if (this.options.clock.now() < this.emptyAt) return;
+    this.recoveries
+      .filter((recovery) => recovery.view === this.view)
+      .forEach((recovery) =>
+        this.shards[recovery.shard]!.markReady(recovery.view.epoch, undefined),
+      );
+    this.dropCompleted();
+  }
+
+  private dropCompleted(): void {
+    this.recoveries = this.recoveries.filter(
+      (recovery) => (this.shards[recovery.shard]!.readyEpoch ?? -Infinity) < recovery.view.epoch,
+    );
+  }
+
+  private sweep(): void {
+    Array.from({ length: SHARDS_PER_SWEEP }, () => {
+      this.shards[this.nextSweep]!.store.sweep();
+      this.nextSweep = (this.nextSweep + 1) % SHARD_COUNT;
+      return undefined;
+    });
+  }
+}
--- /dev/null
+++ b/packages/claims/src/ClaimRegistry.ts
@@ -0,0 +1,294 @@
+/** At-most-once claims of one entry: makes claims for its requests and holds those of others. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import { Random } from '@marigoldbank/base/random';
+import { ClaimAttempt, type AttemptResult } from './ClaimAttempt.js';
+import { ClaimHolder } from './ClaimHolder.js';
+import {
+  ATTEMPT_TIMEOUT_MS,
+  DISPATCH_WINDOW_MS,
+  MAX_BACKOFF_MS,
+  MAX_OUTCOME_BYTES,
+  MIN_BACKOFF_MS,
+} from './constants.js';
+import { ResolveSender } from './ResolveSender.js';
+import { holdersOf, shardOf } from './sharding.js';
+import type {
+  ClaimOutcome,
+  ClaimRecord,
+  ClaimRequest,
+  ClaimResponse,
+  ClaimTransport,
+  ClaimView,
+  IClaimRegistry,
+  OwnedClaim,
+  RecoverClaimsRequest,
+  RecoverClaimsResponse,
+  ResolveClaimRequest,
+  ResolveClaimResponse,
+} from './types.js';
+
+export interface ClaimRegistryOptions {
+  /** Name of this VM in the view. */
+  readonly self: string;
+  /** Grows with each start of this VM. */
+  readonly incarnation: number;
+  readonly clock: Clock;
+  readonly transport: ClaimTransport;
+  /** Seed of the random pauses between attempts. */
+  readonly seed?: number;
+  /**
+   * True only at the first start of a fleet, when no entry made a claim within the last 10 min. Otherwise a fleet whose
+   * holders have all restarted refuses claims for 10 min.
+   */
+  readonly startsEmpty?: boolean;
+}
+
+/** One request's search for ownership, over several attempts. */
+interface Search {
+  readonly team: string;
+  readonly key: string;
+  readonly fingerprint: string;
+  readonly deadline: number;
+  /** Own claims of earlier attempts, which were given up. */
+  readonly givenUp: Set<string>;
+}
+
+/** A claim as its maker knows it. */
+interface MadeClaim {
+  readonly record: ClaimRecord;
+  readonly view: ClaimView;
+  readonly createdAt: number;
+}
+
+export class ClaimRegistry implements IClaimRegistry {
+  private readonly holder: ClaimHolder;
+
+  private readonly random: Random;
+
+  private readonly senders = new Set<ResolveSender>();
+
+  private readonly waits = new Set<() => void>();
+
+  private claimCount = 0;
+
+  private isDisposed = false;
+
+  public constructor(private readonly options: ClaimRegistryOptions) {
+    const { self, incarnation, clock, transport, startsEmpty = false } = options;
+    this.holder = new ClaimHolder({ self, incarnation, clock, transport, startsEmpty });
+    this.random = new Random(options.seed ?? incarnation);
+  }
+
+  /** Shards that this entry holds and cannot acknowledge claims of yet. */
+  public get recoveringShards(): readonly number[] {
+    return this.holder.recoveringShards;
+  }
+
+  /** Number of keys held in memory. */
+  public get keyCount(): number {
+    return this.holder.keyCount;
+  }
+
+  public setView(view: ClaimView): void {
+    this.holder.setView(view);
+  }
+
+  public markViewAccepted(epoch: number, at: number): void {
+    this.holder.markViewAccepted(epoch, at);
+  }
+
+  public async claim(
+    team: string,
+    key: string,
+    fingerprint: string,
+    deadlineMs: number,
+  ): Promise<ClaimOutcome> {
+    const deadline = this.options.clock.now() + deadlineMs;
+    const search: Search = { team, key, fingerprint, deadline, givenUp: new Set() };
+    let last: ClaimOutcome = { kind: 'unavailable', reason: 'no view of the fleet' };
+    while (!this.isDisposed && this.options.clock.now() < deadline) {
+      const { view } = this.holder;
+      const final = view === undefined ? undefined : await this.attempt(search, view);
+      if (final?.isFinal) return final.outcome;
+      if (final !== undefined) last = final.outcome;
+      await this.pause(this.random.between(MIN_BACKOFF_MS, MAX_BACKOFF_MS), deadline);
+    }
+    return last;
+  }
+
+  public handleClaim(req: ClaimRequest): ClaimResponse {
+    return this.holder.handleClaim(req);
+  }
+
+  public handleResolve(req: ResolveClaimRequest): ResolveClaimResponse {
+    return this.holder.handleResolve(req);
+  }
+
+  public handleRecover(req: RecoverClaimsRequest): RecoverClaimsResponse {
+    return this.holder.handleRecover(req);
+  }
+
+  public dispose(): void {
+    this.isDisposed = true;
+    this.holder.dispose();
+    this.senders.forEach((sender) => sender.dispose());
+    this.senders.clear();
+    this.waits.forEach((end) => end());
+    this.waits.clear();
+  }
+
+  private async attempt(
+    search: Search,
+    view: ClaimView,
+  ): Promise<{ readonly outcome: ClaimOutcome; readonly isFinal: boolean }> {
+    const made = this.buildClaim(search, view);
+    const result = await this.askHolders(made, search);
+    if (result.kind === 'owned') {
+      return { outcome: { kind: 'owned', claim: this.own(made) }, isFinal: true };
+    }
+    // Only this entry could dispatch under the claim, and it will not: nobody needs to be blocked by it.
+    search.givenUp.add(made.record.claimId);
+    this.resolve(made, 'released', undefined).catch(() => undefined);
+    return ClaimRegistry.toOutcome(result, search);
+  }
+
+  private static toOutcome(
+    result: Exclude<AttemptResult, { kind: 'owned' }>,
+    search: Search,
+  ): { readonly outcome: ClaimOutcome; readonly isFinal: boolean } {
+    if (result.kind === 'unsure') {
+      const reason = 'no majority of the claim holders answered';
+      return { outcome: { kind: 'unavailable', reason }, isFinal: false };
+    }
+    const { existing } = result;
+    const isFinal = result.kind === 'done' || result.isMajority;
+    if (existing.fingerprint !== search.fingerprint) {
+      return { outcome: { kind: 'mismatch' }, isFinal };
+    }
+    if (result.kind === 'blocked') return { outcome: { kind: 'inProgress' }, isFinal };
+    const { outcome } = existing;
+    const isKept = outcome !== undefined && outcome.byteLength > 0;
+    return {
+      outcome: isKept ? { kind: 'completed', outcome } : { kind: 'completedNotKept' },
+      isFinal,
+    };
+  }
+
+  private buildClaim(search: Search, view: ClaimView): MadeClaim {
+    const { self, incarnation, clock } = this.options;
+    this.claimCount += 1;
+    const record: ClaimRecord = {
+      team: search.team,
+      key: search.key,
+      owner: self,
+      claimId: `${self}:${incarnation}:${this.claimCount}`,
+      fingerprint: search.fingerprint,
+      state: 'pending',
+      outcome: undefined,
+      ageMs: 0,
+    };
+    return { record, view, createdAt: clock.now() };
+  }
+
+  private askHolders(made: MadeClaim, search: Search): Promise<AttemptResult> {
+    const { record, view } = made;
+    const holders = holdersOf(view, shardOf(record.team, record.key));
+    const attempt = new ClaimAttempt(holders, search.givenUp);
+    const req: ClaimRequest = { from: this.options.self, viewEpoch: view.epoch, record };
+    return new Promise((resolve) => {
+      const timeoutMs = Math.min(ATTEMPT_TIMEOUT_MS, search.deadline - this.options.clock.now());
+      let timer: IDisposable | undefined;
+      let expire: () => void = () => undefined;
+      const conclude = (isLast: boolean): void => {
+        const result = attempt.decide(isLast);
+        if (result === undefined) return;
+        timer?.dispose();
+        this.waits.delete(expire);
+        resolve(result);
+      };
+      expire = () => conclude(true);
+      timer = this.options.clock.setTimeout(expire, timeoutMs);
+      this.waits.add(expire);
+      holders.forEach((holder) => {
+        this.sendClaim(holder, req)
+          .then((res) => attempt.add(holder, res))
+          .catch(() => attempt.fail(holder))
+          .finally(() => conclude(false));
+      });
+    });
+  }
+
+  private async sendClaim(holder: string, req: ClaimRequest): Promise<ClaimResponse> {
+    return holder === this.options.self
+      ? this.holder.handleClaim(req)
+      : this.options.transport.claim(holder, req);
+  }
+
+  private own(made: MadeClaim): OwnedClaim {
+    let isOpen = true;
+    return {
+      mayDispatch: () =>
+        isOpen &&
+        !this.isDisposed &&
+        this.options.clock.now() - made.createdAt < DISPATCH_WINDOW_MS,
+      complete: (outcome) => {
+        isOpen = false;
+        const kept = outcome.byteLength > MAX_OUTCOME_BYTES ? undefined : outcome;
+        return this.resolve(made, 'done', kept);
+      },
+      release: () => {
+        isOpen = false;
+        return this.resolve(made, 'released', undefined);
+      },
+    };
+  }
+
+  private async resolve(
+    made: MadeClaim,
+    state: 'done' | 'released',
+    outcome: Uint8Array | undefined,
+  ): Promise<void> {
+    if (this.isDisposed) return;
+    const ageMs = this.options.clock.now() - made.createdAt;
+    const record: ClaimRecord = { ...made.record, state, outcome, ageMs };
+    const sender: ResolveSender = new ResolveSender({
+      clock: this.options.clock,
+      holders: () => this.resolveHolders(made),
+      send: (holder) => this.sendResolve(holder, record),
+      onEnd: () => this.senders.delete(sender),
+    });
+    this.senders.add(sender);
+    await sender.run();
+  }
+
+  private resolveHolders(made: MadeClaim): readonly string[] {
+    const shard = shardOf(made.record.team, made.record.key);
+    const present = this.holder.view ?? made.view;
+    return [...new Set([...holdersOf(made.view, shard), ...holdersOf(present, shard)])];
+  }
+
+  private async sendResolve(holder: string, record: ClaimRecord): Promise<boolean> {
+    const viewEpoch = this.holder.view?.epoch ?? 0;
+    const req: ResolveClaimRequest = { from: this.options.self, viewEpoch, record };
+    const res =
+      holder === this.options.self
+        ? this.holder.handleResolve(req)
+        : await this.options.transport.resolve(holder, req);
+    return res.isStored;
+  }
+
+  /** Waits, but not beyond the deadline. */
+  private pause(durationMs: number, deadline: number): Promise<void> {
+    const { clock } = this.options;
+    const leftMs = Math.max(0, deadline - clock.now());
+    return new Promise((resolve) => {
+      const end = (): void => {
+        this.waits.delete(end);
+        resolve();
+      };
+      this.waits.add(end);
+      clock.setTimeout(end, Math.min(durationMs, leftMs));
+    });
+  }
+}
--- /dev/null
+++ b/packages/claims/src/ResolveSender.ts
@@ -0,0 +1,65 @@
+/** Tells the holders what became of a claim, until they confirm it. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import { MAX_RESOLVE_SENDS, RESOLVE_RETRY_MS } from './constants.js';
+import { majorityOf } from './sharding.js';
+
+export interface ResolveSenderOptions {
+  readonly clock: Clock;
+  /** Holders of the claim's shard, in the view of the claim and in the present one. */
+  readonly holders: () => readonly string[];
+  /** Sends the record to one holder. */
+  readonly send: (holder: string) => Promise<boolean>;
+  /** Called once nothing more will be sent. */
+  readonly onEnd: () => void;
+}
+
+export class ResolveSender implements IDisposable {
+  private readonly confirmed = new Set<string>();
+
+  private sends = 0;
+
+  private timer: IDisposable | undefined;
+
+  private finish: () => void = () => undefined;
+
+  public constructor(private readonly options: ResolveSenderOptions) {}
+
+  /** Resolves when a majority of the holders has confirmed, or after the last attempt. */
+  public run(): Promise<void> {
+    return new Promise((resolve) => {
+      this.finish = resolve;
+      this.sendAll();
+    });
+  }
+
+  public dispose(): void {
+    this.timer?.dispose();
+    this.finish();
+    this.options.onEnd();
+  }
+
+  private sendAll(): void {
+    const open = this.options.holders().filter((holder) => !this.confirmed.has(holder));
+    if (open.length === 0 || this.sends >= MAX_RESOLVE_SENDS) {
+      this.dispose();
+      return;
+    }
+    this.sends += 1;
+    open.forEach((holder) => {
+      this.options
+        .send(holder)
+        .then(() => this.confirm(holder))
+        .catch(() => undefined);
+    });
+    this.timer = this.options.clock.setTimeout(() => this.sendAll(), RESOLVE_RETRY_MS);
+  }
+
+  private confirm(holder: string): void {
+    this.confirmed.add(holder);
+    const holders = this.options.holders();
+    const count = holders.filter((vm) => this.confirmed.has(vm)).length;
+    if (count >= majorityOf(holders.length)) this.finish();
+    if (count === holders.length) this.dispose();
+  }
+}
--- a/packages/claims/src/api.ts
+++ b/packages/claims/src/api.ts
@@ -1,2 +1,3 @@
 /** Public API of at-most-once claims. */
+export { ClaimRegistry, type ClaimRegistryOptions } from './ClaimRegistry.js';
 export * from './types.js';
--- a/packages/claims/src/types.ts
+++ b/packages/claims/src/types.ts
@@ -19,7 +19,7 @@
   /** Hash of method, path and body: a resend with other content is an error of the caller. */
   readonly fingerprint: string;
   readonly state: ClaimState;
-  /** Serialised response, present when done. */
+  /** Serialised response, present when done unless it was too large to be kept. */
   readonly outcome: Uint8Array | undefined;
   readonly ageMs: number;
 }
@@ -60,9 +60,22 @@
   readonly shards: readonly number[];
 }
 
+export interface RecoveredShard {
+  readonly shard: number;
+  /** Epoch of the sender's state. */
+  readonly viewEpoch: number;
+  /**
+   * Present if the receiver may continue from this epoch: the sender acknowledges nothing more in it, no epoch in
+   * between was started, and no earlier run of the receiver was told the same. Counts towards a majority of the holders
+   * of this epoch.
+   */
+  readonly handsOverFrom?: number;
+}
+
 export interface RecoverClaimsResponse {
   readonly records: readonly ClaimRecord[];
-  readonly shards: readonly { readonly shard: number; readonly viewEpoch: number }[];
+  /** Shards that the sender can answer for. */
+  readonly shards: readonly RecoveredShard[];
   readonly incarnations: readonly HolderIncarnation[];
 }
 
@@ -89,6 +102,8 @@
   | { readonly kind: 'owned'; readonly claim: OwnedClaim }
   /** Another attempt completed; this is its stored outcome. */
   | { readonly kind: 'completed'; readonly outcome: Uint8Array }
+  /** Another attempt completed; its outcome was too large to be kept. */
+  | { readonly kind: 'completedNotKept' }
   /** Another attempt holds the claim and may have run. */
   | { readonly kind: 'inProgress' }
   /** The key was used with another request. */
@@ -98,7 +113,11 @@
 
 /** At-most-once claims as one entry sees them. */
 export interface IClaimRegistry {
+  /** Adopts a view. */
   setView(view: ClaimView): void;
+  /** The view of this epoch was accepted by the fleet at the latest at `at` (monotonic ms). */
+  markViewAccepted(epoch: number, at: number): void;
+  /** Tries to own a key for one request. Resolves within `deadlineMs`. */
   claim(team: string, key: string, fingerprint: string, deadlineMs: number): Promise<ClaimOutcome>;
   handleClaim(req: ClaimRequest): ClaimResponse;
   handleResolve(req: ResolveClaimRequest): ResolveClaimResponse;
