Pass through every view of the fleet's start, so that claims are accepted at once

Cause: an entry that polled before the first view and again after the second one skipped the first; its claim shards had nobody to recover from and refused claims for 10 minutes. Seen in one of three starts of a new fleet. Ruled out: transport errors (no failed call was logged) and the registry itself (an in-process run with the same views passed). Change: entries that saw the empty configuration follow changes one by one and put each view in force; the first view after the empty one needs no recovery. An entry that gets a whole configuration and never saw its predecessor still waits for its peers.

--- a/packages/claims/src/ClaimHolder.ts
+++ b/packages/claims/src/ClaimHolder.ts
@@ -186,6 +186,7 @@
   /** Reads what is missing from other holders, one message to each, and from this entry itself. */
   private recover(): void {
     this.completeByAge();
+    this.completeRecoveries();
     const now = this.options.clock.now();
     const views = new Set(this.recoveries.map((recovery) => recovery.view));
     views.forEach((view) => {
--- a/packages/claims/src/ShardRecovery.ts
+++ b/packages/claims/src/ShardRecovery.ts
@@ -67,10 +67,12 @@
   /** A majority of the holders of an earlier view handed its claims over. */
   private isHandedOver(view: ClaimView, incarnations: Incarnations): boolean {
     const holders = holdersOf(view, this.shard);
+    // The first view of a fleet follows the empty one: nobody made a claim before it.
+    if (holders.length === 0) return view.epoch + 1 === this.view.epoch;
     const handedOver = holders.filter(
       (vm) => this.valid(vm, incarnations)?.handsOverFrom === view.epoch,
     );
-    return holders.length > 0 && handedOver.length >= majorityOf(holders.length);
+    return handedOver.length >= majorityOf(holders.length);
   }
 
   private valid(vm: string, incarnations: Incarnations): RecoveredShard | undefined {
--- a/packages/daemon/src/control/ControlNode.ts
+++ b/packages/daemon/src/control/ControlNode.ts
@@ -65,7 +65,7 @@
       committedRevision: config.revision,
       acceptedRevision: this.reports.majorityRevision(config),
       acceptedAgeMs: 0,
-      update: this.updateFor(report.revision),
+      update: this.updateFor(report),
       currentEntries: this.reports.currentEntries(config),
     };
   }
@@ -152,10 +152,10 @@
     return { ...header, kind: 'patchLists', patch: makeListsPatch(config.lists, lists) };
   }
 
-  private updateFor(revision: number): ConfigUpdate {
+  private updateFor({ revision, needsWholeConfig }: EntryReport): ConfigUpdate {
     const { config } = this.machine;
     if (revision === config.revision) return { kind: 'none' };
-    const changes = revision === 0 ? undefined : this.machine.changesSince(revision);
+    const changes = needsWholeConfig ? undefined : this.machine.changesSince(revision);
     return changes === undefined ? { kind: 'config', config } : { kind: 'changes', changes };
   }
 
--- a/packages/daemon/src/control/config-routes.ts
+++ b/packages/daemon/src/control/config-routes.ts
@@ -38,6 +38,7 @@
     incarnation: req.incarnation,
     isDraining: req.isDraining,
     revision: Number(req.revision),
+    needsWholeConfig: req.needsWholeConfig,
   };
 }
 
--- a/packages/daemon/src/control/types.ts
+++ b/packages/daemon/src/control/types.ts
@@ -10,6 +10,8 @@
   readonly isDraining: boolean;
   /** Revision in force at the entry, 0 without configuration. */
   readonly revision: number;
+  /** The entry has no configuration to apply changes to. */
+  readonly needsWholeConfig: boolean;
 }
 
 export interface NotLeader {
--- a/packages/daemon/src/controllers/ConfigController.ts
+++ b/packages/daemon/src/controllers/ConfigController.ts
@@ -38,27 +38,38 @@
 
   /** Puts a configuration in force unless a newer one is. Resolves once it is in force and its copy is synced. */
   public adopt(config: FleetConfig): Promise<void> {
-    this.adopting = this.adopting.catch(() => undefined).then(() => this.adoptNow(config));
-    return this.adopting;
+    return this.enqueue(config, []);
   }
 
   /** Follows changes from the revision in force. False if they do not lead to `revision`. */
   public async adoptChanges(changes: readonly Change[], revision: number): Promise<boolean> {
     const start = this.config;
     if (start === undefined) return false;
-    const end = changes.reduce<FleetConfig>((config, change) => {
-      const effect = applyChange(config, change);
-      return effect.kind === 'changed' ? effect.config : config;
-    }, start);
-    if (end.revision !== revision) return false;
-    await this.adopt(end);
+    const steps = changes.reduce<FleetConfig[]>((configs, change) => {
+      const effect = applyChange(configs.at(-1) ?? start, change);
+      return effect.kind === 'changed' ? [...configs, effect.config] : configs;
+    }, []);
+    const end = steps.at(-1);
+    if (end?.revision !== revision) return false;
+    await this.enqueue(end, steps.slice(0, -1));
     return true;
   }
 
-  private async adoptNow(config: FleetConfig): Promise<void> {
-    if (config.revision <= this.revision) return;
+  private enqueue(config: FleetConfig, steps: readonly FleetConfig[]): Promise<void> {
+    this.adopting = this.adopting.catch(() => undefined).then(() => this.adoptNow(config, steps));
+    return this.adopting;
+  }
+
+  /** Views between the old one and the new one are passed through: claims are handed from view to view. */
+  private async adoptNow(config: FleetConfig, steps: readonly FleetConfig[]): Promise<void> {
+    if (this.config !== undefined && config.revision <= this.revision) return;
     // The copy comes first: a revision that was reported in force must survive a restart.
     await this.options.copy?.save(config);
+    steps
+      .filter(
+        (step) => step.view.epoch !== this.config?.view.epoch && step.revision > this.revision,
+      )
+      .forEach((step) => this.putInForce(step));
     this.putInForce(config);
   }
 
--- a/packages/daemon/src/controllers/CurrencyController.ts
+++ b/packages/daemon/src/controllers/CurrencyController.ts
@@ -1,7 +1,7 @@
 /** Keeps this entry current: polls control, and the peers while control does not answer. */
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
-import type { EntryRecord } from '@marigoldbank/fleet/config';
+import { EMPTY_CONFIG, type EntryRecord } from '@marigoldbank/fleet/config';
 import type { Blackboard } from '../Blackboard.js';
 import type { ConfigController } from './ConfigController.js';
 import type { ControlPoller } from './ControlPoller.js';
@@ -54,9 +54,12 @@
       incarnation,
       isDraining: blackboard.lifecycle.value === 'leaving',
       revision: config.revision,
+      needsWholeConfig: config.config === undefined,
     });
     if (answer === undefined) return false;
     if (answer.config !== undefined) await config.adopt(answer.config);
+    // A new fleet: holders of claims start from the empty view and have nothing to recover.
+    if (answer.committedRevision === 0) await config.adopt(EMPTY_CONFIG);
     if (answer.changes.length > 0) {
       await config.adoptChanges(answer.changes, answer.committedRevision);
     }
--- a/packages/daemon/src/transport/ConfigClient.ts
+++ b/packages/daemon/src/transport/ConfigClient.ts
@@ -15,6 +15,7 @@
   readonly incarnation: string;
   readonly isDraining: boolean;
   readonly revision: number;
+  readonly needsWholeConfig: boolean;
 }
 
 export type ControlAnswer =
