Add the operators' command line

Cause: operators need to check, compare and apply the two lists, issue and withdraw keys and look after entries and control VMs.

A change is sent again with the same change id until a leader knows its outcome.

Conclusion: usable against the service as described by the protocol; not run against a daemon yet.

--- /dev/null
+++ b/packages/cli/src/run-cli.test.ts
@@ -0,0 +1,255 @@
+import { createHash } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import type { ServiceImpl } from '@connectrpc/connect';
+import { AuditTrail } from '@marigoldbank/fleet/AuditTrail';
+import type { Change, ChangeResult } from '@marigoldbank/fleet/changes';
+import { createLists } from '@marigoldbank/lists/testing';
+import type { OperatorService } from '@marigoldbank/protocol/gen/marigoldbank/v1/operator_pb';
+import { expect } from 'earl';
+import { commandNames } from './program.js';
+import { runCli } from './run-cli.js';
+import { startFakeControl, toJson, type FakeControl } from './testing-operator.js';
+import { Workplace } from './testing-run.js';
+
+type Methods = Partial<ServiceImpl<typeof OperatorService>>;
+
+const RECORDED: ChangeResult = { kind: 'recorded', revision: 8 };
+const LISTS = createLists();
+
+/** A leader at revision 7 that answers every change with `result` and keeps the changes it got. */
+function createLeader(result: ChangeResult, inForce = 3): { changes: Change[]; methods: Methods } {
+  const changes: Change[] = [];
+  const methods: Methods = {
+    propose: (req) => {
+      changes.push(JSON.parse(new TextDecoder().decode(req.change)) as Change);
+      const revision = 'revision' in result ? result.revision : 7;
+      const value = { result: toJson(result), revision: BigInt(revision) };
+      return { result: { case: 'recorded' as const, value } };
+    },
+    changeStatus: () => {
+      const value = {
+        isAccepted: inForce > 1,
+        entriesInForce: inForce,
+        entriesTotal: 3,
+        missing: ['vm-1', 'vm-2', 'vm-3'].slice(inForce),
+      };
+      return { result: { case: 'progress' as const, value } };
+    },
+    getLists: () => {
+      const content = toJson({ lists: LISTS, keyIds: ['hotel01'] });
+      const value = { listsRevision: 7n, revision: 7n, content };
+      return { result: { case: 'lists' as const, value } };
+    },
+  };
+  return { changes, methods };
+}
+
+const createFollower = (leaderAddress: string): Methods => ({
+  propose: () => ({ result: { case: 'notLeader' as const, value: { leaderAddress } } }),
+  getLists: () => ({ result: { case: 'notLeader' as const, value: { leaderAddress } } }),
+});
+
+describe('marigoldbank', () => {
+  let place: Workplace;
+  let controls: FakeControl[];
+
+  const start = async (methods: Methods): Promise<FakeControl> => {
+    const control = await startFakeControl(methods);
+    controls.push(control);
+    return control;
+  };
+
+  const startLeader = async (result: ChangeResult, inForce = 3): Promise<Change[]> => {
+    const { changes, methods } = createLeader(result, inForce);
+    const { address } = await start(methods);
+    place.writeSettings([address]);
+    return changes;
+  };
+
+  beforeEach(() => {
+    place = new Workplace();
+    controls = [];
+    place.writeLists(LISTS);
+  });
+
+  afterEach(async () => {
+    await Promise.all(controls.map((control) => control.close()));
+    place.remove();
+  });
+
+  it('checks lists offline and tells errors by the exit code', async () => {
+    expect((await place.run(['check'], true)).exitCode).toEqual(0);
+    place.writeLists(createLists({ plans: {} }));
+    const { exitCode, json } = await place.run(['check'], true);
+    expect(exitCode).toEqual(3);
+    expect((json.details as string[]).length).toEqual(1);
+  });
+
+  const outcomes: [string, ChangeResult, number, number][] = [
+    ['in force everywhere', RECORDED, 3, 0],
+    ['recorded, not accepted', RECORDED, 1, 4],
+    ['accepted, not everywhere', RECORDED, 2, 5],
+    ['conflict', { kind: 'conflict', currentListsRevision: 7, changedSince: [] }, 3, 6],
+    ['rejected', { kind: 'rejected', reasons: ['no'] }, 3, 7],
+  ];
+  outcomes.forEach(([name, result, inForce, expected]) => {
+    it(`ends apply with ${expected} when the change is ${name}`, async () => {
+      const changes = await startLeader(result, inForce);
+      const args = ['apply', '--base', '5', '--timeout', '0.1'];
+      expect((await place.run(args, true)).exitCode).toEqual(expected);
+      expect(changes.map(({ kind }) => kind)).toEqual(['applyLists']);
+    });
+  });
+
+  it('bases apply on the revision that pull wrote, and moves it on', async () => {
+    const changes = await startLeader(RECORDED);
+    expect((await place.run(['apply'], true)).exitCode).toEqual(2);
+    expect((await place.run(['pull', '--force'], true)).exitCode).toEqual(0);
+    expect((await place.run(['apply'], true)).exitCode).toEqual(0);
+    expect((await place.run(['apply'], true)).exitCode).toEqual(0);
+    const bases = changes.map(
+      (change) => 'baseListsRevision' in change && change.baseListsRevision,
+    );
+    expect(bases).toEqual([7, 8]);
+  });
+
+  it('follows the leader, and sends a change whose answer was lost again with the same id', async () => {
+    const leader = createLeader(RECORDED);
+    const { address } = await start(leader.methods);
+    let lost = 0;
+    const follower = await start({
+      ...createFollower(address),
+      propose: () => {
+        lost += 1;
+        return { result: { case: 'unknown' as const, value: {} } };
+      },
+    });
+    place.writeSettings([follower.address, address]);
+    const { exitCode } = await place.run(['key', 'withdraw', 'hotel01', '--change-id', 'once']);
+    expect(exitCode).toEqual(0);
+    expect(lost).toEqual(1);
+    expect(leader.changes.map(({ changeId }) => changeId)).toEqual(['once']);
+  });
+
+  it('does not send the secret to an address that the settings do not name', async () => {
+    const stranger = createLeader(RECORDED);
+    const { address } = await start(stranger.methods);
+    const follower = await start(createFollower(address));
+    place.writeSettings([follower.address]);
+    expect((await place.run(['drain', 'vm-1'])).exitCode).toEqual(8);
+    expect(stranger.changes).toEqual([]);
+  });
+
+  it('tells an unreachable control, an unknown outcome and a wrong secret apart', async () => {
+    const gone = await start({});
+    await gone.close();
+    place.writeSettings([gone.address]);
+    expect((await place.run(['drain', 'vm-1'])).exitCode).toEqual(8);
+    const unsure = await start({ propose: () => ({ result: { case: 'unknown', value: {} } }) });
+    place.writeSettings([unsure.address]);
+    const run = await place.run(['drain', 'vm-1', '--change-id', 'kept']);
+    expect(run.exitCode).toEqual(9);
+    expect((run.json.details as string[]).at(-1)?.includes('kept')).toEqual(true);
+    place.writeSettings([unsure.address], 'another-operator-secret');
+    expect((await place.run(['drain', 'vm-1'])).exitCode).toEqual(11);
+  });
+
+  it('shows a new key once and sends only the SHA-256 of its secret', async () => {
+    const changes = await startLeader(RECORDED);
+    const { json } = await place.run(['key', 'issue', 'hotel', '--key-id', 'fresh1']);
+    const secret = (json.key as string).slice('mb_fresh1_'.length);
+    const [change] = changes;
+    const hash = createHash('sha256').update(secret).digest('hex');
+    expect(change?.kind === 'issueKey' && change.hash).toEqual(hash);
+    expect(JSON.stringify(change).includes(secret)).toEqual(false);
+  });
+
+  it('says in words that lists without an issued key withdraw it', async () => {
+    await startLeader(RECORDED);
+    place.writeLists(createLists({ teams: { hotel: { plan: 'basic', keys: [] } } }));
+    const { json } = await place.run(['diff'], true);
+    expect(json.withdrawnKeys).toEqual([
+      'key hotel01 was issued to team hotel and is withdrawn: it stops working and cannot be listed again',
+    ]);
+    const { notes } = await place.run(['apply', '--base', '7'], true);
+    expect(notes).toInclude('- key hotel01 of team hotel stops working');
+  });
+
+  it('replaces a control VM as learner first, and removes the old incarnation last', async () => {
+    const steps: string[] = [];
+    const old = { vm: 'vm-1', incarnation: 'a', address: '127.0.0.1:1' };
+    const added = { vm: 'vm-1', incarnation: 'b', address: '127.0.0.1:2' };
+    let polls = 0;
+    const { address } = await start({
+      identity: () => ({ member: added }),
+      changeMembership: ({ step }) => {
+        steps.push(`${step.case} ${step.value?.incarnation}`);
+        return { result: { case: 'committed', value: { voters: [], learners: [] } } };
+      },
+      status: () => {
+        polls += 1;
+        const learner = { member: added, isLearner: true, matchIndex: polls < 3 ? 4n : 9n };
+        const voters = [{ member: old, matchIndex: 9n }, ...(steps.length > 0 ? [learner] : [])];
+        return { result: { case: 'status', value: { commitIndex: 9n, voters } } };
+      },
+    });
+    place.writeSettings([address]);
+    const { exitCode } = await place.run(['control', 'replace', 'vm-1', address]);
+    expect(exitCode).toEqual(0);
+    expect(steps).toEqual(['addLearner b', 'promoteLearner b', 'removeMember a']);
+    expect(polls).toEqual(3);
+  });
+
+  it('verifies and exports the audit trail, and finds an edited record', async () => {
+    const trail = new AuditTrail();
+    Array.from({ length: 3 }, (_, i) =>
+      trail.append({
+        revision: i,
+        at: '2026-12-04T09:00:00Z',
+        operator: 'maryam',
+        changeId: `c${i}`,
+        changeKind: 'removeEntry',
+        summary: `remove vm-${i}`,
+        result: { kind: 'recorded', revision: i },
+      }),
+    );
+    let records = [...trail.records];
+    const { address } = await start({
+      audit: ({ fromSequence, limit }) => {
+        const first = Number(fromSequence) - 1;
+        const page = records.slice(first, first + Math.min(limit, 2));
+        return {
+          result: { case: 'page', value: { records: toJson(page), total: BigInt(records.length) } },
+        };
+      },
+    });
+    place.writeSettings([address]);
+    expect((await place.run(['audit', 'verify'])).json.count).toEqual(3);
+    const file = place.file('audit.jsonl');
+    expect((await place.run(['audit', 'export', file])).exitCode).toEqual(0);
+    expect(readFileSync(file, 'utf8').trim().split('\n').length).toEqual(3);
+    expect((await place.run(['audit', 'list', '--limit', '2'])).json.records).toEqual(
+      records.slice(1),
+    );
+    records = records.map((record, i) => (i === 1 ? { ...record, operator: 'eve' } : record));
+    expect((await place.run(['audit', 'verify'])).exitCode).toEqual(10);
+  });
+
+  it('has help with examples for every command and shows no stack trace', async () => {
+    const outputs = await Promise.all(
+      commandNames().map(async (name) => {
+        const lines: string[] = [];
+        const io = { env: {}, print: (line: string) => lines.push(line), note: () => undefined };
+        expect(await runCli([...name.split(' '), '--help'], io)).toEqual(0);
+        return lines.join('\n').includes(`  marigoldbank ${name}`);
+      }),
+    );
+    expect(outputs.every(Boolean)).toEqual(true);
+    const notes: string[] = [];
+    const io = { env: {}, print: () => undefined, note: (line: string) => notes.push(line) };
+    expect(await runCli(['aplly'], io)).toEqual(2);
+    expect(notes[0]).toEqual('marigoldbank: unknown command "aplly" (did you mean "apply"?)');
+    expect(notes.join('\n').includes('    at ')).toEqual(false);
+  });
+});
--- /dev/null
+++ b/packages/cli/src/testing-run.ts
@@ -0,0 +1,59 @@
+/** Runs command lines in tests, in a folder of their own. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import { formatLists } from '@marigoldbank/lists/format';
+import type { Lists } from '@marigoldbank/lists/schema';
+import { runCli } from './run-cli.js';
+import { TEST_SECRET } from './testing-operator.js';
+
+export interface Run {
+  readonly exitCode: number;
+  /** The JSON object on the standard output. */
+  readonly json: Record<string, unknown>;
+  /** Lines of progress and warnings. */
+  readonly notes: readonly string[];
+}
+
+/** A folder with lists and settings. */
+export class Workplace {
+  public readonly folder = mkdtempSync(path.join(os.tmpdir(), 'marigoldbank-cli-'));
+
+  public file(name: string): string {
+    return path.join(this.folder, name);
+  }
+
+  public writeLists(lists: Lists): void {
+    const { teams, plans } = formatLists(lists);
+    writeFileSync(this.file('teams.toml'), teams);
+    writeFileSync(this.file('plans.toml'), plans);
+  }
+
+  public writeSettings(control: readonly string[], secret = TEST_SECRET): void {
+    const lines = [
+      `control = ${JSON.stringify(control)}`,
+      'operator = "maryam"',
+      `secret = ${JSON.stringify(secret)}`,
+    ];
+    writeFileSync(this.file('marigoldbank.toml'), lines.join('\n'));
+  }
+
+  /** Runs with `--json` and, if `hasLists`, with the lists of the folder. */
+  public async run(argv: readonly string[], hasLists = false): Promise<Run> {
+    const files = ['--teams', this.file('teams.toml'), '--plans', this.file('plans.toml')];
+    const printed: string[] = [];
+    const notes: string[] = [];
+    const args = [...argv, ...(hasLists ? files : []), '--json'];
+    const exitCode = await runCli(args, {
+      env: { MARIGOLDBANK_SETTINGS: this.file('marigoldbank.toml') },
+      print: (line) => printed.push(line),
+      note: (line) => notes.push(line),
+      retryMs: 400,
+    });
+    return { exitCode, json: JSON.parse(printed.join('\n')) as Run['json'], notes };
+  }
+
+  public remove(): void {
+    rmSync(this.folder, { recursive: true });
+  }
+}
