Bench: seeded experiments of the decision code with fakes of callers and upstreams

Cause: detection, false ejections and fairness are to be measured at both deployments' sizes before they are claimed.

--- /dev/null
+++ b/packages/bench/src/bin/bench.ts
@@ -0,0 +1,11 @@
+#!/usr/bin/env node
+/** Command line of the experiments. */
+import { defineCommand, runMain } from 'citty';
+import { decisionsCommand } from '../experiments/decisions.js';
+
+const main = defineCommand({
+  meta: { name: 'bench', description: 'Experiments and load tool' },
+  subCommands: { decisions: decisionsCommand },
+});
+
+await runMain(main);
--- /dev/null
+++ b/packages/bench/src/experiments/decisions.ts
@@ -0,0 +1,90 @@
+/** The command `decisions`: seeded experiments of the decision code. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import path from 'node:path';
+import { defineCommand } from 'citty';
+import { DETECTION_CURVE, planDetectionCurve, planScenarios } from './plan.js';
+import { plotCurve, plotWorstTeam } from './plots.js';
+import { writeReport } from './report.js';
+import { runAll } from './run-all.js';
+import type { RunResult } from './run-one.js';
+import { SCENARIOS } from './scenarios.js';
+import { curveOf, summarizeAll } from './summary.js';
+import { findMisses } from './targets.js';
+
+const CURVES = [
+  {
+    title: 'Detection time and false ejections over the CUSUM threshold',
+    parameter: 'cusumThreshold',
+    fixed: { gainPerRound: 0.3 },
+    file: 'curve-threshold.svg',
+  },
+  {
+    title: 'Detection time and false ejections over the growth per round',
+    parameter: 'gainPerRound',
+    fixed: { cusumThreshold: 12 },
+    file: 'curve-gain.svg',
+  },
+] as const;
+
+async function writeOut(
+  out: string,
+  command: string,
+  results: readonly RunResult[],
+  curveResults: readonly RunResult[],
+): Promise<string[]> {
+  mkdirSync(out, { recursive: true });
+  const summaries = summarizeAll(results);
+  const curves =
+    curveResults.length === 0
+      ? []
+      : CURVES.map(({ title, parameter, fixed, file }) => ({
+          title,
+          file,
+          points: curveOf(curveResults, parameter, fixed),
+        }));
+  const misses = findMisses(summaries);
+  const save = (file: string, text: string): void => writeFileSync(path.join(out, file), text);
+  save('decisions.json', JSON.stringify({ command, summaries, curves, misses, results }, null, 1));
+  save('decisions.md', writeReport({ command, summaries, curves, misses }));
+  await Promise.all(curves.map(async ({ file, points }) => save(file, await plotCurve(points))));
+  if (summaries.length > 0) save('worst-team.svg', await plotWorstTeam(summaries));
+  return misses;
+}
+
+export const decisionsCommand = defineCommand({
+  meta: { name: 'decisions', description: 'Seeded experiments of the decision code' },
+  args: {
+    experiment: {
+      type: 'string',
+      description: `Comma-separated names: ${DETECTION_CURVE}, ${SCENARIOS.map(({ name }) => name).join(', ')}`,
+    },
+    seed: { type: 'string', description: 'First seed', default: '1' },
+    out: { type: 'string', description: 'Directory for the results', default: 'out' },
+    full: { type: 'boolean', description: '20 seeds and all four services', default: false },
+  },
+  run: async ({ args }) => {
+    const experiments = (args.experiment ?? '').split(',').filter((name) => name !== '');
+    const known = [DETECTION_CURVE, ...SCENARIOS.map(({ name }) => name)];
+    const unknown = experiments.filter((name) => !known.includes(name));
+    const seed = Number(args.seed);
+    if (unknown.length > 0) throw new RangeError(`unknown experiment: ${unknown.join(', ')}`);
+    if (!Number.isSafeInteger(seed)) throw new RangeError(`not a seed: ${args.seed}`);
+    const options = { seed, isFull: args.full, experiments };
+    const hasCurve = experiments.length === 0 || experiments.includes(DETECTION_CURVE);
+    const isCurveOnly = experiments.length === 1 && hasCurve;
+    const scenarioRuns = isCurveOnly ? [] : planScenarios(options);
+    const curveRuns = hasCurve ? planDetectionCurve(options) : [];
+    console.log(`${scenarioRuns.length + curveRuns.length} runs`);
+    const results = await runAll([...scenarioRuns, ...curveRuns]);
+    const chosen = experiments.length === 0 ? '' : ` --experiment ${experiments.join(',')}`;
+    const command = `npm run bench -- --seed ${seed}${chosen}${args.full ? ' --full' : ''}`;
+    const misses = await writeOut(
+      args.out,
+      command,
+      results.slice(0, scenarioRuns.length),
+      results.slice(scenarioRuns.length),
+    );
+    misses.forEach((line) => console.log(`missed: ${line}`));
+    console.log(`results in ${path.join(args.out, 'decisions.md')}`);
+  },
+});
--- /dev/null
+++ b/packages/bench/src/experiments/report.ts
@@ -0,0 +1,121 @@
+/** Readable report of the experiments. */
+import { SCENARIOS } from './scenarios.js';
+import type { CurvePoint, Summary } from './summary.js';
+
+const COLUMNS = [
+  'service',
+  'version',
+  'detection median / worst (ms)',
+  'not found',
+  'false ejections (fleet)',
+  'false ejections (single entry)',
+  'worst team answered',
+  'worst team p99 (ms)',
+  'refused',
+  'added p50 / p99 (ms)',
+  'retries per request',
+];
+
+function percent(share: number): string {
+  return `${(share * 100).toFixed(2)}%`;
+}
+
+function ms(value: number | null): string {
+  return value === null ? '-' : value.toFixed(value < 100 ? 1 : 0);
+}
+
+function row(cells: readonly string[]): string {
+  return `| ${cells.join(' | ')} |`;
+}
+
+function table(columns: readonly string[], rows: readonly (readonly string[])[]): string {
+  return [row(columns), row(columns.map(() => '---')), ...rows.map(row)].join('\n');
+}
+
+function cellsOf(summary: Summary): string[] {
+  return [
+    summary.deployment,
+    summary.variant,
+    `${ms(summary.detectionMedianMs)} / ${ms(summary.detectionWorstMs)}`,
+    `${summary.undetected}`,
+    `${summary.falseEjections}`,
+    `${summary.falseAvoidances}`,
+    percent(summary.worstTeamShare),
+    ms(summary.worstTeamP99Ms),
+    percent(summary.refusedShare),
+    `${ms(summary.addedP50Ms)} / ${ms(summary.addedP99Ms)}`,
+    summary.retriesPerRequest.toFixed(4),
+  ];
+}
+
+function extras(summary: Summary): string[] {
+  const { scenario, deployment, variant } = summary;
+  const lines = [
+    scenario === 'poison'
+      ? `${summary.crashes} crashes, ${summary.innocentsQuarantined} innocent requests quarantined`
+      : '',
+    scenario === 'rolling-drain'
+      ? `${summary.workAfterLeaving} requests begun over 3 s after leaving`
+      : '',
+    scenario === 'bad-reporter'
+      ? `reporter suspected in ${summary.suspected} of ${summary.seeds} runs`
+      : '',
+  ];
+  return lines.filter((line) => line !== '').map((line) => `- ${deployment}, ${variant}: ${line}`);
+}
+
+function curveTable(points: readonly CurvePoint[]): string {
+  return table(
+    [
+      'value',
+      '5x slow median / worst (ms)',
+      '30% failed median / worst (ms)',
+      'not found',
+      'false ejections per hour',
+    ],
+    points.map((point) => [
+      `${point.value}`,
+      `${ms(point.slowMedianMs)} / ${ms(point.slowWorstMs)}`,
+      `${ms(point.failingMedianMs)} / ${ms(point.failingWorstMs)}`,
+      `${point.undetected}`,
+      `${point.falseEjectionsPerHour.toFixed(1)} in ${point.noiseMinutes.toFixed(0)} min`,
+    ]),
+  );
+}
+
+export interface ReportInput {
+  readonly command: string;
+  readonly summaries: readonly Summary[];
+  readonly curves: readonly {
+    readonly title: string;
+    readonly points: readonly CurvePoint[];
+    readonly file: string;
+  }[];
+  readonly misses: readonly string[];
+}
+
+export function writeReport({ command, summaries, curves, misses }: ReportInput): string {
+  const sections = SCENARIOS.flatMap((scenario) => {
+    const own = summaries.filter(({ scenario: name }) => name === scenario.name);
+    if (own.length === 0) return [];
+    const [{ seeds, simulatedMinutes }] = own as [Summary];
+    const length = `${seeds} seeds, ${simulatedMinutes.toFixed(1)} simulated minutes per version`;
+    const heading = `## ${scenario.name}\n\n${scenario.title}. ${length}.`;
+    return [heading, table(COLUMNS, own.map(cellsOf)), own.flatMap(extras).join('\n')];
+  });
+  const missed = misses.length === 0 ? ['none'] : misses;
+  return [
+    '# Experiments',
+    `Command: \`${command}\``,
+    '## Missed targets',
+    missed.map((line) => `- ${line}`).join('\n'),
+    ...sections,
+    ...curves.flatMap(({ title, points, file }) => [
+      `## ${title}`,
+      curveTable(points),
+      `![${title}](${file})`,
+    ]),
+  ]
+    .filter((part) => part !== '')
+    .join('\n\n');
+}
--- a/packages/ejection/src/FingerprintBook.ts
+++ b/packages/ejection/src/FingerprintBook.ts
@@ -36,6 +36,11 @@
     return releaseAt !== undefined && this.clock.now() < releaseAt;
   }
 
+  /** True if the fingerprint was lost here or elsewhere and has not succeeded since. */
+  public isSuspected(fingerprint: string): boolean {
+    return this.suspected.has(fingerprint) || this.lostHere.has(fingerprint);
+  }
+
   public reportLost(fingerprint: string, target: string): void {
     this.cleared.delete(fingerprint);
     if (this.lost.length < MAX_FINGERPRINTS) this.lost.push({ fingerprint, target });
--- a/packages/ejection/src/LocalLimit.ts
+++ b/packages/ejection/src/LocalLimit.ts
@@ -8,12 +8,12 @@
 const SHED_FACTOR = 0.7;
 
 /** Growth per success: multiplicative below 1, additive above. */
-const GROWTH_FACTOR = 1.15;
-const GROWTH_STEP = 0.1;
+const GROWTH_FACTOR = 1.05;
+const GROWTH_STEP = 0.05;
 
 /** Share of the slots in use over the fleet above which entries reduce, and below which they raise their limits. */
-const HIGH_LOAD = 0.95;
-const LOW_LOAD = 0.7;
+const HIGH_LOAD = 1.1;
+const LOW_LOAD = 0.9;
 
 const LOAD_SMOOTHING = 0.3;
 const LARGEST_REDUCTION = 0.7;
@@ -60,7 +60,7 @@
   public onSuccess(latencyMs: number, now: number): void {
     const { limit } = this;
     const grown = limit < 1 ? Math.min(1, limit * GROWTH_FACTOR) : limit + GROWTH_STEP;
-    this.limit = Math.min(this.slots, grown);
+    if (this.load < LOW_LOAD * this.slots) this.limit = Math.min(this.slots, grown);
     if (this.limit < 1) this.pause(latencyMs * (1 / this.limit - 1), now);
   }
 
--- a/packages/ejection/src/Reporters.ts
+++ b/packages/ejection/src/Reporters.ts
@@ -14,6 +14,10 @@
 /** Targets that a reporter must have judged before it can be suspected. */
 const LEAST_JUDGED_TARGETS = 3;
 
+/** Recent bad samples, and their share, that a reporter must have to be suspected; a single stall gives fewer. */
+const LEAST_BAD_SAMPLES = 5;
+const LEAST_BAD_SHARE = 0.2;
+
 /** Share of the other reporters' opinions that may agree with a suspected reporter. */
 const MOST_AGREEMENT = 0.25;
 
@@ -81,6 +85,10 @@
       const seenBad = seen.filter((i) => own[i]);
       if (seen.length < LEAST_JUDGED_TARGETS) return;
       if (seenBad.length < parameters.suspectShare * seen.length) return;
+      const samples = seen.map((i) => evidence[i]!.samplesOf(name, now)!);
+      const badSamples = samples.reduce((sum, counts) => sum + counts.bad, 0);
+      const allSamples = samples.reduce((sum, counts) => sum + counts.total, 0);
+      if (badSamples < Math.max(LEAST_BAD_SAMPLES, LEAST_BAD_SHARE * allSamples)) return;
       const others = seenBad.reduce((sum, i) => sum + judged[i]! - isCounted, 0);
       const agreeing = seenBad.reduce((sum, i) => sum + bad[i]! - isCounted, 0);
       if (others < LEAST_JUDGED_TARGETS || agreeing > MOST_AGREEMENT * others) return;
--- a/packages/ejection/src/TargetEvidence.ts
+++ b/packages/ejection/src/TargetEvidence.ts
@@ -93,12 +93,18 @@
     parameters: ProfileParameters,
     now: number,
   ): boolean | undefined {
-    const counts = this.reporters.get(reporter);
-    counts?.fade(now);
+    const counts = this.samplesOf(reporter, now);
     if (counts === undefined || counts.total < LEAST_OPINION) return undefined;
     return counts.badRate >= parameters.witnessBadShare;
   }
 
+  /** Recent samples of one reporter. */
+  public samplesOf(reporter: string, now: number): Readonly<FadingCounts> | undefined {
+    const counts = this.reporters.get(reporter);
+    counts?.fade(now);
+    return counts;
+  }
+
   /** True if enough of the trusted reporters find the target bad. */
   public hasWitnesses(
     parameters: ProfileParameters,
--- a/packages/ejection/src/TargetPool.ts
+++ b/packages/ejection/src/TargetPool.ts
@@ -36,6 +36,9 @@
 
 const DEFAULT_LATENCY_MS = 20;
 
+/** Cost of the best local target, in typical latencies, above which the other data centres are considered. */
+const NO_SPARE_FACTOR = 3;
+
 /** Order in which targets that are not in use come back when the floor requires it. */
 function reinstatementRank(state: TargetState): number {
   if (state.status.status === 'probation') return 1 - state.status.share;
@@ -69,7 +72,7 @@
 
   private typicalLatencyMs = DEFAULT_LATENCY_MS;
 
-  private isSuspected = false;
+  private isReporterSuspected = false;
 
   private isDisposed = false;
 
@@ -85,7 +88,7 @@
     this.forgetGone();
     this.refreshLatencies();
     this.fingerprints.adopt(res);
-    this.isSuspected = res.suspectedReporters.includes(this.options.entry);
+    this.isReporterSuspected = res.suspectedReporters.includes(this.options.entry);
     this.compile();
     this.capacityEmitter.fire();
   }
@@ -93,7 +96,7 @@
   public tryChoose(req: ChooseRequest): TargetLease | undefined {
     const now = this.options.clock.now();
     this.compileIfStale(now);
-    const state = this.chooseFrom(this.local, req, now) ?? this.chooseFrom(this.remote, req, now);
+    const state = this.chooseState(req, now);
     return state === undefined ? undefined : this.lease(state);
   }
 
@@ -122,14 +125,29 @@
     return this.fingerprints.isQuarantined(fingerprint);
   }
 
+  /**
+   * True if the fingerprint was lost before and has not succeeded since. When it is lost again it should not be tried
+   * at a further target, since it may crash that one too.
+   */
+  public isSuspected(fingerprint: string): boolean {
+    return this.fingerprints.isSuspected(fingerprint);
+  }
+
   public get isSuspectedReporter(): boolean {
-    return this.isSuspected;
+    return this.isReporterSuspected;
   }
 
   public status(): readonly TargetStatus[] {
     return [...this.states.values()].map((state) => state.status);
   }
 
+  /** How this entry uses a target now. */
+  public roleOf(target: string): TargetRole {
+    const now = this.options.clock.now();
+    this.compileIfStale(now);
+    return this.states.get(target)?.role ?? 'unused';
+  }
+
   public dispose(): void {
     this.isDisposed = true;
     this.capacityEmitter.dispose();
@@ -206,6 +224,17 @@
     return Math.max(1, Math.floor(state.announcement.maxConnections / entries));
   }
 
+  /** The own data centre first, unless it is so slow or busy that it has no capacity to spare. */
+  private chooseState(req: ChooseRequest, now: number): TargetState | undefined {
+    const local = this.chooseFrom(this.local, req, now);
+    if (local === undefined) return this.chooseFrom(this.remote, req, now);
+    const typical = this.typicalLatencyMs;
+    const cost = local.score(typical);
+    if (local.role === 'probation' || cost <= NO_SPARE_FACTOR * typical) return local;
+    const remote = this.chooseFrom(this.remote, req, now);
+    return remote !== undefined && remote.score(typical) < cost / 2 ? remote : local;
+  }
+
   /** Power of two choices. A target on probation is taken when drawn first, since it needs samples. */
   private chooseFrom(list: OpenList, req: ChooseRequest, now: number): TargetState | undefined {
     const first = this.draw(list, req, now, undefined);
--- a/packages/ejection/src/profiles.ts
+++ b/packages/ejection/src/profiles.ts
@@ -12,7 +12,7 @@
   readonly slowFactor: number;
   /** A sample is slow only this much above the peers' median, which keeps jitter of fast services out. */
   readonly slowMarginMs: number;
-  /** Largest growth of a CUSUM in one round, as a share of the threshold. A single stall ends within two rounds. */
+  /** Largest growth of a CUSUM in one round, as a share of the threshold. A stall ends within two or three rounds. */
   readonly gainPerRound: number;
   /** Share of a target's reporters that must find it bad. */
   readonly witnessShare: number;
@@ -29,7 +29,7 @@
   leastPeerBadRate: 0.02,
   slowFactor: 3,
   slowMarginMs: 5,
-  gainPerRound: 0.4,
+  gainPerRound: 0.3,
   witnessShare: 0.5,
   witnessBadShare: 0.1,
   reporterCap: 3,
@@ -38,6 +38,6 @@
 
 /** Parameters of each profile. */
 export const PROFILES: Record<ProfileName, ProfileParameters> = {
-  'prompt-detection': { ...COMMON, cusumThreshold: 10 },
-  'fair-share': { ...COMMON, cusumThreshold: 16 },
+  'prompt-detection': { ...COMMON, cusumThreshold: 12 },
+  'fair-share': { ...COMMON, cusumThreshold: 16, gainPerRound: 0.25 },
 };
