Entry: exclude tried targets in the queue, answer by currency, pipelined requests behind a malformed one

A request that follows a malformed one on the same connection has no safe boundary, so it is not run. An entry that is not current answers not-current instead of 401, 403 or 404, because its lists may be stale.

--- a/packages/daemon/src/entry/AnswerSender.ts
+++ b/packages/daemon/src/entry/AnswerSender.ts
@@ -1,5 +1,5 @@
 /** Answers to callers: upstreams' answers, stored outcomes and refusals. */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { delay } from '@marigoldbank/base/clock';
 import {
   bufferBody,
@@ -23,6 +23,15 @@
 
 const FIRST_ERROR_STATUS = 500;
 
+const CLOSE: HeaderList = [['connection', 'close']];
+
+function hasUnreadBody(req: IncomingMessage): boolean {
+  const hasBody =
+    req.headers['transfer-encoding'] !== undefined ||
+    Number(req.headers['content-length'] ?? 0) > 0;
+  return hasBody && !req.complete;
+}
+
 /** Reads on for a while, since closing a connection with unread data would destroy the answer on its way. */
 function linger(tx: Transaction, limitMs: number): Promise<void> {
   return new Promise((resolve) => {
@@ -53,8 +62,8 @@
       res.destroy();
       return;
     }
-    const isUnread = !req.complete;
-    const closing: HeaderList = isUnread ? [['connection', 'close']] : this.closing();
+    const isUnread = hasUnreadBody(req);
+    const closing: HeaderList = isUnread || tx.mustClose ? CLOSE : this.closing();
     res.writeHead(status, flattenHeaders([...headers, ...closing]));
     res.write(body);
     if (isUnread) await linger(tx, this.ctx.limits.lingerMs);
@@ -120,10 +129,11 @@
       }
       AnswerSender.finishAttempt(attempt, answer, failure);
     } catch (err) {
-      // A header that Node.js refuses to send.
+      // A status or header that Node.js refuses to send.
       attempt?.exchange.abort('brokenResponse', String(err));
       attempt?.finish('failed');
-      throw err;
+      const detail = 'the upstream sent a head that cannot be passed on';
+      await this.refuse(tx, record, { kind: 'upstreamFailed', verdict: 'mayHaveRun', detail });
     }
   }
 
@@ -146,7 +156,7 @@
   }
 
   private closing(): HeaderList {
-    return this.isDraining() ? [['connection', 'close']] : [];
+    return this.isDraining() ? CLOSE : [];
   }
 
   private static writeWhole(
--- a/packages/daemon/src/entry/Attempt.ts
+++ b/packages/daemon/src/entry/Attempt.ts
@@ -14,7 +14,7 @@
 
   private headAt: number | undefined;
 
-  private isFinished = false;
+  private endedAt: number | undefined;
 
   public constructor(
     private readonly ctx: EntryContext,
@@ -35,7 +35,7 @@
       requestId: req.id,
       deadlineAt: req.deadlineAt,
       signal: req.signal,
-      checkDispatch: () => checkDispatch(ctx, req, lease, reservation),
+      checkDispatch: () => checkDispatch(ctx, router.pool, req, lease, reservation),
     });
   }
 
@@ -43,9 +43,9 @@
     return this.permit.lease.target;
   }
 
-  /** Milliseconds since the attempt began. */
+  /** Milliseconds from the start of the attempt to its end, or to now. */
   public get elapsedMs(): number {
-    return this.ctx.clock.now() - this.startedAt;
+    return (this.endedAt ?? this.ctx.clock.now()) - this.startedAt;
   }
 
   /** The head of the response has come: the latency of the target is known. */
@@ -55,11 +55,10 @@
 
   /** Reports the outcome and gives the place at the target back. */
   public finish(outcome: AttemptOutcome): void {
-    if (this.isFinished) return;
-    this.isFinished = true;
-    const endedAt = this.headAt ?? this.ctx.clock.now();
+    if (this.endedAt !== undefined) return;
+    this.endedAt = this.ctx.clock.now();
     const { fingerprint } = this.req;
-    this.permit.lease.finish(outcome, endedAt - this.startedAt);
+    this.permit.lease.finish(outcome, (this.headAt ?? this.endedAt) - this.startedAt);
     if (outcome === 'connectionLost') this.router.pool.reportLost(fingerprint, this.target);
     if (outcome === 'succeeded') this.router.pool.reportSucceeded(fingerprint);
     this.ctx.metrics.attemptEnded(this.req.route.service, outcome);
--- a/packages/daemon/src/entry/DispatchGate.ts
+++ b/packages/daemon/src/entry/DispatchGate.ts
@@ -1,6 +1,6 @@
 /** The last check before a request is sent. */
 import type { Reservation } from '@marigoldbank/budgets';
-import type { TargetLease } from '@marigoldbank/ejection';
+import type { ITargetPool, TargetLease } from '@marigoldbank/ejection';
 import type { ConfigSection } from '../Blackboard.js';
 import { isKeyInForce } from './keys.js';
 import type { Refusal } from './refusals.js';
@@ -33,6 +33,7 @@
  */
 export function checkDispatch(
   ctx: EntryContext,
+  pool: ITargetPool,
   req: AdmittedRequest,
   lease: TargetLease,
   reservation: Reservation | undefined,
@@ -47,6 +48,8 @@
   }
   const fault = findConfigFault(req, section);
   if (fault !== undefined) return refused(fault);
+  if (pool.isQuarantined(req.fingerprint))
+    return refused({ kind: 'quarantined', verdict: 'notRun' });
   if (req.claim !== undefined && !req.claim.mayDispatch()) {
     return refused({ kind: 'claimExpired', verdict: 'notRun' });
   }
--- a/packages/daemon/src/entry/DispatchRun.ts
+++ b/packages/daemon/src/entry/DispatchRun.ts
@@ -55,14 +55,13 @@
 
 /** Carries one admitted request through its attempts. */
 export class DispatchRun {
-  /** Time spent waiting for upstreams. */
-  public upstreamMs = 0;
-
   /** Last target that was asked. */
   public target: string | undefined;
 
   public sends = 0;
 
+  private readonly attempts: Attempt[] = [];
+
   private readonly tried = new Set<string>();
 
   private reservation: Reservation | undefined;
@@ -83,9 +82,9 @@
     private readonly req: AdmittedRequest,
   ) {}
 
-  /** True when a byte of the request may have left in some attempt that did not end as not run. */
-  public get isUncertain(): boolean {
-    return this.mayHaveRun;
+  /** Time spent at upstreams. */
+  public get upstreamMs(): number {
+    return this.attempts.reduce((sum, attempt) => sum + attempt.elapsedMs, 0);
   }
 
   public async run(): Promise<DispatchResult> {
@@ -150,17 +149,13 @@
 
   private async acquire(): Promise<Step<TargetPermit>> {
     const isIdempotent = this.req.route.idempotent;
-    if (this.tried.size > 0) {
-      const lease = this.router.pool.tryChoose({ isIdempotent, exclude: this.tried });
-      if (lease !== undefined) return { kind: 'ok', value: { lease, dispose: () => undefined } };
-    }
-    if (this.router.pool.candidateCount === 0) {
-      return refuse({ kind: 'noTarget', verdict: 'notRun' });
-    }
+    // Without an untried candidate the request would wait until its deadline.
+    if (this.router.pool.candidateCount <= this.tried.size) return refuse(this.lastRefusal);
     const outcome = await this.router.queue.acquire({
       team: this.req.key?.team ?? OPEN_TEAM,
       deadlineAt: this.req.deadlineAt,
       isIdempotent,
+      exclude: this.tried,
       signal: this.req.signal,
     });
     if (outcome.kind === 'queueFull') return refuse({ kind: 'queueFull', verdict: 'notRun' });
@@ -168,21 +163,13 @@
     if (outcome.kind === 'timedOut') {
       return refuse({ kind: 'deadlineBeforeDispatch', verdict: 'notRun' });
     }
-    return this.withoutTried(outcome.permit);
-  }
-
-  /** Gives a permit for a target that was tried back: no other target has room. */
-  private withoutTried(permit: TargetPermit): Step<TargetPermit> {
-    if (!this.tried.has(permit.lease.target)) return { kind: 'ok', value: permit };
-    permit.lease.finish('cancelled', 0);
-    permit.dispose();
-    this.router.queue.wake();
-    return refuse(this.lastRefusal);
+    return { kind: 'ok', value: outcome.permit };
   }
 
   /** Runs one attempt. Undefined means that another round may follow. */
   private async attempt(permit: TargetPermit): Promise<DispatchResult | undefined> {
     const attempt = new Attempt(this.ctx, this.router, permit, this.req, this.reservation);
+    this.attempts.push(attempt);
     this.target = attempt.target;
     const head = await attempt.exchange.head;
     if (attempt.exchange.isSent) {
@@ -267,7 +254,6 @@
   }
 
   private close(attempt: Attempt, outcome: AttemptOutcome): void {
-    this.upstreamMs += attempt.elapsedMs;
     if (attempt.exchange.isSent || outcome === 'failed') this.tried.add(attempt.target);
     attempt.finish(outcome);
   }
--- a/packages/daemon/src/entry/EntryServer.ts
+++ b/packages/daemon/src/entry/EntryServer.ts
@@ -4,14 +4,15 @@
 import type { Duplex } from 'node:stream';
 import { delay } from '@marigoldbank/base/clock';
 import { checkRequest } from './checkRequest.js';
-import { ADDRESS_TTL_SECONDS, LEAVE_NOTICE_MS, OWN_PATH_PREFIX } from './constants.js';
+import { OWN_PATH_PREFIX } from './constants.js';
 import { createCallerApp } from './callerApp.js';
 import { ProxyPipeline, type Transaction } from './ProxyPipeline.js';
 import { answerBrokenRequest } from './brokenRequests.js';
 import type { EntryContext } from './types.js';
 
-const MS_PER_SECOND = 1_000;
 const CHECKING_INTERVAL_MS = 500;
+/** On top of the time for a body, for bodies that nobody reads. */
+const REQUEST_TIMEOUT_MARGIN_MS = 10_000;
 
 /** Listens for callers, and leaves without cutting a request. */
 export class EntryServer {
@@ -24,6 +25,9 @@
   /** Requests in progress per connection. */
   private readonly running = new WeakMap<Duplex, number>();
 
+  /** Connections that take no further request. */
+  private readonly closing = new WeakSet<Duplex>();
+
   private isLeaving = false;
 
   private isDraining = false;
@@ -59,7 +63,7 @@
    */
   public async drain(): Promise<void> {
     this.isLeaving = true;
-    await delay(this.ctx.clock, ADDRESS_TTL_SECONDS * MS_PER_SECOND + LEAVE_NOTICE_MS);
+    await delay(this.ctx.clock, this.ctx.limits.leaveNoticeMs);
     this.isDraining = true;
     await this.stopAccepting();
   }
@@ -87,7 +91,7 @@
     const server = createServer({
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: limits.headersTimeoutMs,
-      requestTimeout: limits.requestTimeoutMs,
+      requestTimeout: limits.bodyTimeoutMs + limits.headersTimeoutMs + REQUEST_TIMEOUT_MARGIN_MS,
       keepAliveTimeout: limits.keepAliveTimeoutMs,
       connectionsCheckingInterval: CHECKING_INTERVAL_MS,
       insecureHTTPParser: false,
@@ -99,14 +103,17 @@
     server.on('request', (req, res) => this.accept(req, res, () => undefined));
     server.on('checkContinue', (req, res) => this.accept(req, res, () => res.writeContinue()));
     server.on('checkExpectation', (req, res) => this.accept(req, res, () => undefined));
-    server.on('connect', (_req, socket) => answerBrokenRequest(socket, undefined, false));
-    server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      answerBrokenRequest(socket, err.code, (this.running.get(socket) ?? 0) > 0);
-    });
+    server.on('connect', (_req, socket) => this.handleBroken({}, socket));
+    server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
+      this.handleBroken(err, socket),
+    );
     return server;
   }
 
   private accept(req: IncomingMessage, res: ServerResponse, askForBody: () => void): void {
+    // A request behind one that ends the connection cannot be answered and must not run.
+    if (this.closing.has(req.socket)) return;
+    res.on('error', () => res.destroy());
     this.track(req.socket, res);
     const result = checkRequest(
       {
@@ -117,8 +124,9 @@
       },
       this.ctx.limits,
     );
-    const tx: Transaction = { req, res, askForBody };
+    const tx: Transaction = { req, res, askForBody, mustClose: result.kind === 'refused' };
     if (result.kind === 'refused') {
+      this.closing.add(req.socket);
       this.settle(this.pipeline.refuse(tx, result.refusal));
     } else if (result.request.path.startsWith(OWN_PATH_PREFIX)) {
       if (this.isDraining) res.setHeader('connection', 'close');
@@ -130,7 +138,20 @@
 
   private track(socket: Socket, res: ServerResponse): void {
     this.running.set(socket, (this.running.get(socket) ?? 0) + 1);
-    res.once('close', () => this.running.set(socket, (this.running.get(socket) ?? 1) - 1));
+    res.once('close', () => {
+      const left = (this.running.get(socket) ?? 1) - 1;
+      this.running.set(socket, left);
+      if (left === 0 && this.closing.has(socket)) socket.destroySoon();
+    });
+  }
+
+  /** Answers bytes that are no request, after the answers to the requests before them. */
+  private handleBroken(err: { readonly code?: string }, socket: Duplex): void {
+    if ((this.running.get(socket) ?? 0) === 0 || err.code === 'ECONNRESET') {
+      answerBrokenRequest(socket, err.code);
+    } else {
+      this.closing.add(socket);
+    }
   }
 
   private settle(work: Promise<void>): void {
--- a/packages/daemon/src/entry/ProxyPipeline.ts
+++ b/packages/daemon/src/entry/ProxyPipeline.ts
@@ -1,11 +1,12 @@
 /** The steps of a proxied request. */
 import { createHash, randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { delay } from '@marigoldbank/base/clock';
 import type { CompiledRoute } from '@marigoldbank/lists/compiled';
 import { AnswerSender } from './AnswerSender.js';
 import type { ConfigSection } from '../Blackboard.js';
 import { decodeOutcome, type StoredOutcome } from './answers.js';
-import { CLAIM_WAIT_MS } from './constants.js';
+import { CLAIM_STORE_WAIT_MS, CLAIM_WAIT_MS } from './constants.js';
 import { DispatchRun } from './DispatchRun.js';
 import { selectRequestHeaders } from './headers.js';
 import { verifyKey } from './keys.js';
@@ -40,6 +41,8 @@
   readonly res: ServerResponse;
   /** Asks the caller for the body if it waits for that. */
   readonly askForBody: () => void;
+  /** The form of the request leaves doubt about where the next one begins. */
+  readonly mustClose: boolean;
 }
 
 function refuse(refusal: Refusal): { kind: 'refused'; refusal: Refusal } {
@@ -145,9 +148,18 @@
     await this.sender.refuse(tx, record, result.refusal);
   }
 
+  /** Checks route, key and plan. An entry that is not current may lack the route or key, so it says that instead. */
   private admit(checked: CheckedRequest): Admission {
     const section = this.ctx.blackboard.config.value;
     if (section === undefined) return refuse({ kind: 'notReady', verdict: 'notRun' });
+    const admission = this.admitUnder(section, checked);
+    const isCurrent = this.ctx.clock.now() < this.ctx.blackboard.currency.value.currentUntil;
+    if (isCurrent || (admission.kind === 'admitted' && admission.key === undefined))
+      return admission;
+    return refuse({ kind: 'notCurrent', verdict: 'notRun' });
+  }
+
+  private admitUnder(section: ConfigSection, checked: CheckedRequest): Admission {
     const match = section.lists.matchRoute(checked.method, checked.path);
     if (match.kind === 'notFound') return refuse({ kind: 'notFound', verdict: 'notRun' });
     if (match.kind === 'methodNotAllowed') {
@@ -156,7 +168,7 @@
     const { route } = match;
     const router = this.ctx.findRouter(route.service);
     if (router === undefined) return refuse({ kind: 'noTarget', verdict: 'notRun' });
-    if (!route.open) return this.admitTeam(checked, section, route, router);
+    if (!route.open) return ProxyPipeline.admitTeam(checked, section, route, router);
     if (checked.idempotencyKey !== undefined) {
       const detail = 'Idempotency-Key needs a route with a key';
       return refuse({ kind: 'badRequest', verdict: 'notRun', detail });
@@ -164,7 +176,7 @@
     return { kind: 'admitted', route, key: undefined, router };
   }
 
-  private admitTeam(
+  private static admitTeam(
     checked: CheckedRequest,
     section: ConfigSection,
     route: CompiledRoute,
@@ -175,9 +187,6 @@
     if (!section.lists.mayUse(key.team, route.id)) {
       return refuse({ kind: 'forbidden', verdict: 'notRun' });
     }
-    if (this.ctx.clock.now() >= this.ctx.blackboard.currency.value.currentUntil) {
-      return refuse({ kind: 'notCurrent', verdict: 'notRun' });
-    }
     return { kind: 'admitted', route, key, router };
   }
 
@@ -197,6 +206,7 @@
     const result = await readBody(tx.req, this.ctx.clock, {
       maxBytes: route.maxBodyBytes,
       idleTimeoutMs: this.ctx.limits.bodyIdleTimeoutMs,
+      totalTimeoutMs: this.ctx.limits.bodyTimeoutMs,
     });
     if (result.kind === 'tooLarge') return refuse(tooLarge);
     if (result.kind === 'tooSlow') return refuse({ kind: 'requestTimeout', verdict: 'notRun' });
@@ -261,10 +271,10 @@
   }
 
   private async releaseClaim(request: AdmittedRequest): Promise<void> {
-    try {
-      await request.claim?.release();
-    } catch {
+    if (request.claim === undefined) return;
+    const released = request.claim.release().catch(() => {
       this.ctx.logger.warn('claim was not released', { requestId: request.id });
-    }
+    });
+    await Promise.race([released, delay(this.ctx.clock, CLAIM_STORE_WAIT_MS)]);
   }
 }
--- a/packages/daemon/src/entry/brokenRequests.ts
+++ b/packages/daemon/src/entry/brokenRequests.ts
@@ -23,16 +23,9 @@
   return Buffer.concat([Buffer.from(head, 'latin1'), body]);
 }
 
-/**
- * Answers and closes. While earlier requests of the connection run, nothing is written, because it would be taken for
- * the answer to one of them.
- */
-export function answerBrokenRequest(
-  socket: Duplex,
-  code: string | undefined,
-  hasRunningRequests: boolean,
-): void {
-  if (hasRunningRequests || !socket.writable || code === 'ECONNRESET') {
+/** Answers and closes. No earlier request of the connection may be waiting for an answer, or it would get this one. */
+export function answerBrokenRequest(socket: Duplex, code: string | undefined): void {
+  if (!socket.writable || code === 'ECONNRESET') {
     socket.destroy();
     return;
   }
--- a/packages/daemon/src/entry/constants.ts
+++ b/packages/daemon/src/entry/constants.ts
@@ -4,7 +4,9 @@
 export const ADDRESS_TTL_SECONDS = 5;
 
 /** Time in which the other entries learn that this one is leaving: one poll of each side at 500 ms. */
-export const LEAVE_NOTICE_MS = 1_000;
+const LEARN_OF_LEAVING_MS = 1_000;
+
+const MS_PER_SECOND = 1_000;
 
 /** Longest wait of a request for a token. */
 export const TOKEN_WAIT_MS = 1_000;
@@ -12,7 +14,7 @@
 /** Longest wait for the holders of a claim. */
 export const CLAIM_WAIT_MS = 1_000;
 
-/** Longest wait until an outcome is stored before the caller is answered anyway. */
+/** Longest wait until an outcome is stored, or a claim released, before the caller is answered anyway. */
 export const CLAIM_STORE_WAIT_MS = 500;
 
 /** Largest answer that is stored with a claim. */
@@ -45,8 +47,8 @@
   readonly maxHeaders: number;
   /** Time for all headers of a request. */
   readonly headersTimeoutMs: number;
-  /** Time for a whole request with its body. */
-  readonly requestTimeoutMs: number;
+  /** Time for a whole body. */
+  readonly bodyTimeoutMs: number;
   /** Longest pause within a body. */
   readonly bodyIdleTimeoutMs: number;
   /** Time that an idle connection is kept. */
@@ -54,6 +56,8 @@
   /** Time that the rest of a refused body is read, so that the caller can read the answer. */
   readonly lingerMs: number;
   readonly maxConnections: number;
+  /** Time between leaving the address answers and refusing new connections. */
+  readonly leaveNoticeMs: number;
 }
 
 export const DEFAULT_LIMITS: EntryLimits = {
@@ -61,9 +65,10 @@
   maxHeaderBytes: 16_384,
   maxHeaders: 100,
   headersTimeoutMs: 10_000,
-  requestTimeoutMs: 30_000,
+  bodyTimeoutMs: 30_000,
   bodyIdleTimeoutMs: 5_000,
   keepAliveTimeoutMs: 5_000,
   lingerMs: 1_000,
   maxConnections: 10_000,
+  leaveNoticeMs: ADDRESS_TTL_SECONDS * MS_PER_SECOND + LEARN_OF_LEAVING_MS,
 };
--- a/packages/daemon/src/entry/readBody.ts
+++ b/packages/daemon/src/entry/readBody.ts
@@ -13,6 +13,7 @@
   readonly maxBytes: number;
   /** Longest pause between two pieces, in milliseconds. */
   readonly idleTimeoutMs: number;
+  readonly totalTimeoutMs: number;
 }
 
 /** Reads a whole body. On any result but `read` the stream is paused and some of the body is unread. */
@@ -25,7 +26,9 @@
     const chunks: Buffer[] = [];
     let size = 0;
     let timer: IDisposable | undefined;
+    let total: IDisposable | undefined;
     const settle = (result: BodyResult): void => {
+      total?.dispose();
       timer?.dispose();
       req.removeAllListeners('data');
       req.pause();
@@ -36,6 +39,7 @@
       timer = clock.setTimeout(() => settle({ kind: 'tooSlow' }), limits.idleTimeoutMs);
     };
     restartTimer();
+    total = clock.setTimeout(() => settle({ kind: 'tooSlow' }), limits.totalTimeoutMs);
     req.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size > limits.maxBytes) {
--- a/packages/daemon/src/testing/FakeQueue.ts
+++ b/packages/daemon/src/testing/FakeQueue.ts
@@ -1,15 +1,15 @@
 /** First-in-first-out queue, for tests. */
 import type { AdmissionOutcome, IFairQueue } from '@marigoldbank/admission';
-import type { TargetPermit } from '../entry/types.js';
+import type { TargetPermit, TargetRequest } from '../entry/types.js';
 import type { FakeTargetPool } from './FakeTargetPool.js';
 
 interface Waiter {
-  readonly isIdempotent: boolean;
+  readonly req: TargetRequest;
   readonly resolve: (outcome: AdmissionOutcome<TargetPermit>) => void;
 }
 
 /** Hands out leases of a pool; can hold all requests back. */
-export class FakeQueue implements IFairQueue<TargetPermit> {
+export class FakeQueue implements IFairQueue<TargetPermit, TargetRequest> {
   public isHeld = false;
 
   public readonly teams: string[] = [];
@@ -22,14 +22,10 @@
     return this.waiters.length;
   }
 
-  public acquire(req: {
-    readonly team: string;
-    readonly isIdempotent: boolean;
-    readonly signal?: AbortSignal;
-  }): Promise<AdmissionOutcome<TargetPermit>> {
+  public acquire(req: TargetRequest): Promise<AdmissionOutcome<TargetPermit>> {
     this.teams.push(req.team);
     return new Promise((resolve) => {
-      const waiter = { isIdempotent: req.isIdempotent, resolve };
+      const waiter = { req, resolve };
       this.waiters.push(waiter);
       req.signal?.addEventListener('abort', () => {
         this.waiters = this.waiters.filter((other) => other !== waiter);
@@ -41,7 +37,7 @@
 
   public wake(): void {
     while (!this.isHeld && this.waiters.length > 0) {
-      const lease = this.pool.tryChoose({ exclude: new Set() });
+      const lease = this.pool.tryChoose(this.waiters[0]!.req);
       if (lease === undefined) return;
       const permit = { lease, dispose: () => undefined };
       this.waiters.shift()!.resolve({ kind: 'admitted', permit, waitedMs: 0 });
