Confirm currency with the peers while control is away, and acceptance with views

Cause: an entry stopped to serve keyed routes as soon as control was gone, and acceptance ignored changes of the view. Change: CurrencyController asks a majority of the view after two failed polls; a restarted entry learns a view from the peers in its settings. The leader keeps reports and acceptance per term, entries send back the leader's time, and an accepted view is written to the log, so that a new leader knows which older views still count.

--- a/packages/bench/src/process/Fleet.ts
+++ b/packages/bench/src/process/Fleet.ts
@@ -15,6 +15,9 @@
 
 const POLL_MS = 50;
 
+/** Entries that each entry knows from its settings. */
+const KNOWN_PEERS = 5;
+
 export interface FleetOptions {
   readonly controlCount: number;
   readonly entryCount: number;
@@ -230,6 +233,10 @@
         vm: name,
         address: this.vm(name).internalAddress,
       })),
+      peers: this.entries
+        .filter((name) => name !== vm.vm)
+        .slice(0, KNOWN_PEERS)
+        .map((name) => this.vm(name).internalAddress),
       secrets: {
         peer: PEER_SECRET,
         operator: OPERATOR_SECRET,
--- a/packages/daemon/src/EntryRole.ts
+++ b/packages/daemon/src/EntryRole.ts
@@ -116,6 +116,8 @@
           new ConfigClient(channels),
           settings.control.map(({ address }) => address),
         ),
+        peers: new PeerClient(channels),
+        knownAddresses: settings.peers,
       }),
     );
     const { host, port } = parseAddress(settings.listen.caller ?? settings.callerAddress ?? '');
@@ -135,6 +137,7 @@
       },
       budgets: this.budgets,
       claims: this.claims,
+      isCurrent: () => this.isCurrent(),
       onAnnouncements: (announcements) => this.coordination.receiveForwarded(announcements),
     });
   }
--- a/packages/daemon/src/control/ControlNode.ts
+++ b/packages/daemon/src/control/ControlNode.ts
@@ -1,4 +1,5 @@
 /** A control VM: answers entries and operators from the replicated configuration. */
+import { randomUUID } from 'node:crypto';
 import type { Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import type { Change } from '@marigoldbank/fleet/changes';
@@ -9,8 +10,8 @@
 } from '@marigoldbank/fleet/ConfigStateMachine';
 import { makeListsPatch } from '@marigoldbank/fleet/lists-patch';
 import type { IReplicatedLog, Member } from '@marigoldbank/replicated-log';
-import { EntryReports } from './EntryReports.js';
-import { JoinQueue, needsToJoin } from './JoinQueue.js';
+import { CONTROL_OPERATOR, JoinQueue, needsToJoin } from './JoinQueue.js';
+import { LeaderTerm } from './LeaderTerm.js';
 import type {
   AuditPage,
   ChangeProgress,
@@ -30,12 +31,12 @@
 }
 
 export class ControlNode extends DisposableStore {
-  private readonly reports: EntryReports;
-
   private readonly joins: JoinQueue;
 
-  /** Term in which the reports were collected. */
-  private reportsTerm = 0;
+  private leaderTerm: LeaderTerm;
+
+  /** Epoch whose acceptance was proposed last. */
+  private proposedEpoch = 0;
 
   public constructor(
     public readonly clock: Clock,
@@ -43,7 +44,8 @@
     private readonly machine: ConfigStateMachine,
   ) {
     super();
-    this.reports = new EntryReports(clock);
+    this.leaderTerm = new LeaderTerm(clock, 0, []);
+    this.add(machine.onDidChange((config) => this.leaderTerm.commit(config)));
     this.joins = this.add(
       new JoinQueue(clock, (change) => {
         // A lost proposal is repeated by the entry's next poll.
@@ -56,17 +58,20 @@
   public async poll(report: EntryReport): Promise<PollOutcome> {
     const read = await this.log.confirmRead();
     if (read.kind === 'notLeader') return notLeader(read.leader);
-    this.dropReportsOfOldTerms();
-    this.reports.record(report);
+    const term = this.currentTerm();
     const { config } = this.machine;
+    term.record(config, report);
+    this.proposeAcceptedView(term);
     if (needsToJoin(config, report.entry)) this.joins.add(report.entry);
     return {
       kind: 'confirmed',
       committedRevision: config.revision,
-      acceptedRevision: this.reports.majorityRevision(config),
-      acceptedAgeMs: 0,
+      acceptedRevision: term.acceptedRevision,
+      acceptedAgeMs: term.acceptedAgeMs,
       update: this.updateFor(report),
-      currentEntries: this.reports.currentEntries(config),
+      currentEntries: term.currentEntries(config),
+      leaderTimeMs: Math.floor(this.clock.now()),
+      leaderTerm: term.term,
     };
   }
 
@@ -85,15 +90,8 @@
     const read = await this.log.confirmRead();
     if (read.kind === 'notLeader') return notLeader(read.leader);
     const { config } = this.machine;
-    const states = this.reports.states(config);
-    const missing = states.filter((state) => state.revision < revision);
-    return {
-      kind: 'progress',
-      isAccepted: this.reports.majorityRevision(config) >= revision,
-      entriesInForce: states.length - missing.length,
-      entriesTotal: states.length,
-      missing: missing.map((state) => state.record.vm),
-    };
+    const { isAccepted, inForce, total, missing } = this.currentTerm().progress(config, revision);
+    return { kind: 'progress', isAccepted, entriesInForce: inForce, entriesTotal: total, missing };
   }
 
   public async status(): Promise<FleetStatus | NotLeader> {
@@ -104,9 +102,9 @@
       kind: 'status',
       revision: config.revision,
       listsRevision: config.listsRevision,
-      acceptedRevision: this.reports.majorityRevision(config),
+      acceptedRevision: this.currentTerm().acceptedRevision,
       log: this.log.status(),
-      entries: this.reports.states(config),
+      entries: this.currentTerm().states(config),
     };
   }
 
@@ -159,10 +157,28 @@
     return changes === undefined ? { kind: 'config', config } : { kind: 'changes', changes };
   }
 
-  private dropReportsOfOldTerms(): void {
+  /** A new leader learns the reports of the entries again; only views not yet accepted are known from the log. */
+  private currentTerm(): LeaderTerm {
     const { term } = this.log.status();
-    if (term === this.reportsTerm) return;
-    this.reportsTerm = term;
-    this.reports.clear();
+    if (term !== this.leaderTerm.term) {
+      this.leaderTerm = new LeaderTerm(this.clock, term, this.machine.openViews);
+      this.proposedEpoch = 0;
+    }
+    return this.leaderTerm;
+  }
+
+  /** Records that the view is accepted, so that a later leader need not ask the majorities of older views. */
+  private proposeAcceptedView(term: LeaderTerm): void {
+    const { epoch } = this.machine.config.view;
+    const isAccepted = term.acceptedRevision >= this.machine.config.revision;
+    if (!isAccepted || this.machine.openViews.length === 0 || this.proposedEpoch >= epoch) return;
+    this.proposedEpoch = epoch;
+    this.propose({
+      kind: 'acceptView',
+      changeId: `accept-${randomUUID()}`,
+      operator: CONTROL_OPERATOR,
+      at: new Date().toISOString(),
+      epoch,
+    }).catch(() => undefined);
   }
 }
--- a/packages/daemon/src/control/EntryReports.ts
+++ b/packages/daemon/src/control/EntryReports.ts
@@ -1,4 +1,4 @@
-/** What the entries last reported to this leader, and which revision is accepted. */
+/** What the entries last reported to this leader. */
 import type { Clock } from '@marigoldbank/base/clock';
 import type { FleetConfig } from '@marigoldbank/fleet/config';
 import type { EntryReport, EntryState } from './types.js';
@@ -19,11 +19,6 @@
     this.reports.set(report.entry.vm, { ...report, at: this.clock.now() });
   }
 
-  /** Forgets all reports; a new leader learns them from the polls. */
-  public clear(): void {
-    this.reports.clear();
-  }
-
   public states(config: FleetConfig): EntryState[] {
     const now = this.clock.now();
     return config.view.entries.map((record) => {
@@ -39,15 +34,6 @@
     });
   }
 
-  /** Highest revision that a majority of the view has in force. */
-  public majorityRevision(config: FleetConfig): number {
-    const revisions = this.states(config)
-      .map((state) => state.revision)
-      .sort((a, b) => b - a);
-    const majority = Math.floor(revisions.length / 2) + 1;
-    return revisions.length === 0 ? config.revision : revisions[majority - 1]!;
-  }
-
   /** VMs whose report is recent and that take new callers. */
   public currentEntries(config: FleetConfig): string[] {
     return this.states(config)
--- a/packages/daemon/src/control/JoinQueue.ts
+++ b/packages/daemon/src/control/JoinQueue.ts
@@ -9,7 +9,7 @@
 const JOIN_BATCH_MS = 100;
 
 /** Operator name of changes that control makes by itself. */
-const CONTROL_OPERATOR = 'control';
+export const CONTROL_OPERATOR = 'control';
 
 function isSameEntry(a: EntryRecord, b: EntryRecord): boolean {
   return (
--- a/packages/daemon/src/control/config-routes.ts
+++ b/packages/daemon/src/control/config-routes.ts
@@ -39,6 +39,8 @@
     isDraining: req.isDraining,
     revision: Number(req.revision),
     needsWholeConfig: req.needsWholeConfig,
+    leaderTimeMs: Number(req.leaderTimeMs),
+    leaderTerm: Number(req.leaderTerm),
   };
 }
 
@@ -65,6 +67,8 @@
         acceptedRevision: BigInt(outcome.acceptedRevision),
         acceptedAgeMs: BigInt(Math.round(outcome.acceptedAgeMs)),
         currentEntries: [...outcome.currentEntries],
+        leaderTimeMs: BigInt(outcome.leaderTimeMs),
+        leaderTerm: BigInt(outcome.leaderTerm),
         ...toUpdateFields(outcome.update),
       },
     },
--- a/packages/daemon/src/control/operator-routes.ts
+++ b/packages/daemon/src/control/operator-routes.ts
@@ -23,7 +23,11 @@
 }
 
 /** Changes that only control itself may make. */
-const INTERNAL_KINDS: ReadonlySet<Change['kind']> = new Set(['joinEntries', 'patchLists']);
+const INTERNAL_KINDS: ReadonlySet<Change['kind']> = new Set([
+  'joinEntries',
+  'patchLists',
+  'acceptView',
+]);
 
 function parseChange(data: Uint8Array): Change {
   let json: unknown;
--- a/packages/daemon/src/control/types.ts
+++ b/packages/daemon/src/control/types.ts
@@ -12,6 +12,9 @@
   readonly revision: number;
   /** The entry has no configuration to apply changes to. */
   readonly needsWholeConfig: boolean;
+  /** Time and term of the leader's last answer to this entry; 0 if there was none. */
+  readonly leaderTimeMs: number;
+  readonly leaderTerm: number;
 }
 
 export interface NotLeader {
@@ -33,6 +36,8 @@
   readonly acceptedAgeMs: number;
   readonly update: ConfigUpdate;
   readonly currentEntries: readonly string[];
+  readonly leaderTimeMs: number;
+  readonly leaderTerm: number;
 }
 
 export type PollOutcome = PollConfirmed | NotLeader;
--- a/packages/daemon/src/controllers/CurrencyController.ts
+++ b/packages/daemon/src/controllers/CurrencyController.ts
@@ -1,15 +1,20 @@
 /** Keeps this entry current: polls control, and the peers while control does not answer. */
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
-import { DisposableStore } from '@marigoldbank/base/lifecycle';
+import { DisposableStore, type IDisposable } from '@marigoldbank/base/lifecycle';
 import { EMPTY_CONFIG, type EntryRecord } from '@marigoldbank/fleet/config';
+import { CurrencyTracker } from '@marigoldbank/fleet/CurrencyTracker';
 import type { Blackboard } from '../Blackboard.js';
+import type { PeerClient } from '../transport/PeerClient.js';
 import type { ConfigController } from './ConfigController.js';
 import type { ControlPoller } from './ControlPoller.js';
+import { PeerConfirmation } from './PeerConfirmation.js';
 
 const POLL_INTERVAL_MS = 500;
 
-/** An entry is current for this long after it sent a question that was answered. */
-export const CURRENCY_MS = 2_000;
+/** While a revision in force here is not accepted, the leader needs further reports. */
+const HASTY_POLL_INTERVAL_MS = 100;
+
+const FAILURES_BEFORE_PEERS = 2;
 
 export interface CurrencyControllerOptions {
   readonly clock: Clock;
@@ -18,63 +23,133 @@
   readonly incarnation: string;
   readonly config: ConfigController;
   readonly control: ControlPoller;
+  readonly peers: PeerClient;
+  /** Internal addresses asked for a view by an entry that has none. */
+  readonly knownAddresses: readonly string[];
 }
 
 export class CurrencyController extends DisposableStore {
+  private readonly tracker: CurrencyTracker;
+
+  private readonly confirmation: PeerConfirmation;
+
   private isPolling = false;
 
+  private failures = 0;
+
+  private hastyPoll: IDisposable | undefined;
+
+  private leaderTimeMs = 0;
+
+  private leaderTerm = 0;
+
   public constructor(private readonly options: CurrencyControllerOptions) {
     super();
-    this.add(setPeriodic(options.clock, () => this.startRound(), POLL_INTERVAL_MS));
+    const { clock, self, config, peers, knownAddresses } = options;
+    this.tracker = new CurrencyTracker(self.vm, clock);
+    this.confirmation = new PeerConfirmation({
+      self: self.vm,
+      tracker: this.tracker,
+      client: peers,
+      knownAddresses,
+      adopt: async (found) => {
+        await config.adopt(found);
+        this.trackConfig();
+      },
+      isDraining: () => this.isDraining,
+    });
+    this.trackConfig();
+    this.add(setPeriodic(clock, () => this.startRound(), POLL_INTERVAL_MS));
     this.startRound();
   }
 
+  public override dispose(): void {
+    this.hastyPoll?.dispose();
+    super.dispose();
+  }
+
+  private get isDraining(): boolean {
+    return this.options.blackboard.lifecycle.value === 'leaving';
+  }
+
   private startRound(): void {
-    if (this.isPolling) return;
+    if (this.isPolling || this.isDisposed) return;
     this.isPolling = true;
     this.runRound()
       .catch(() => undefined)
       .finally(() => {
         this.isPolling = false;
+        this.pollHastily();
       });
   }
 
+  private pollHastily(): void {
+    const { clock, blackboard, config } = this.options;
+    this.hastyPoll?.dispose();
+    this.hastyPoll = undefined;
+    const isAccepted = blackboard.currency.value.acceptedRevision >= config.revision;
+    if (isAccepted || this.failures > 0) return;
+    this.hastyPoll = clock.setTimeout(() => this.startRound(), HASTY_POLL_INTERVAL_MS);
+  }
+
   private async runRound(): Promise<void> {
-    const before = this.options.config.revision;
-    await this.pollControl();
-    // Reports a new revision at once, so that its acceptance does not wait for the next round.
-    if (this.options.config.revision !== before) await this.pollControl();
+    const asksPeers = this.failures >= FAILURES_BEFORE_PEERS;
+    const [isConfirmed] = await Promise.all([
+      this.pollControl(),
+      asksPeers ? this.askPeers() : undefined,
+    ]);
+    this.failures = isConfirmed ? 0 : this.failures + 1;
   }
 
+  /** Path A. Resolves to whether the leader answered. */
   private async pollControl(): Promise<boolean> {
-    const { clock, config, control, blackboard, self, incarnation } = this.options;
-    const askedAt = clock.now();
+    const { config, control, blackboard, self, incarnation } = this.options;
+    const poll = this.tracker.beginControlPoll();
     const answer = await control.poll({
       entry: self,
       incarnation,
-      isDraining: blackboard.lifecycle.value === 'leaving',
+      isDraining: this.isDraining,
       revision: config.revision,
       needsWholeConfig: config.config === undefined,
+      leaderTimeMs: this.leaderTimeMs,
+      leaderTerm: this.leaderTerm,
     });
     if (answer === undefined) return false;
+    this.leaderTimeMs = answer.leaderTimeMs;
+    this.leaderTerm = answer.leaderTerm;
     if (answer.config !== undefined) await config.adopt(answer.config);
     // A new fleet: holders of claims start from the empty view and have nothing to recover.
     if (answer.committedRevision === 0) await config.adopt(EMPTY_CONFIG);
     if (answer.changes.length > 0) {
       await config.adoptChanges(answer.changes, answer.committedRevision);
     }
-    if (config.revision < answer.committedRevision) return false;
+    this.trackConfig();
+    this.tracker.acceptControlAnswer(poll, answer.committedRevision);
     blackboard.peers.set({ current: answer.currentEntries });
-    blackboard.currency.set({
-      currentUntil: this.isRemoved() ? -Infinity : askedAt + CURRENCY_MS,
-      source: 'control',
-      acceptedRevision: answer.acceptedRevision,
-    });
+    this.publish(answer.acceptedRevision);
     return true;
   }
 
-  private isRemoved(): boolean {
-    const { config, self } = this.options;
-    return config.config?.removedEntries.includes(self.vm) ?? false;
+  /** Path B. */
+  private async askPeers(): Promise<void> {
+    const found = await this.confirmation.run();
+    this.options.blackboard.peers.set({ current: found.current });
+    this.publish(found.acceptedRevision);
+  }
+
+  /** The section is set first: budgets adopt a view before it can renew currency. */
+  private trackConfig(): void {
+    const { config } = this.options.config;
+    if (config !== undefined) this.tracker.adopt(config);
+  }
+
+  private publish(acceptedRevision: number): void {
+    const { blackboard } = this.options;
+    const known = blackboard.currency.value.acceptedRevision;
+    blackboard.currency.set({
+      currentUntil: this.tracker.currentUntil,
+      source: this.tracker.source,
+      acceptedRevision: Math.max(known, acceptedRevision),
+    });
   }
 }
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -30,6 +30,10 @@
     .array(z.strictObject({ vm: z.string().min(1), address: addressSchema }))
     .min(1)
     .describe('Control VMs with their internal addresses'),
+  peers: z
+    .array(addressSchema)
+    .default([])
+    .describe('Internal addresses of a few entries, asked after a restart while control is away'),
   bootstrap: z
     .boolean()
     .default(false)
--- a/packages/daemon/src/transport/ConfigClient.ts
+++ b/packages/daemon/src/transport/ConfigClient.ts
@@ -16,6 +16,9 @@
   readonly isDraining: boolean;
   readonly revision: number;
   readonly needsWholeConfig: boolean;
+  /** Of the last confirmed answer, 0 if there was none. */
+  readonly leaderTimeMs: number;
+  readonly leaderTerm: number;
 }
 
 export type ControlAnswer =
@@ -27,6 +30,8 @@
       readonly currentEntries: readonly string[];
       readonly changes: readonly Change[];
       readonly config: FleetConfig | undefined;
+      readonly leaderTimeMs: number;
+      readonly leaderTerm: number;
     }
   | { readonly kind: 'notLeader'; readonly leaderAddress: string | undefined };
 
@@ -43,6 +48,8 @@
     acceptedRevision: Number(message.acceptedRevision),
     acceptedAgeMs: Number(message.acceptedAgeMs),
     currentEntries: message.currentEntries,
+    leaderTimeMs: Number(message.leaderTimeMs),
+    leaderTerm: Number(message.leaderTerm),
     changes: message.changes.map((change) => changeSchema.parse(parseJson(change))),
     config:
       message.config.length === 0 ? undefined : fleetConfigSchema.parse(parseJson(message.config)),
@@ -55,7 +62,12 @@
   /** Rejects if no usable answer comes. */
   public async poll(address: string, poll: ControlPoll): Promise<ControlAnswer> {
     const client = this.channels.client(ConfigService, address);
-    const message = { ...poll, revision: BigInt(poll.revision) };
+    const message = {
+      ...poll,
+      revision: BigInt(poll.revision),
+      leaderTimeMs: BigInt(poll.leaderTimeMs),
+      leaderTerm: BigInt(poll.leaderTerm),
+    };
     const { result } = await client.poll(message, { timeoutMs: CALL_TIMEOUT_MS });
     if (result.case === 'confirmed') return toConfirmed(result.value);
     const leaderAddress = result.case === 'notLeader' ? result.value.leaderAddress : '';
--- a/packages/daemon/src/transport/PeerClient.ts
+++ b/packages/daemon/src/transport/PeerClient.ts
@@ -16,6 +16,7 @@
   readonly revision: number;
   readonly isDraining: boolean;
   readonly acceptedRevision: number;
+  readonly isCurrent: boolean;
 }
 
 export class PeerClient {
@@ -32,6 +33,7 @@
       revision: Number(res.revision),
       isDraining: res.isDraining,
       acceptedRevision: Number(res.acceptedRevision),
+      isCurrent: res.isCurrent,
     };
   }
 
--- a/packages/daemon/src/transport/peer-routes.ts
+++ b/packages/daemon/src/transport/peer-routes.ts
@@ -23,6 +23,7 @@
   readonly coordinate: (req: CoordinateRequest) => CoordinateResponse;
   readonly budgets: IFleetBudgets;
   readonly claims: IClaimRegistry;
+  readonly isCurrent: () => boolean;
   readonly onAnnouncements: (announcements: readonly Announcement[]) => void;
 }
 
@@ -40,6 +41,7 @@
       revision: BigInt(blackboard.config.value?.config.revision ?? 0),
       isDraining: isLeaving(blackboard),
       acceptedRevision: BigInt(blackboard.currency.value.acceptedRevision),
+      isCurrent: handlers.isCurrent(),
     }),
     fetchConfig: (req) => {
       const config = blackboard.config.value?.config;
--- a/packages/fleet/src/ConfigStateMachine.ts
+++ b/packages/fleet/src/ConfigStateMachine.ts
@@ -1,4 +1,5 @@
 /** The replicated state machine of the configuration. */
+import { Emitter, type Event } from '@marigoldbank/base/events';
 import { StateMachine } from '@marigoldbank/replicated-log';
 import { z } from 'zod';
 import { applyChange, type Effect } from './apply-change.js';
@@ -10,7 +11,13 @@
   type Change,
   type ChangeResult,
 } from './changes.js';
-import { EMPTY_CONFIG, fleetConfigSchema, type FleetConfig } from './config.js';
+import {
+  EMPTY_CONFIG,
+  fleetConfigSchema,
+  viewSchema,
+  type FleetConfig,
+  type FleetView,
+} from './config.js';
 import { describeChange } from './describe-change.js';
 
 /** Results kept for resent changes. At 16,000 changes a day this covers three days. */
@@ -32,6 +39,7 @@
   config: fleetConfigSchema,
   results: z.array(z.tuple([z.string(), changeResultSchema])),
   listChanges: z.array(listChangeSchema),
+  openViews: z.array(viewSchema),
   audit: z.array(auditRecordSchema),
 });
 
@@ -70,6 +78,11 @@
 
 /** Applies changes to the configuration, remembers their results and keeps the audit trail. */
 export class ConfigStateMachine extends StateMachine {
+  private readonly changeEmitter = new Emitter<FleetConfig>();
+
+  /** Fires after each revision, in order. */
+  public readonly onDidChange: Event<FleetConfig> = this.changeEmitter.event;
+
   private current: FleetConfig = EMPTY_CONFIG;
 
   /** Results by change id, oldest first. */
@@ -81,6 +94,8 @@
 
   private trail = new AuditTrail();
 
+  private earlierViews: readonly FleetView[] = [];
+
   public get config(): FleetConfig {
     return this.current;
   }
@@ -89,6 +104,11 @@
     return this.trail;
   }
 
+  /** Views before the current one that no accepted view has replaced, oldest first. */
+  public get openViews(): readonly FleetView[] {
+    return this.earlierViews;
+  }
+
   /** The result of a change that was already applied. */
   public resultOf(changeId: string): ChangeResult | undefined {
     return this.results.get(changeId);
@@ -118,6 +138,7 @@
       config: this.current,
       results: [...this.results],
       listChanges: this.listChanges,
+      openViews: this.earlierViews,
       audit: this.trail.records,
     });
   }
@@ -127,6 +148,7 @@
     this.current = state.config;
     this.results = new Map(state.results);
     this.listChanges = state.listChanges;
+    this.earlierViews = state.openViews;
     this.recorded = [];
     this.trail = new AuditTrail(state.audit);
   }
@@ -134,6 +156,7 @@
   private applyNew(change: Change): ChangeResult {
     const effect = applyChange(this.current, change);
     const summary = describeChange(change);
+    if (change.kind === 'acceptView') this.closeViews(change.epoch);
     if (effect.kind === 'changed') this.adopt(change, effect, summary);
     const result = this.toResult(change, effect);
     this.rememberResult(change.changeId, result);
@@ -154,15 +177,25 @@
     effect: Extract<Effect, { kind: 'changed' }>,
     summary: string,
   ): void {
+    const before = this.current.view;
     this.current = effect.config;
+    if (before.epoch !== effect.config.view.epoch) {
+      this.earlierViews = [...this.earlierViews, before];
+    }
     const { revision } = effect.config;
     this.recorded.push({ revision, change });
     if (this.recorded.length > MAX_KEPT_CHANGES) this.recorded.shift();
+    this.changeEmitter.fire(effect.config);
     if (!effect.isListsChange) return;
     this.listChanges.push({ revision, operator: change.operator, summary });
     if (this.listChanges.length > MAX_KEPT_LIST_CHANGES) this.listChanges.shift();
   }
 
+  /** An accepted view replaces all before it. */
+  private closeViews(epoch: number): void {
+    this.earlierViews = this.earlierViews.filter((view) => view.epoch >= epoch);
+  }
+
   private toResult(change: Change, effect: Effect): ChangeResult {
     switch (effect.kind) {
       case 'changed':
--- a/packages/fleet/src/apply-change.ts
+++ b/packages/fleet/src/apply-change.ts
@@ -190,6 +190,8 @@
         before,
         change.entries.filter((entry) => !before.removedEntries.includes(entry.vm)),
       );
+    case 'acceptView':
+      return UNCHANGED;
     case 'removeEntry':
       return removeEntry(before, change.vm);
     case 'setEntryDraining':
--- a/packages/fleet/src/changes.ts
+++ b/packages/fleet/src/changes.ts
@@ -53,6 +53,8 @@
   z.object({ kind: z.literal('addEntry'), ...header, entry: entryRecordSchema }),
   /** Sent by the leader for VMs that poll for the first time; refused for removed VMs. */
   z.object({ kind: z.literal('joinEntries'), ...header, entries: z.array(entryRecordSchema) }),
+  /** Sent by the leader once a majority of the view with this epoch has it in force. Changes no revision. */
+  z.object({ kind: z.literal('acceptView'), ...header, epoch: z.number().int() }),
   z.object({ kind: z.literal('removeEntry'), ...header, vm: z.string() }),
   z.object({
     kind: z.literal('setEntryDraining'),
--- a/packages/fleet/src/describe-change.ts
+++ b/packages/fleet/src/describe-change.ts
@@ -37,6 +37,8 @@
       return `entry ${change.entry.vm} added`;
     case 'joinEntries':
       return `entries joined or moved: ${change.entries.map((entry) => entry.vm).join(', ')}`;
+    case 'acceptView':
+      return `view ${change.epoch} accepted`;
     case 'removeEntry':
       return `entry ${change.vm} removed`;
     case 'setEntryDraining':
