--- a/packages/replicated-log/src/DurableWriter.ts
+++ b/packages/replicated-log/src/DurableWriter.ts
@@ -48,6 +48,8 @@
 
   private current: Deferred | undefined;
 
+  private isRunning = false;
+
   private stopped: StoppedError | undefined;
 
   public constructor(
@@ -106,7 +108,8 @@
   private ensureBatch(): void {
     if (this.stopped !== undefined || this.next !== undefined) return;
     this.next = createDeferred();
-    if (this.current === undefined) {
+    if (!this.isRunning) {
+      this.isRunning = true;
       this.run().catch((err: unknown) => this.fail(err));
     }
   }
@@ -122,6 +125,7 @@
       this.current = undefined;
       this.durableEmitter.fire();
     }
+    this.isRunning = false;
   }
 
   private async writeBatch(): Promise<void> {
--- a/packages/replicated-log/src/FakeNetwork.ts
+++ b/packages/replicated-log/src/FakeNetwork.ts
@@ -28,7 +28,7 @@
 
 /** Delivers messages between addresses after a random delay, unless they are lost. */
 export class FakeNetwork {
-  public faults: NetworkFaults = PERFECT_NETWORK;
+  private faults: NetworkFaults = PERFECT_NETWORK;
 
   private readonly handlers = new Map<string, MessageHandler>();
 
@@ -42,6 +42,10 @@
     private readonly random: Random,
   ) {}
 
+  public setFaults(faults: NetworkFaults): void {
+    this.faults = faults;
+  }
+
   public attach(address: string, handler: MessageHandler): void {
     this.handlers.set(address, handler);
   }
--- a/packages/replicated-log/src/MemoryLog.ts
+++ b/packages/replicated-log/src/MemoryLog.ts
@@ -81,6 +81,11 @@
     return this.entryAt(index)?.term;
   }
 
+  /** Whether the entries from `index` on and the term of the one before are known. */
+  public canContinueFrom(index: number): boolean {
+    return index >= this.firstIndex && this.termAt(index - 1) !== undefined;
+  }
+
   public entryAt(index: number): LogEntry | undefined {
     return this.entries[index - this.firstIndex];
   }
--- a/packages/replicated-log/src/Replicator.ts
+++ b/packages/replicated-log/src/Replicator.ts
@@ -30,6 +30,9 @@
 
   private nextIndex: number;
 
+  /** Whether the member has not yet confirmed that its log matches up to `nextIndex`. */
+  private isProbing = true;
+
   private outstanding: { readonly sentAt: number } | undefined;
 
   private transfer: SnapshotTransfer | undefined;
@@ -78,8 +81,8 @@
       return;
     }
     const last = Math.min(this.ctx.state.log.lastIndex, this.withheldFrom - 1);
-    if (this.nextIndex > last) return;
-    if (this.ctx.state.log.termAt(this.nextIndex - 1) === undefined) {
+    if (this.nextIndex > last && !this.isProbing) return;
+    if (!this.ctx.state.log.canContinueFrom(this.nextIndex)) {
       this.startTransfer();
       return;
     }
@@ -125,7 +128,7 @@
       .then((res) => {
         if (this.outstanding === sent) this.outstanding = undefined;
         if (!this.accept(res, sent.sentAt, sequence)) return;
-        this.onAppendAnswer(res, previousIndex + entries.length);
+        if (isOutstanding) this.onAppendAnswer(res, previousIndex + entries.length);
       })
       .catch(() => {
         if (this.outstanding === sent) this.outstanding = undefined;
@@ -133,6 +136,7 @@
   }
 
   private onAppendAnswer(res: AppendEntriesResponse, sentTo: number): void {
+    this.isProbing = !res.success;
     if (res.success) {
       const matchIndex = Math.min(res.matchIndex, sentTo);
       this.nextIndex = Math.max(this.nextIndex, matchIndex + 1);
@@ -194,6 +198,7 @@
     if (end === snapshot.data.length) {
       this.transfer = undefined;
       this.nextIndex = snapshot.index + 1;
+      this.isProbing = false;
       this.raiseMatch(snapshot.index);
     } else {
       this.transfer = { snapshot, offset: end };
--- /dev/null
+++ b/packages/replicated-log/src/simulation/UnsyncedStorage.ts
@@ -0,0 +1,18 @@
+/** Storage for tests that acknowledges writes while they are still in a cache that a crash empties. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { Random } from '@marigoldbank/base/random';
+import type { MemoryDisk } from '../MemoryDisk.js';
+import { MemoryLogStorage } from '../MemoryLogStorage.js';
+
+const CACHE_FLUSH_MS = 500;
+
+export class UnsyncedStorage extends MemoryLogStorage {
+  public constructor(disk: MemoryDisk, clock: Clock, random: Random) {
+    super(disk, clock, random, CACHE_FLUSH_MS);
+  }
+
+  protected override write(steps: (() => void)[]): Promise<void> {
+    super.write(steps).catch(() => {});
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/replicated-log/src/simulation/scenarios.test.ts
@@ -0,0 +1,158 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { ELECTION_TIMEOUT_MAX_MS } from '../constants.js';
+import { includesMember } from '../quorum.js';
+import type { ReplicatedLog } from '../ReplicatedLog.js';
+import type { MembershipOutcome } from '../types.js';
+import { SimulatedGroup } from './SimulatedGroup.js';
+import type { SimulatedVm } from './SimulatedVm.js';
+
+const LIMIT_MS = 20_000;
+
+const STRANGER = { vm: 'vm-9', incarnation: 'vm-9-1', address: 'vm-9:1' };
+
+async function startGroup(seed: number, vms = 3): Promise<SimulatedGroup> {
+  const group = new SimulatedGroup({ seed, vms });
+  group.startAll();
+  await group.runUntil(() => (group.isRepaired ? true : undefined), LIMIT_MS);
+  return group;
+}
+
+/** Runs the group until the promise settles. */
+async function settle<T>(group: SimulatedGroup, promise: Promise<T>): Promise<T | undefined> {
+  const results: T[] = [];
+  promise.then((value) => results.push(value)).catch(() => {});
+  return group.runUntil(() => results[0], LIMIT_MS);
+}
+
+function leaderOf(group: SimulatedGroup): { vm: SimulatedVm; log: ReplicatedLog } {
+  const vm = group.leader!;
+  return { vm, log: vm.running! };
+}
+
+function followersOf(group: SimulatedGroup): SimulatedVm[] {
+  return group.vms.filter((vm) => vm !== group.leader);
+}
+
+async function replaceLost(group: SimulatedGroup): Promise<void> {
+  const end = group.clock.now() + LIMIT_MS;
+  while (group.clock.now() < end && !group.isRepaired) {
+    group.repairStep().catch(() => {});
+    await group.run(100);
+  }
+}
+
+function cutOff(group: SimulatedGroup, vm: SimulatedVm): void {
+  group.vms.forEach((other) => {
+    group.network.block(vm.address, other.address);
+    group.network.block(other.address, vm.address);
+  });
+}
+
+describe('a group', () => {
+  it('keeps a wiped founder with `bootstrap` still set out until it is added as a learner', async () => {
+    const group = await startGroup(1);
+    const { log } = leaderOf(group);
+    const wiped = followersOf(group)[0]!;
+    wiped.wipe();
+    wiped.start();
+    await group.run(LIMIT_MS);
+    const status = wiped.running!.status();
+    expect(status.role).toEqual('follower');
+    expect(status.membership.voters).toEqual([]);
+    expect(wiped.disk.vote.votedFor).toEqual('');
+    const { membership } = log.status();
+    expect(includesMember(membership.voters, wiped.member)).toEqual(false);
+    await replaceLost(group);
+    expect(group.isRepaired).toEqual(true);
+  });
+
+  it('loses nothing when a second VM is lost right after a replacement', async () => {
+    const group = await startGroup(2);
+    const writing = Array.from({ length: 100 }, () => group.propose(leaderOf(group).log));
+    await settle(group, Promise.all(writing));
+    followersOf(group)[0]!.wipe();
+    group.startAll();
+    await replaceLost(group);
+    leaderOf(group).vm.wipe();
+    group.startAll();
+    await group.runUntil(() => (group.leader ? true : undefined), LIMIT_MS);
+    await replaceLost(group);
+    await group.run(1_000);
+    expect(group.isRepaired).toEqual(true);
+    group.vms.forEach(({ journal }) => group.history.checkComplete(journal.commands));
+    expect(group.history.violations).toEqual([]);
+    expect(group.history.acknowledgedCount).toEqual(100);
+  });
+
+  it('has no leader in either half of an even split, and no two afterwards', async () => {
+    const group = await startGroup(3, 4);
+    const inside = group.vms.slice(0, 2);
+    inside.forEach((a) =>
+      group.vms.slice(2).forEach((b) => {
+        group.network.block(a.address, b.address);
+        group.network.block(b.address, a.address);
+      }),
+    );
+    await group.run(10 * ELECTION_TIMEOUT_MAX_MS);
+    expect(group.leader).toEqual(undefined);
+    group.heal();
+    await group.runUntil(() => group.leader && true, LIMIT_MS);
+    expect(group.history.violations).toEqual([]);
+  });
+
+  it('makes a leader without a majority answer `notLeader` after an election timeout', async () => {
+    const group = await startGroup(4);
+    const { vm, log } = leaderOf(group);
+    cutOff(group, vm);
+    const read = group.read(log);
+    // Simulated clocks run at 0.3 times the true rate at the slowest.
+    await group.run(ELECTION_TIMEOUT_MAX_MS / 0.3);
+    expect(log.status().role === 'leader').toEqual(false);
+    expect(await settle(group, read)).toEqual('notLeader');
+    expect(await settle(group, group.propose(log))).toEqual('notLeader');
+  });
+
+  it('rejects a second change of membership until the first is committed', async () => {
+    const group = await startGroup(5);
+    const { log } = leaderOf(group);
+    const first = log.addLearner(STRANGER);
+    const second = log.removeMember(followersOf(group)[0]!.vm, 'unknown');
+    const outcomes = await settle<MembershipOutcome[]>(group, Promise.all([first, second]));
+    expect(outcomes?.map(({ kind }) => kind)).toEqual(['committed', 'rejected']);
+  });
+
+  it('promotes no learner that it cannot reach', async () => {
+    const group = await startGroup(6);
+    const { log } = leaderOf(group);
+    await settle(group, log.addLearner(STRANGER));
+    const outcome = await settle(group, log.promoteLearner(STRANGER.vm));
+    expect(outcome?.kind).toEqual('rejected');
+  });
+
+  it('lets a removed leader step down after its removal, which never leads again', async () => {
+    const group = await startGroup(7);
+    const { vm, log } = leaderOf(group);
+    const outcome = await settle(group, log.removeMember(vm.vm, vm.member.incarnation));
+    expect(outcome?.kind).toEqual('committed');
+    await group.run(LIMIT_MS);
+    expect(log.status().role).toEqual('follower');
+    expect(group.leader === undefined || group.leader === vm).toEqual(false);
+  });
+
+  it('ignores messages to another incarnation, whatever their term', async () => {
+    const group = await startGroup(8);
+    const follower = followersOf(group)[0]!.running!;
+    const { term } = follower.status();
+    const res = await follower.handleRequestVote({
+      candidate: STRANGER,
+      term: term + 10,
+      lastIndex: 1_000,
+      lastTerm: term + 9,
+      isPreVote: false,
+      toIncarnation: 'another',
+    });
+    expect(res).toEqual({ term: 0, granted: false });
+    expect(follower.status().term).toEqual(term);
+  });
+});
