Limit an entry's outstanding requests over all targets by the fleet's load

Cause: with one team at five times its rate the limits per target oscillated: each entry cut them on load figures 250 ms old and raised them on each success, 25% of the attempts were shed, and the retry budget could not make up for it. Change: limits follow the ratio of the aimed to the reported load with an exponent below 1; a second limit of the same kind covers all targets of a service and meets the other entries' under contention; a limit stays near what is used; successes raise it only at a low fleet load. A request that is cancelled counts as failed only if it took over three times as long as usual, since deadlines that pass after a wait in the queue had targets ejected.

--- a/packages/bench/src/experiments/EntryModel.ts
+++ b/packages/bench/src/experiments/EntryModel.ts
@@ -208,7 +208,7 @@
       this.afterAttempt(attempted, lease.target, answer, 2 * networkMs);
     };
     const timer = clock.setTimeout(
-      () => finish({ outcome: 'failed', serviceMs: 0 }),
+      () => finish({ outcome: 'cancelled', serviceMs: 0 }),
       req.deadlineAt - sentAt,
     );
     const answerLater = (answer: TargetAnswer): void => {
--- a/packages/bench/src/experiments/FakeTarget.ts
+++ b/packages/bench/src/experiments/FakeTarget.ts
@@ -1,12 +1,12 @@
 /** Fake of an upstream: slots, a short queue, shed answers, and faults. */
 import type { Clock } from '@marigoldbank/base/clock';
 import type { Random } from '@marigoldbank/base/random';
-import type { Announcement, AnnouncedState } from '@marigoldbank/ejection';
+import type { Announcement, AnnouncedState, AttemptOutcome } from '@marigoldbank/ejection';
 import type { Deployment } from './deployments.js';
 
 /** What an attempt got from the target. */
 export interface TargetAnswer {
-  readonly outcome: 'succeeded' | 'failed' | 'shed' | 'connectionLost';
+  readonly outcome: AttemptOutcome;
   /** Time for which the request ran. */
   readonly serviceMs: number;
 }
@@ -42,6 +42,9 @@
 
   public fault: Fault = {};
 
+  /** Factor on the service time that is the same for all targets and no fault. */
+  public paceFactor = 1;
+
   /** End of the time in which an ejection of the target is justified. */
   public faultyUntil = Number.NEGATIVE_INFINITY;
 
@@ -141,7 +144,8 @@
     const { slow = 1, failRate = 0 } = this.fault;
     const cold = now < this.coldUntil ? COLD_FACTOR : 1;
     const { serviceMedianMs, serviceSigma } = this.deployment;
-    const workMs = this.random.logNormal(serviceMedianMs, serviceSigma) * slow * cold;
+    const workMs =
+      this.random.logNormal(serviceMedianMs, serviceSigma) * slow * cold * this.paceFactor;
     const serviceMs = workMs + Math.max(0, this.stalledUntil - now);
     const isFailure = this.random.chance(Math.max(failRate, HEALTHY_FAIL_RATE));
     const outcome = isFailure ? 'failed' : 'succeeded';
--- a/packages/bench/src/experiments/scenarios.ts
+++ b/packages/bench/src/experiments/scenarios.ts
@@ -26,6 +26,12 @@
 /** Leaves about a fifth of the targets out or cold at a time. */
 const DRAIN_GAP_MS = 2_000;
 
+/** Requests/s that the slots can serve in the scenarios with a greedy team. */
+const OVERLOADED_CAPACITY = 3_000;
+
+/** Mean over median of the log-normal service time with sigma 0.5. */
+const MEAN_TO_MEDIAN = 1.13;
+
 const GREEDY = 'large-2';
 const RATE_FACTOR = 5;
 
@@ -41,10 +47,9 @@
 /** Each target is slower, so that the greedy team alone can fill the slots. */
 function shrinkCapacity(fleet: FleetModel): void {
   const { targets, slots, serviceMedianMs } = fleet.deployment;
-  const wanted = (targets * slots * 1_000) / 3_000;
-  fleet.targets.forEach((target) =>
-    Object.assign(target, { fault: { slow: wanted / serviceMedianMs / 1.13 } }),
-  );
+  const wantedMs = (targets * slots * 1_000) / OVERLOADED_CAPACITY;
+  const paceFactor = wantedMs / serviceMedianMs / MEAN_TO_MEDIAN;
+  fleet.targets.forEach((target) => Object.assign(target, { paceFactor }));
 }
 
 function flap(fleet: FleetModel, target: FakeTarget, periodMs: number, times: number): void {
@@ -266,8 +271,7 @@
       shrinkCapacity(fleet);
       overload(fleet);
       const [gray] = lastTargets(fleet, 0);
-      const slow = 8 * (gray!.fault.slow ?? 1);
-      fleet.at(FAULT_AT_MS, () => fleet.startFault(gray!, { slow, failRate: 0.2 }));
+      fleet.at(FAULT_AT_MS, () => fleet.startFault(gray!, { slow: 8, failRate: 0.2 }));
     },
   },
   {
--- a/packages/ejection/src/LocalLimit.ts
+++ b/packages/ejection/src/LocalLimit.ts
@@ -1,23 +1,38 @@
-/** Limit of one entry's outstanding requests at one target. */
+/** Limit of one entry's outstanding requests at one target, or at all of them. */
 import type { Random } from '@marigoldbank/base/random';
 import { LEAST_LIMIT } from './constants.js';
 
 /** Limit of a target that starts cold: a quarter of an entry's request at a time. */
 const COLD_LIMIT = 0.25;
 
-const SHED_FACTOR = 0.7;
+const SHED_FACTOR = 0.9;
 
-/** Growth per success: multiplicative below 1, additive above. */
-const GROWTH_FACTOR = 1.05;
-const GROWTH_STEP = 0.05;
+/** Requests outstanding over the fleet, per slot, that the entries aim at; above 1 so that no slot waits for one. */
+export const AIMED_LOAD = 1.15;
 
-/** Share of the slots in use over the fleet above which entries reduce, and below which they raise their limits. */
-const HIGH_LOAD = 1.1;
-const LOW_LOAD = 0.9;
+const LOAD_SMOOTHING = 0.5;
 
-const LOAD_SMOOTHING = 0.3;
-const LARGEST_REDUCTION = 0.7;
-const LOW_LOAD_GROWTH = 0.25;
+/** Bounds of the correction per update, and the exponent that keeps the delayed loop from oscillating. */
+const LEAST_CORRECTION = 0.5;
+const MOST_CORRECTION = 1.5;
+const CORRECTION_EXPONENT = 0.5;
+
+/** Load per slot below which every success raises the limit, so that an entry can take over traffic at once. */
+const LOW_LOAD = 0.7;
+
+/** Growth per success at a low load: relative below 1, absolute above. */
+const LOW_LOAD_GROWTH = { relative: 0.25, absolute: 1 };
+
+/** Growth per update that evens out the limits of the entries. */
+const EVEN_GROWTH = 0.02;
+
+/** Share of the distance to the fair limit that a limit moves per update under contention. */
+const PULL = 0.2;
+
+/** A limit stays near what the entry uses, so that a sudden overload does not meet the sum of unused limits. */
+const HEADROOM_FACTOR = 2;
+const HEADROOM = 1;
+const USE_FADING = 0.9;
 
 /**
  * The slots of a target are shared by all entries, so a limit adapts to shed answers and to the fleet's load. A limit
@@ -28,6 +43,9 @@
 
   private load = 0;
 
+  /** Most requests outstanding lately. */
+  private used = 1;
+
   private pausedUntilValue = 0;
 
   public constructor(
@@ -52,27 +70,46 @@
     return outstanding < Math.max(1, Math.floor(this.limit)) && now >= this.pausedUntilValue;
   }
 
+  /** A request starts; `outstanding` includes it. */
+  public onUse(outstanding: number): void {
+    this.used = Math.max(this.used, outstanding);
+  }
+
   public onShed(latencyMs: number, now: number): void {
-    this.limit = Math.max(LEAST_LIMIT, this.limit * SHED_FACTOR);
+    this.reduce();
     this.pause(latencyMs * Math.max(0.5, 1 / this.limit - 1), now);
   }
 
+  public reduce(): void {
+    this.limit = Math.max(LEAST_LIMIT, this.limit * SHED_FACTOR);
+  }
+
   public onSuccess(latencyMs: number, now: number): void {
-    const { limit } = this;
-    const grown = limit < 1 ? Math.min(1, limit * GROWTH_FACTOR) : limit + GROWTH_STEP;
-    if (this.load < LOW_LOAD * this.slots) this.limit = Math.min(this.slots, grown);
+    if (this.load < LOW_LOAD * this.slots) {
+      const { relative, absolute } = LOW_LOAD_GROWTH;
+      const growth = this.limit < 1 ? relative * this.limit : absolute;
+      this.limit = Math.max(this.limit, Math.min(this.most(), this.limit + growth));
+    }
     if (this.limit < 1) this.pause(latencyMs * (1 / this.limit - 1), now);
   }
 
-  /** Adopts the requests outstanding at the target over the fleet. */
-  public onFleetLoad(fleetOutstanding: number): void {
+  /**
+   * Adopts the requests outstanding over the fleet.
+   * @param fairLimit the limit if all entries had the same
+   */
+  public onFleetLoad(fleetOutstanding: number, fairLimit?: number): void {
     this.load += LOAD_SMOOTHING * (fleetOutstanding - this.load);
-    if (this.load > HIGH_LOAD * this.slots) {
-      const factor = Math.max(LARGEST_REDUCTION, (HIGH_LOAD * this.slots) / this.load);
-      this.limit = Math.max(LEAST_LIMIT, this.limit * factor);
-    } else if (this.load < LOW_LOAD * this.slots) {
-      this.limit = Math.min(this.slots, this.limit + LOW_LOAD_GROWTH);
-    }
+    this.used *= USE_FADING;
+    const ratio = (AIMED_LOAD * this.slots) / Math.max(1, this.load);
+    const bounded = Math.min(MOST_CORRECTION, Math.max(LEAST_CORRECTION, ratio));
+    const corrected = this.limit * bounded ** CORRECTION_EXPONENT + EVEN_GROWTH;
+    // Under contention the limits of the entries approach each other, or unlucky entries would starve their callers.
+    const pull = ratio < 1 && fairLimit !== undefined ? PULL * (fairLimit - this.limit) : 0;
+    this.limit = Math.max(LEAST_LIMIT, Math.min(corrected + pull, this.most()));
+  }
+
+  private most(): number {
+    return Math.min(this.slots, HEADROOM_FACTOR * this.used + HEADROOM);
   }
 
   /** The pause is spread, so that entries that were refused together do not return together. */
--- a/packages/ejection/src/TargetPool.ts
+++ b/packages/ejection/src/TargetPool.ts
@@ -6,6 +6,7 @@
 import { TOMBSTONE_MS } from './constants.js';
 import { FingerprintBook } from './FingerprintBook.js';
 import { leastInRotation } from './floor.js';
+import { AIMED_LOAD, LocalLimit } from './LocalLimit.js';
 import { OpenList } from './OpenList.js';
 import { TargetState, type TargetRole } from './TargetState.js';
 import type {
@@ -70,6 +71,11 @@
 
   private candidates = 0;
 
+  private outstanding = 0;
+
+  /** Limit over all targets: a shed answer of one tells that the others may be busy too. */
+  private readonly window: LocalLimit;
+
   private typicalLatencyMs = DEFAULT_LATENCY_MS;
 
   private isReporterSuspected = false;
@@ -78,6 +84,7 @@
 
   public constructor(private readonly options: TargetPoolOptions) {
     this.fingerprints = new FingerprintBook(options.clock);
+    this.window = new LocalLimit(Number.MAX_SAFE_INTEGER, false, options.random);
   }
 
   public update(res: CoordinateResponse, askedAt: number): void {
@@ -90,12 +97,14 @@
     this.fingerprints.adopt(res);
     this.isReporterSuspected = res.suspectedReporters.includes(this.options.entry);
     this.compile();
+    this.updateWindow();
     this.capacityEmitter.fire();
   }
 
   public tryChoose(req: ChooseRequest): TargetLease | undefined {
     const now = this.options.clock.now();
     this.compileIfStale(now);
+    if (!this.window.hasRoom(this.outstanding, now)) return undefined;
     const state = this.chooseState(req, now);
     return state === undefined ? undefined : this.lease(state);
   }
@@ -160,6 +169,14 @@
     else this.states.set(target, new TargetState(status, askedAt, this.options.random));
   }
 
+  private updateWindow(): void {
+    const used = [...this.states.values()].filter((state) => state.role !== 'unused');
+    const slots = used.reduce((sum, state) => sum + state.announcement.slots, 0);
+    const load = used.reduce((sum, state) => sum + state.status.fleetOutstanding, 0);
+    this.window.setSlots(Math.max(1, slots));
+    this.window.onFleetLoad(load, (AIMED_LOAD * slots) / Math.max(1, this.options.entryCount()));
+  }
+
   private forgetGone(): void {
     const now = this.options.clock.now();
     [...this.states]
@@ -279,6 +296,8 @@
     const { target, address } = state.announcement;
     let isFinished = false;
     state.begin();
+    this.outstanding += 1;
+    this.window.onUse(this.outstanding);
     return {
       target,
       address,
@@ -296,13 +315,16 @@
   private finish(state: TargetState, outcome: AttemptOutcome, latencyMs: number): void {
     const now = this.options.clock.now();
     state.end();
+    this.outstanding -= 1;
+    if (outcome === 'shed') this.window.reduce();
+    if (outcome === 'succeeded') this.window.onSuccess(latencyMs, now);
     const avoidedMs = state.record(outcome, latencyMs, this.typicalLatencyMs, now);
     if (avoidedMs !== undefined) {
       this.compile();
       this.later(avoidedMs, () => this.compile());
     }
     this.open(state, now);
-    const pauseMs = state.limit.pausedUntil - now;
+    const pauseMs = Math.max(state.limit.pausedUntil, this.window.pausedUntil) - now;
     if (pauseMs > 0) this.later(pauseMs, () => this.open(state, this.options.clock.now()));
     this.capacityEmitter.fire();
   }
--- a/packages/ejection/src/TargetState.ts
+++ b/packages/ejection/src/TargetState.ts
@@ -15,6 +15,9 @@
 /** A failure counts as slow in the choice, since a target that fails fast must not attract requests. */
 const FAILURE_LATENCY_FACTOR = 3;
 
+/** An attempt cancelled after this multiple of the typical latency counts as failed: the target may hang. */
+const HANGING_FACTOR = 3;
+
 /** Share of the distance to the typical latency that an unused estimate moves per update. */
 const LATENCY_FADING = 0.02;
 
@@ -77,6 +80,7 @@
   /** A request starts. */
   public begin(): void {
     this.outstandingValue += 1;
+    this.limit.onUse(this.outstandingValue);
   }
 
   /** A request has ended. */
@@ -147,7 +151,8 @@
     typicalLatencyMs: number,
     now: number,
   ): number | undefined {
-    switch (outcome) {
+    const isHanging = outcome === 'cancelled' && latencyMs > HANGING_FACTOR * typicalLatencyMs;
+    switch (isHanging ? 'failed' : outcome) {
       case 'succeeded':
         this.counts.succeeded += 1;
         this.buckets[latencyBucket(latencyMs)]! += 1;
@@ -162,7 +167,7 @@
       case 'failed':
       case 'connectionLost':
         // Lost connections are counted by the coordinator once it knows whether the request was at fault.
-        if (outcome === 'failed') this.counts.failed += 1;
+        if (outcome !== 'connectionLost') this.counts.failed += 1;
         this.smoothLatency(Math.max(latencyMs, FAILURE_LATENCY_FACTOR * typicalLatencyMs));
         return this.avoidance.onFailure(now);
       default:
--- a/packages/ejection/src/types.ts
+++ b/packages/ejection/src/types.ts
@@ -9,7 +9,10 @@
   | 'shed'
   /** The connection was lost while the request was in flight. */
   | 'connectionLost'
-  /** The caller went away; says nothing about the target. */
+  /**
+   * The caller went away or its deadline passed. Says nothing about the target, unless the attempt had already taken
+   * far longer than usual.
+   */
   | 'cancelled';
 
 export type AnnouncedState = 'up' | 'draining' | 'leaving';
