Reduce a limit once per latency after shed answers

Cause: at the onset of an overload every entry cut its limit up to sixteen times within a second, after growing it on load figures from before the onset. Change: one reduction per latency, from what is outstanding; no growth on success for 500 ms after a shed answer.

--- a/packages/ejection/src/LocalLimit.ts
+++ b/packages/ejection/src/LocalLimit.ts
@@ -5,7 +5,10 @@
 /** Limit of a target that starts cold: a quarter of an entry's request at a time. */
 const COLD_LIMIT = 0.25;
 
-const SHED_FACTOR = 0.9;
+const SHED_FACTOR = 0.85;
+
+/** Time after a shed answer in which successes do not raise the limit: the reported load is older than that. */
+const GROWTH_PAUSE_MS = 500;
 
 /** Requests outstanding over the fleet, per slot, that the entries aim at; above 1 so that no slot waits for one. */
 export const AIMED_LOAD = 1.15;
@@ -48,6 +51,8 @@
 
   private pausedUntilValue = 0;
 
+  private reducedAt = Number.NEGATIVE_INFINITY;
+
   public constructor(
     private slots: number,
     isCold: boolean,
@@ -75,17 +80,22 @@
     this.used = Math.max(this.used, outstanding);
   }
 
-  public onShed(latencyMs: number, now: number): void {
-    this.reduce();
+  /** `outstanding` includes the shed request. */
+  public onShed(outstanding: number, latencyMs: number, now: number): void {
+    this.reduce(outstanding, latencyMs, now);
     this.pause(latencyMs * Math.max(0.5, 1 / this.limit - 1), now);
   }
 
-  public reduce(): void {
-    this.limit = Math.max(LEAST_LIMIT, this.limit * SHED_FACTOR);
+  /** Reduces the limit once per latency, since one moment of overload sheds many requests. */
+  public reduce(outstanding: number, latencyMs: number, now: number): void {
+    if (now < this.reducedAt + latencyMs) return;
+    this.reducedAt = now;
+    this.limit = Math.max(LEAST_LIMIT, Math.min(this.limit, outstanding + 1) * SHED_FACTOR);
   }
 
   public onSuccess(latencyMs: number, now: number): void {
-    if (this.load < LOW_LOAD * this.slots) {
+    const mayGrow = now >= this.reducedAt + GROWTH_PAUSE_MS;
+    if (mayGrow && this.load < LOW_LOAD * this.slots) {
       const { relative, absolute } = LOW_LOAD_GROWTH;
       const growth = this.limit < 1 ? relative * this.limit : absolute;
       this.limit = Math.max(this.limit, Math.min(this.most(), this.limit + growth));
--- a/packages/ejection/src/TargetPool.ts
+++ b/packages/ejection/src/TargetPool.ts
@@ -316,7 +316,7 @@
     const now = this.options.clock.now();
     state.end();
     this.outstanding -= 1;
-    if (outcome === 'shed') this.window.reduce();
+    if (outcome === 'shed') this.window.reduce(this.outstanding + 1, this.typicalLatencyMs, now);
     if (outcome === 'succeeded') this.window.onSuccess(latencyMs, now);
     const avoidedMs = state.record(outcome, latencyMs, this.typicalLatencyMs, now);
     if (avoidedMs !== undefined) {
--- a/packages/ejection/src/TargetState.ts
+++ b/packages/ejection/src/TargetState.ts
@@ -162,7 +162,7 @@
         return undefined;
       case 'shed':
         this.counts.shed += 1;
-        this.limit.onShed(this.latency ?? typicalLatencyMs, now);
+        this.limit.onShed(this.outstandingValue + 1, this.latency ?? typicalLatencyMs, now);
         return undefined;
       case 'failed':
       case 'connectionLost':
