Round limits up or down at random

Cause: a limit of 1.9 was used as 1, so that entries with such a limit served a third less than their share and their callers' requests timed out in the queue. Change: the fraction of a limit counts on average.

--- a/packages/ejection/src/LocalLimit.ts
+++ b/packages/ejection/src/LocalLimit.ts
@@ -46,6 +46,9 @@
 
   private load = 0;
 
+  /** The limit rounded up or down at random, so that its fraction counts on average. */
+  private allowed = 1;
+
   /** Most requests outstanding lately. */
   private used = 1;
 
@@ -59,11 +62,13 @@
     private readonly random: Random,
   ) {
     this.limit = isCold ? COLD_LIMIT : slots;
+    this.round();
   }
 
   public setSlots(slots: number): void {
     this.slots = slots;
     this.limit = Math.min(this.limit, slots);
+    this.allowed = Math.min(this.allowed, slots);
   }
 
   /** Monotonic ms before which no request is sent. */
@@ -72,7 +77,7 @@
   }
 
   public hasRoom(outstanding: number, now: number): boolean {
-    return outstanding < Math.max(1, Math.floor(this.limit)) && now >= this.pausedUntilValue;
+    return outstanding < this.allowed && now >= this.pausedUntilValue;
   }
 
   /** A request starts; `outstanding` includes it. */
@@ -83,6 +88,7 @@
   /** `outstanding` includes the shed request. */
   public onShed(outstanding: number, latencyMs: number, now: number): void {
     this.reduce(outstanding, latencyMs, now);
+    this.round();
     this.pause(latencyMs * Math.max(0.5, 1 / this.limit - 1), now);
   }
 
@@ -100,6 +106,7 @@
       const growth = this.limit < 1 ? relative * this.limit : absolute;
       this.limit = Math.max(this.limit, Math.min(this.most(), this.limit + growth));
     }
+    this.round();
     if (this.limit < 1) this.pause(latencyMs * (1 / this.limit - 1), now);
   }
 
@@ -116,6 +123,11 @@
     // Under contention the limits of the entries approach each other, or unlucky entries would starve their callers.
     const pull = ratio < 1 && fairLimit !== undefined ? PULL * (fairLimit - this.limit) : 0;
     this.limit = Math.max(LEAST_LIMIT, Math.min(corrected + pull, this.most()));
+    this.round();
+  }
+
+  private round(): void {
+    this.allowed = Math.max(1, Math.floor(this.limit + this.random.float()));
   }
 
   private most(): number {
