Let the limits of the entries meet whenever they contend for the slots

Cause: limits met only above the aimed load, where the fleet rarely is: under the greedy team they ranged from 1.6 to 4.8 requests, and at the low ones teams within their rates timed out in the queue. Change: they meet from 1.3 times below the aimed load on, 30% of the distance per update.

--- a/packages/ejection/src/LocalLimit.ts
+++ b/packages/ejection/src/LocalLimit.ts
@@ -30,7 +30,10 @@
 const EVEN_GROWTH = 0.02;
 
 /** Share of the distance to the fair limit that a limit moves per update under contention. */
-const PULL = 0.2;
+const PULL = 0.3;
+
+/** Aimed over reported load below which the entries contend for the slots. */
+const CONTENTION_RATIO = 1.3;
 
 /** A limit stays near what the entry uses, so that a sudden overload does not meet the sum of unused limits. */
 const HEADROOM_FACTOR = 2;
@@ -121,7 +124,8 @@
     const bounded = Math.min(MOST_CORRECTION, Math.max(LEAST_CORRECTION, ratio));
     const corrected = this.limit * bounded ** CORRECTION_EXPONENT + EVEN_GROWTH;
     // Under contention the limits of the entries approach each other, or unlucky entries would starve their callers.
-    const pull = ratio < 1 && fairLimit !== undefined ? PULL * (fairLimit - this.limit) : 0;
+    const isContended = ratio < CONTENTION_RATIO;
+    const pull = isContended && fairLimit !== undefined ? PULL * (fairLimit - this.limit) : 0;
     this.limit = Math.max(LEAST_LIMIT, Math.min(corrected + pull, this.most()));
     this.round();
   }
