--- a/packages/daemon/src/control/config-routes.ts
+++ b/packages/daemon/src/control/config-routes.ts
@@ -38,6 +38,9 @@
     incarnation: req.incarnation,
     isDraining: req.isDraining,
     revision: Number(req.revision),
+    needsWholeConfig: req.needsWholeConfig,
+    leaderTimeMs: Number(req.leaderTimeMs),
+    leaderTerm: Number(req.leaderTerm),
   };
 }
 
@@ -64,6 +67,8 @@
         acceptedRevision: BigInt(outcome.acceptedRevision),
         acceptedAgeMs: BigInt(Math.round(outcome.acceptedAgeMs)),
         currentEntries: [...outcome.currentEntries],
+        leaderTimeMs: BigInt(outcome.leaderTimeMs),
+        leaderTerm: BigInt(outcome.leaderTerm),
         ...toUpdateFields(outcome.update),
       },
     },
