--- a/packages/daemon/src/entry/AnswerSender.ts
+++ b/packages/daemon/src/entry/AnswerSender.ts
@@ -63,7 +63,7 @@
       return;
     }
     const isUnread = hasUnreadBody(req);
-    const closing: HeaderList = isUnread || tx.mustClose ? CLOSE : this.closing();
+    const closing: HeaderList = isUnread || tx.connection.isClosing ? CLOSE : this.closing();
     res.writeHead(status, flattenHeaders([...headers, ...closing]));
     res.write(body);
     if (isUnread) await linger(tx, this.ctx.limits.lingerMs);
--- a/packages/daemon/src/entry/DispatchGate.ts
+++ b/packages/daemon/src/entry/DispatchGate.ts
@@ -48,8 +48,9 @@
   }
   const fault = findConfigFault(req, section);
   if (fault !== undefined) return refused(fault);
-  if (pool.isQuarantined(req.fingerprint))
+  if (pool.isQuarantined(req.fingerprint)) {
     return refused({ kind: 'quarantined', verdict: 'notRun' });
+  }
   if (req.claim !== undefined && !req.claim.mayDispatch()) {
     return refused({ kind: 'claimExpired', verdict: 'notRun' });
   }
--- a/packages/daemon/src/entry/EntryServer.ts
+++ b/packages/daemon/src/entry/EntryServer.ts
@@ -1,13 +1,13 @@
 /** The caller listener of an entry. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
+import { Server as NetServer, type AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { delay } from '@marigoldbank/base/clock';
+import { CallerConnection } from './CallerConnection.js';
 import { checkRequest } from './checkRequest.js';
 import { OWN_PATH_PREFIX } from './constants.js';
 import { createCallerApp } from './callerApp.js';
 import { ProxyPipeline, type Transaction } from './ProxyPipeline.js';
-import { answerBrokenRequest } from './brokenRequests.js';
 import type { EntryContext } from './types.js';
 
 const CHECKING_INTERVAL_MS = 500;
@@ -22,11 +22,7 @@
 
   private readonly handleOwn: (req: IncomingMessage, res: ServerResponse) => void;
 
-  /** Requests in progress per connection. */
-  private readonly running = new WeakMap<Duplex, number>();
-
-  /** Connections that take no further request. */
-  private readonly closing = new WeakSet<Duplex>();
+  private readonly connections = new WeakMap<Duplex, CallerConnection>();
 
   private isLeaving = false;
 
@@ -103,18 +99,20 @@
     server.on('request', (req, res) => this.accept(req, res, () => undefined));
     server.on('checkContinue', (req, res) => this.accept(req, res, () => res.writeContinue()));
     server.on('checkExpectation', (req, res) => this.accept(req, res, () => undefined));
-    server.on('connect', (_req, socket) => this.handleBroken({}, socket));
+    server.on('connect', (_req, socket) => this.connectionOf(socket).handleBroken(undefined));
     server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
-      this.handleBroken(err, socket),
+      this.connectionOf(socket).handleBroken(err.code),
     );
     return server;
   }
 
   private accept(req: IncomingMessage, res: ServerResponse, askForBody: () => void): void {
     // A request behind one that ends the connection cannot be answered and must not run.
-    if (this.closing.has(req.socket)) return;
+    const connection = this.connectionOf(req.socket);
+    if (connection.isClosing) return;
+    connection.requestStarted();
     res.on('error', () => res.destroy());
-    this.track(req.socket, res);
+    res.once('close', () => connection.requestEnded());
     const result = checkRequest(
       {
         method: req.method ?? '',
@@ -124,9 +122,9 @@
       },
       this.ctx.limits,
     );
-    const tx: Transaction = { req, res, askForBody, mustClose: result.kind === 'refused' };
+    const tx: Transaction = { req, res, askForBody, connection };
     if (result.kind === 'refused') {
-      this.closing.add(req.socket);
+      connection.markClosing();
       this.settle(this.pipeline.refuse(tx, result.refusal));
     } else if (result.request.path.startsWith(OWN_PATH_PREFIX)) {
       if (this.isDraining) res.setHeader('connection', 'close');
@@ -136,22 +134,12 @@
     }
   }
 
-  private track(socket: Socket, res: ServerResponse): void {
-    this.running.set(socket, (this.running.get(socket) ?? 0) + 1);
-    res.once('close', () => {
-      const left = (this.running.get(socket) ?? 1) - 1;
-      this.running.set(socket, left);
-      if (left === 0 && this.closing.has(socket)) socket.destroySoon();
-    });
-  }
-
-  /** Answers bytes that are no request, after the answers to the requests before them. */
-  private handleBroken(err: { readonly code?: string }, socket: Duplex): void {
-    if ((this.running.get(socket) ?? 0) === 0 || err.code === 'ECONNRESET') {
-      answerBrokenRequest(socket, err.code);
-    } else {
-      this.closing.add(socket);
-    }
+  private connectionOf(socket: Duplex): CallerConnection {
+    const known = this.connections.get(socket);
+    if (known !== undefined) return known;
+    const created = new CallerConnection(socket);
+    this.connections.set(socket, created);
+    return created;
   }
 
   private settle(work: Promise<void>): void {
--- a/packages/daemon/src/entry/ProxyPipeline.ts
+++ b/packages/daemon/src/entry/ProxyPipeline.ts
@@ -5,6 +5,7 @@
 import type { CompiledRoute } from '@marigoldbank/lists/compiled';
 import { AnswerSender } from './AnswerSender.js';
 import type { ConfigSection } from '../Blackboard.js';
+import type { CallerConnection } from './CallerConnection.js';
 import { decodeOutcome, type StoredOutcome } from './answers.js';
 import { CLAIM_STORE_WAIT_MS, CLAIM_WAIT_MS } from './constants.js';
 import { DispatchRun } from './DispatchRun.js';
@@ -41,8 +42,7 @@
   readonly res: ServerResponse;
   /** Asks the caller for the body if it waits for that. */
   readonly askForBody: () => void;
-  /** The form of the request leaves doubt about where the next one begins. */
-  readonly mustClose: boolean;
+  readonly connection: CallerConnection;
 }
 
 function refuse(refusal: Refusal): { kind: 'refused'; refusal: Refusal } {
@@ -154,8 +154,9 @@
     if (section === undefined) return refuse({ kind: 'notReady', verdict: 'notRun' });
     const admission = this.admitUnder(section, checked);
     const isCurrent = this.ctx.clock.now() < this.ctx.blackboard.currency.value.currentUntil;
-    if (isCurrent || (admission.kind === 'admitted' && admission.key === undefined))
+    if (isCurrent || (admission.kind === 'admitted' && admission.key === undefined)) {
       return admission;
+    }
     return refuse({ kind: 'notCurrent', verdict: 'notRun' });
   }
 
@@ -203,13 +204,16 @@
     if (!checked.hasBody) return { kind: 'read', body: Buffer.alloc(0) };
     if ((checked.contentLength ?? 0) > route.maxBodyBytes) return refuse(tooLarge);
     tx.askForBody();
-    const result = await readBody(tx.req, this.ctx.clock, {
+    const result = await readBody(tx.req, tx.connection, this.ctx.clock, {
       maxBytes: route.maxBodyBytes,
       idleTimeoutMs: this.ctx.limits.bodyIdleTimeoutMs,
       totalTimeoutMs: this.ctx.limits.bodyTimeoutMs,
     });
     if (result.kind === 'tooLarge') return refuse(tooLarge);
     if (result.kind === 'tooSlow') return refuse({ kind: 'requestTimeout', verdict: 'notRun' });
+    if (result.kind === 'broken') {
+      return refuse({ kind: 'badRequest', verdict: 'notRun', detail: 'the body is malformed' });
+    }
     if (result.kind === 'aborted') return refuse({ kind: 'callerGone', verdict: 'notRun' });
     if (checked.presentedKey !== undefined && result.body.includes(checked.presentedKey)) {
       return refuse({ kind: 'badRequest', verdict: 'notRun', detail: 'the body holds the key' });
--- a/packages/daemon/src/entry/readBody.ts
+++ b/packages/daemon/src/entry/readBody.ts
@@ -2,11 +2,13 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '@marigoldbank/base/clock';
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import type { CallerConnection } from './CallerConnection.js';
 
 export type BodyResult =
   | { readonly kind: 'read'; readonly body: Buffer }
   | { readonly kind: 'tooLarge' }
   | { readonly kind: 'tooSlow' }
+  | { readonly kind: 'broken' }
   | { readonly kind: 'aborted' };
 
 export interface BodyLimits {
@@ -19,6 +21,7 @@
 /** Reads a whole body. On any result but `read` the stream is paused and some of the body is unread. */
 export function readBody(
   req: IncomingMessage,
+  connection: CallerConnection,
   clock: Clock,
   limits: BodyLimits,
 ): Promise<BodyResult> {
@@ -27,9 +30,11 @@
     let size = 0;
     let timer: IDisposable | undefined;
     let total: IDisposable | undefined;
+    let breakListener: IDisposable | undefined;
     const settle = (result: BodyResult): void => {
       total?.dispose();
       timer?.dispose();
+      breakListener?.dispose();
       req.removeAllListeners('data');
       req.pause();
       resolve(result);
@@ -38,6 +43,7 @@
       timer?.dispose();
       timer = clock.setTimeout(() => settle({ kind: 'tooSlow' }), limits.idleTimeoutMs);
     };
+    breakListener = connection.onDidBreak(() => settle({ kind: 'broken' }));
     restartTimer();
     total = clock.setTimeout(() => settle({ kind: 'tooSlow' }), limits.totalTimeoutMs);
     req.on('data', (chunk: Buffer) => {
--- a/packages/daemon/src/testing/UpstreamStandIn.ts
+++ b/packages/daemon/src/testing/UpstreamStandIn.ts
@@ -69,6 +69,9 @@
   /** Requests that ran. */
   public readonly executed: SeenRequest[] = [];
 
+  /** Requests whose connection closed before their answer was sent. */
+  public cancelled = 0;
+
   /** Connections that were opened so far. */
   public connections = 0;
 
@@ -172,6 +175,9 @@
       requestId: String(req.headers['x-request-id']),
       team: req.headers['marigoldbank-team'] as string | undefined,
     };
+    res.once('close', () => {
+      if (!res.writableFinished) this.cancelled += 1;
+    });
     const behaviour = this.choose(seen, this.seen.length);
     this.seen.push(seen);
     if (behaviour.kind === 'shed') {
