Replicated log: stop on errors of the state machine, count late chunk answers

Change: such an error ends the member as a storage failure does; late answers count as long as the transfer has not moved on; only changed lists are synced. Tests of both failures and of the batching of syncs.

--- a/packages/replicated-log/src/Applier.ts
+++ b/packages/replicated-log/src/Applier.ts
@@ -28,6 +28,8 @@
 
   private snapshotIndex = 0;
 
+  private hasFailed = false;
+
   public constructor(
     private readonly state: ConsensusState,
     private readonly writer: DurableWriter,
@@ -38,15 +40,14 @@
     if (snapshot !== undefined) this.restore(snapshot);
   }
 
-  /** Raises the commit index and applies the entries up to it. */
+  /** Raises the commit index and applies the entries up to it. An error of the state machine ends the member. */
   public commitTo(index: number): void {
-    const target = Math.min(index, this.state.log.lastIndex);
-    while (this.state.commitIndex < target) {
-      const entry = this.state.log.entryAt(this.state.commitIndex + 1)!;
-      this.state.commitIndex = entry.index;
-      this.applyEntry(entry);
+    try {
+      this.applyTo(index);
+    } catch (err) {
+      this.hasFailed = true;
+      this.writer.fail(err);
     }
-    this.takeSnapshotIfDue();
   }
 
   /** Replaces the state by a received snapshot that is ahead of the commit index. */
@@ -56,6 +57,17 @@
     this.writer.markInstalledSnapshot(snapshot.index);
   }
 
+  private applyTo(index: number): void {
+    if (this.hasFailed) return;
+    const target = Math.min(index, this.state.log.lastIndex);
+    while (this.state.commitIndex < target) {
+      const entry = this.state.log.entryAt(this.state.commitIndex + 1)!;
+      this.state.commitIndex = entry.index;
+      this.applyEntry(entry);
+    }
+    this.takeSnapshotIfDue();
+  }
+
   private restore(snapshot: Snapshot): void {
     this.stateMachine.restore(snapshot.data);
     this.snapshotIndex = snapshot.index;
--- a/packages/replicated-log/src/DurableWriter.ts
+++ b/packages/replicated-log/src/DurableWriter.ts
@@ -31,7 +31,7 @@
   /** Fires after each batch. */
   public readonly onDurable = this.durableEmitter.event;
 
-  /** Fires once, when the storage failed. Nothing is written afterwards. */
+  /** Fires once, when the member cannot continue. Nothing is written afterwards. */
   public readonly onFailure = this.failureEmitter.event;
 
   private isVoteDirty = false;
@@ -105,6 +105,15 @@
     this.stopped ??= new StoppedError();
   }
 
+  /** Ends the member after an error of the storage or the state machine. */
+  public fail(err: unknown): void {
+    if (this.stopped !== undefined) return;
+    this.stopped = new StoppedError(err);
+    this.current?.reject(this.stopped);
+    this.next?.reject(this.stopped);
+    this.failureEmitter.fire(err);
+  }
+
   private ensureBatch(): void {
     if (this.stopped !== undefined || this.next !== undefined) return;
     this.next = createDeferred();
@@ -169,11 +178,4 @@
   private advanceDurable(writtenTo: number): void {
     this.durableTo = Math.min(writtenTo, (this.dirtyFrom ?? Infinity) - 1);
   }
-
-  private fail(err: unknown): void {
-    this.stopped = new StoppedError(err);
-    this.current?.reject(this.stopped);
-    this.next?.reject(this.stopped);
-    this.failureEmitter.fire(err);
-  }
 }
--- a/packages/replicated-log/src/Founding.ts
+++ b/packages/replicated-log/src/Founding.ts
@@ -1,4 +1,5 @@
 /** Start of a new group: the founders agree on each other's incarnations before any of them may vote. */
+import { isDeepStrictEqual } from 'node:util';
 import { toDisposable, type IDisposable } from '@marigoldbank/base/lifecycle';
 import { setPeriodic } from '@marigoldbank/base/clock';
 import type { ConsensusContext } from './context.js';
@@ -63,7 +64,7 @@
     if (!haveSameVms(state.identity.founders, theirs)) return REFUSED;
     const merged = merge(state.identity.founders, theirs);
     if (merged === undefined) return REFUSED;
-    if (this.isPristine && !isComplete(state.identity.founders)) this.record(merged);
+    if (this.isPristine) this.record(merged);
     await writer.flush();
     const isSame = isComplete(theirs) && isComplete(state.identity.founders);
     return isSame ? ACCEPTED : REFUSED;
@@ -86,6 +87,7 @@
 
   private record(founders: readonly Member[]): void {
     const { state, writer } = this.ctx;
+    if (isDeepStrictEqual(founders, state.identity.founders)) return;
     state.identity = { ...state.identity, founders };
     writer.markIdentity();
   }
--- a/packages/replicated-log/src/MemoryDisk.ts
+++ b/packages/replicated-log/src/MemoryDisk.ts
@@ -1,4 +1,5 @@
 /** Contents of a simulated disk, which survive a crash of the process. */
+import { randomUUID } from 'node:crypto';
 import type { Identity, Snapshot, StoredState, VoteRecord } from './LogStorage.js';
 import type { LogEntry } from './types.js';
 
@@ -10,7 +11,11 @@
 
   public entries: readonly LogEntry[] = [];
 
-  public constructor(public identity: Identity) {}
+  public identity: Identity;
+
+  public constructor(incarnation: string = randomUUID()) {
+    this.identity = { incarnation, founders: [], isFounded: false };
+  }
 
   /** Stores entries; stored ones at or after the first one's index are replaced. */
   public append(entries: readonly LogEntry[]): void {
--- a/packages/replicated-log/src/MemoryLogStorage.ts
+++ b/packages/replicated-log/src/MemoryLogStorage.ts
@@ -13,6 +13,12 @@
 export class MemoryLogStorage extends LogStorage {
   private isCrashed = false;
 
+  /** Makes every following write fail, as a full or broken disk does. */
+  public isFailing = false;
+
+  /** Batches of entries appended so far. */
+  public appends = 0;
+
   /** Writes issued and not synced, in order. Each one is a list of steps that can be torn apart by a crash. */
   protected readonly unsynced: (() => void)[][] = [];
 
@@ -48,6 +54,7 @@
   }
 
   public override append(entries: readonly LogEntry[]): Promise<void> {
+    this.appends += 1;
     return this.write([() => this.disk.append(entries)]);
   }
 
@@ -64,6 +71,7 @@
 
   /** Resolves when the steps are synced; never after a crash. */
   protected write(steps: (() => void)[]): Promise<void> {
+    if (this.isFailing) return Promise.reject(new Error('the disk failed'));
     this.unsynced.push(steps);
     return new Promise((resolve) => {
       this.clock.setTimeout(() => {
--- a/packages/replicated-log/src/Replicator.ts
+++ b/packages/replicated-log/src/Replicator.ts
@@ -175,10 +175,10 @@
         toIncarnation: this.member.incarnation,
       })
       .then((res) => {
-        const isExpected = this.outstanding === sent;
-        if (isExpected) this.outstanding = undefined;
+        if (this.outstanding === sent) this.outstanding = undefined;
         if (!this.accept(res, sent.sentAt, sequence)) return;
-        if (isExpected && this.transfer === transfer) this.onChunkAnswer(res, transfer, end);
+        // A late answer counts as long as the transfer has not moved on.
+        if (this.transfer === transfer) this.onChunkAnswer(res, transfer, end);
       })
       .catch(() => {
         if (this.outstanding === sent) this.outstanding = undefined;
--- a/packages/replicated-log/src/openReplicatedLog.test.ts
+++ b/packages/replicated-log/src/openReplicatedLog.test.ts
@@ -6,7 +6,7 @@
 import { Random } from '@marigoldbank/base/random';
 import { expect } from 'earl';
 import { FileLogStorage, openReplicatedLog, StateMachine, type ReplicatedLog } from './api.js';
-import { FakeNetwork, FakeTransport } from './testing.js';
+import { FakeNetwork, FakeTransport, MemoryDisk, MemoryLogStorage } from './testing.js';
 
 const clock = new SystemClock();
 
@@ -30,6 +30,13 @@
   }
 }
 
+const SINGLE = {
+  vm: 'a',
+  address: '10.0.0.1:a',
+  bootstrap: [{ vm: 'a', incarnation: '', address: '10.0.0.1:a' }],
+  transport: new FakeTransport(new FakeNetwork(clock, new Random(1)), '10.0.0.1:a'),
+};
+
 async function waitFor<T>(probe: () => T | undefined): Promise<T> {
   const deadline = clock.now() + 10_000;
   while (clock.now() < deadline) {
@@ -82,3 +89,41 @@
     await rm(folder, { recursive: true });
   });
 });
+
+describe('a single member', () => {
+  it('stops when its storage fails, and acknowledges nothing afterwards', async () => {
+    const storage = new MemoryLogStorage(new MemoryDisk(), clock, new Random(1), 0);
+    const log = await openReplicatedLog({ ...SINGLE, storage, stateMachine: new Journal() });
+    const failures: unknown[] = [];
+    log.onFailure((err) => failures.push(err));
+    await waitFor(() => findLeader([log]));
+    expect((await log.propose(Buffer.from('kept'))).kind).toEqual('committed');
+    storage.isFailing = true;
+    expect((await log.propose(Buffer.from('lost'))).kind).toEqual('unknown');
+    expect((await log.propose(Buffer.from('refused'))).kind).toEqual('notLeader');
+    expect(failures.length).toEqual(1);
+  });
+
+  it('stops when its state machine throws, instead of skipping the command', async () => {
+    const storage = new MemoryLogStorage(new MemoryDisk(), clock, new Random(1), 0);
+    const stateMachine = new Journal();
+    stateMachine.apply = () => {
+      throw new Error('not deterministic');
+    };
+    const log = await openReplicatedLog({ ...SINGLE, storage, stateMachine });
+    await waitFor(() => findLeader([log]));
+    expect((await log.propose(Buffer.from('a'))).kind).toEqual('unknown');
+    expect((await log.propose(Buffer.from('b'))).kind).toEqual('notLeader');
+  });
+
+  it('joins concurrent proposals into few syncs', async () => {
+    const storage = new MemoryLogStorage(new MemoryDisk(), clock, new Random(1), 0);
+    const log = await openReplicatedLog({ ...SINGLE, storage, stateMachine: new Journal() });
+    await waitFor(() => findLeader([log]));
+    await log.confirmRead();
+    storage.appends = 0;
+    await Promise.all(Array.from({ length: 100 }, (_, i) => log.propose(Buffer.from(`${i}`))));
+    expect(storage.appends).toBeLessThan(10);
+    await log.close();
+  });
+});
--- a/packages/replicated-log/src/simulation/SimulatedVm.ts
+++ b/packages/replicated-log/src/simulation/SimulatedVm.ts
@@ -131,7 +131,7 @@
   private createDisk(): MemoryDisk {
     this.incarnations += 1;
     const incarnation = `${this.vm}-${this.incarnations}`;
-    return new MemoryDisk({ incarnation, founders: [], isFounded: false });
+    return new MemoryDisk(incarnation);
   }
 
   private attach(log: ReplicatedLog): void {
