Replicated log: founders learn of the founding from each other

Cause: a founder needs the confirmation of all others to become a voter. If one that had confirmed the others was wiped before it confirmed the last one, that one never voted, and the group could stay without a leader.

Change: a founder that knows that all lists are complete and the same says so in its founding messages; a founder with the same list takes this as confirmation.

Conclusion: once any founder is a voter, the others become voters without the help of a lost one.

--- a/packages/replicated-log/src/Founding.ts
+++ b/packages/replicated-log/src/Founding.ts
@@ -16,6 +16,11 @@
   return founders.length > 0 && founders.every(({ incarnation }) => incarnation !== '');
 }
 
+/** Whether the sender knows that all founders hold the same complete list. */
+function isKnownFounded(req: InstallSnapshotRequest): boolean {
+  return req.isLast;
+}
+
 function incarnationOf(founders: readonly Member[], vm: string): string {
   return founders.find((founder) => founder.vm === vm)?.incarnation ?? '';
 }
@@ -66,14 +71,27 @@
     if (merged === undefined) return REFUSED;
     if (this.isPristine) this.record(merged);
     await writer.flush();
-    const isSame = isComplete(theirs) && isComplete(state.identity.founders);
-    return isSame ? ACCEPTED : REFUSED;
+    if (!isComplete(theirs) || !isComplete(state.identity.founders)) return REFUSED;
+    if (isKnownFounded(req)) {
+      this.finish();
+    } else if (state.identity.isFounded) {
+      this.sendTo(req.leader.vm);
+    }
+    return ACCEPTED;
   }
 
   public dispose(): void {
     this.timer.dispose();
   }
 
+  /** Tells a founder that may miss the confirmation of a founder that was lost since. */
+  private sendTo(vm: string): void {
+    const { founders } = this.ctx.state.identity;
+    this.othersIn(founders)
+      .filter((founder) => founder.vm === vm)
+      .forEach((founder) => this.send(founder, founders));
+  }
+
   private get isFounding(): boolean {
     const { identity, log } = this.ctx.state;
     return identity.founders.length > 0 && !identity.isFounded && log.membershipIndex === 0;
@@ -119,7 +137,7 @@
         membership: { voters: founders, learners: [] },
         offset: 0,
         chunk: new Uint8Array(),
-        isLast: true,
+        isLast: state.identity.isFounded,
         toIncarnation: to.incarnation,
       })
       .then((res) => {
@@ -133,10 +151,15 @@
   }
 
   private finishIfConfirmed(): void {
+    const { founders } = this.ctx.state.identity;
+    if (!isComplete(founders)) return;
+    if (this.othersIn(founders).every(({ vm }) => this.confirmedBy.has(vm))) this.finish();
+  }
+
+  private finish(): void {
     const { state, writer } = this.ctx;
     const { founders } = state.identity;
-    if (!this.isFounding || !isComplete(founders)) return;
-    if (!this.othersIn(founders).every(({ vm }) => this.confirmedBy.has(vm))) return;
+    if (!this.isFounding) return;
     state.identity = { ...state.identity, isFounded: true };
     state.log.setFoundingMembership({ voters: founders, learners: [] });
     writer.markIdentity();
--- a/packages/replicated-log/src/simulation/scenarios.test.ts
+++ b/packages/replicated-log/src/simulation/scenarios.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { ELECTION_TIMEOUT_MAX_MS } from '../constants.js';
+import { PERFECT_NETWORK } from '../FakeNetwork.js';
 import { includesMember } from '../quorum.js';
 import type { ReplicatedLog } from '../ReplicatedLog.js';
 import type { MembershipOutcome } from '../types.js';
@@ -67,6 +68,20 @@
     expect(group.isRepaired).toEqual(true);
   });
 
+  it('elects a leader although a founder was lost before another one knew of the founding', async () => {
+    const group = new SimulatedGroup({ seed: 9 });
+    group.network.setFaults({ ...PERFECT_NETWORK, dropProbability: 0.5 });
+    group.startAll();
+    const founded = (): SimulatedVm[] => group.vms.filter(({ disk }) => disk.identity.isFounded);
+    await group.runUntil(() => founded().length === 2 || undefined, LIMIT_MS);
+    expect(founded().length).toEqual(2);
+    founded()[0]!.wipe();
+    group.network.setFaults(PERFECT_NETWORK);
+    group.startAll();
+    await replaceLost(group);
+    expect(group.isRepaired).toEqual(true);
+  });
+
   it('loses nothing when a second VM is lost right after a replacement', async () => {
     const group = await startGroup(2);
     const writing = Array.from({ length: 100 }, () => group.propose(leaderOf(group).log));
