Replicated log: simulated readers look at the state

Cause: a confirmed read was checked by its index only, not by the state that the client then sees.

Change: after a confirmed read the state must hold the newest command that was acknowledged before the question.

--- a/packages/replicated-log/src/simulation/History.ts
+++ b/packages/replicated-log/src/simulation/History.ts
@@ -22,6 +22,8 @@
   /** Highest index that some client knows to be committed. */
   private knownIndex = 0;
 
+  private newest: { readonly command: string; readonly index: number } | undefined;
+
   public get acknowledgedCount(): number {
     return this.acknowledged.size;
   }
@@ -31,6 +33,11 @@
     return this.knownIndex;
   }
 
+  /** The acknowledged command with the highest index. */
+  public get newestCommand(): string | undefined {
+    return this.newest?.command;
+  }
+
   /** Election safety: one leader for each term. */
   public recordLeader(term: number, incarnation: string): void {
     this.expectSame(this.leaders, term, incarnation, `term ${term} has two leaders`);
@@ -65,6 +72,7 @@
     if (index <= knownAtStart) this.violations.push(`${command} is ordered before an older answer`);
     if (this.applied.get(index) !== command) this.violations.push(`${command} is not at ${index}`);
     this.acknowledged.set(command, index);
+    if (index > (this.newest?.index ?? 0)) this.newest = { command, index };
     this.knownIndex = Math.max(this.knownIndex, index);
   }
 
@@ -76,6 +84,13 @@
     this.knownIndex = Math.max(this.knownIndex, index);
   }
 
+  /** The state after a confirmed read must hold the newest command acknowledged before the question. */
+  public checkSeen(commands: readonly string[], newest: string | undefined): void {
+    if (newest !== undefined && !commands.includes(newest)) {
+      this.violations.push(`a read saw a state without ${newest}`);
+    }
+  }
+
   /** At the end a member must hold all acknowledged commands in the committed order. */
   public checkComplete(commands: readonly string[]): void {
     const positions = new Map(commands.map((command, i) => [command, i]));
--- a/packages/replicated-log/src/simulation/SimulatedGroup.ts
+++ b/packages/replicated-log/src/simulation/SimulatedGroup.ts
@@ -99,11 +99,15 @@
     return outcome.kind;
   }
 
-  /** A client asks a member for a confirmed read. */
+  /** A client asks a member for a confirmed read and then looks at its state. */
   public async read(log: ReplicatedLog): Promise<string> {
-    const knownAtStart = this.history.latestKnown;
+    const journal = this.vms.find(({ running }) => running === log)?.journal;
+    const { latestKnown, newestCommand } = this.history;
     const outcome = await log.confirmRead();
-    if (outcome.kind === 'confirmed') this.history.recordRead(outcome.index, knownAtStart);
+    if (outcome.kind === 'confirmed') {
+      this.history.recordRead(outcome.index, latestKnown);
+      this.history.checkSeen(journal?.commands ?? [], newestCommand);
+    }
     return outcome.kind;
   }
 
