--- a/packages/replicated-log/src/Founding.ts
+++ b/packages/replicated-log/src/Founding.ts
@@ -1,4 +1,5 @@
 /** Start of a new group: the founders agree on each other's incarnations before any of them may vote. */
+import { isDeepStrictEqual } from 'node:util';
 import { toDisposable, type IDisposable } from '@marigoldbank/base/lifecycle';
 import { setPeriodic } from '@marigoldbank/base/clock';
 import type { ConsensusContext } from './context.js';
@@ -15,6 +16,11 @@
   return founders.length > 0 && founders.every(({ incarnation }) => incarnation !== '');
 }
 
+/** Whether the sender knows that all founders hold the same complete list. */
+function isKnownFounded(req: InstallSnapshotRequest): boolean {
+  return req.isLast;
+}
+
 function incarnationOf(founders: readonly Member[], vm: string): string {
   return founders.find((founder) => founder.vm === vm)?.incarnation ?? '';
 }
@@ -63,16 +69,29 @@
     if (!haveSameVms(state.identity.founders, theirs)) return REFUSED;
     const merged = merge(state.identity.founders, theirs);
     if (merged === undefined) return REFUSED;
-    if (this.isPristine && !isComplete(state.identity.founders)) this.record(merged);
+    if (this.isPristine) this.record(merged);
     await writer.flush();
-    const isSame = isComplete(theirs) && isComplete(state.identity.founders);
-    return isSame ? ACCEPTED : REFUSED;
+    if (!isComplete(theirs) || !isComplete(state.identity.founders)) return REFUSED;
+    if (isKnownFounded(req)) {
+      this.finish();
+    } else if (state.identity.isFounded) {
+      this.sendTo(req.leader.vm);
+    }
+    return ACCEPTED;
   }
 
   public dispose(): void {
     this.timer.dispose();
   }
 
+  /** Tells a founder that may miss the confirmation of a founder that was lost since. */
+  private sendTo(vm: string): void {
+    const { founders } = this.ctx.state.identity;
+    this.othersIn(founders)
+      .filter((founder) => founder.vm === vm)
+      .forEach((founder) => this.send(founder, founders));
+  }
+
   private get isFounding(): boolean {
     const { identity, log } = this.ctx.state;
     return identity.founders.length > 0 && !identity.isFounded && log.membershipIndex === 0;
@@ -86,6 +105,7 @@
 
   private record(founders: readonly Member[]): void {
     const { state, writer } = this.ctx;
+    if (isDeepStrictEqual(founders, state.identity.founders)) return;
     state.identity = { ...state.identity, founders };
     writer.markIdentity();
   }
@@ -117,7 +137,7 @@
         membership: { voters: founders, learners: [] },
         offset: 0,
         chunk: new Uint8Array(),
-        isLast: true,
+        isLast: state.identity.isFounded,
         toIncarnation: to.incarnation,
       })
       .then((res) => {
@@ -131,10 +151,15 @@
   }
 
   private finishIfConfirmed(): void {
+    const { founders } = this.ctx.state.identity;
+    if (!isComplete(founders)) return;
+    if (this.othersIn(founders).every(({ vm }) => this.confirmedBy.has(vm))) this.finish();
+  }
+
+  private finish(): void {
     const { state, writer } = this.ctx;
     const { founders } = state.identity;
-    if (!this.isFounding || !isComplete(founders)) return;
-    if (!this.othersIn(founders).every(({ vm }) => this.confirmedBy.has(vm))) return;
+    if (!this.isFounding) return;
     state.identity = { ...state.identity, isFounded: true };
     state.log.setFoundingMembership({ voters: founders, learners: [] });
     writer.markIdentity();
