--- a/packages/bench/src/demo/Demo.ts
+++ b/packages/bench/src/demo/Demo.ts
@@ -102,7 +102,7 @@
   }
 
   private async startUpstreams(): Promise<void> {
-    const internal = this.fleet.entries.map((vm) => this.fleet.internalUrl(vm).slice(7));
+    const internal = this.fleet.entries.map((vm) => this.fleet.listenAddress(vm));
     const started = Array.from({ length: ORDERS_TARGETS }, async (_, i) => {
       const options = { service: 'orders', target: `orders-${i + 1}`, dataCentre: 'dc-a' };
       const upstream = new UpstreamStandIn(options);
--- /dev/null
+++ b/packages/bench/src/process/FaultRun.test.ts
@@ -0,0 +1,29 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { Random } from '@marigoldbank/base/random';
+import { createChooser, FaultRun } from './FaultRun.js';
+import { Scenario } from './Scenario.js';
+
+const SEED = 20_261_204;
+const REQUESTS = Number(process.env.FAULT_RUN_REQUESTS ?? 10_000);
+
+describe('a fleet under randomised faults', () => {
+  it('loses, doubles and falsely reports none of 10,000 requests', async () => {
+    const random = new Random(SEED);
+    const upstreams = Array.from({ length: 5 }, () => ({ choose: createChooser(random.fork()) }));
+    const options = { controlCount: 3, entryCount: 5, hasRelays: true, entriesWithDisk: 2 };
+    const scenario = await Scenario.start(options, upstreams);
+    try {
+      const run = new FaultRun({ scenario, seed: SEED, requests: REQUESTS, callers: 32 });
+      const report = await run.run();
+      console.log(`seed ${SEED}: ${JSON.stringify(report)}`);
+      expect(report.doubled).toEqual([]);
+      expect(report.falseNotRun).toEqual([]);
+      expect(report.lost).toEqual([]);
+      expect(report.wrongAnswer).toEqual([]);
+      expect(report.attempts).toBeGreaterThanOrEqual(REQUESTS);
+    } finally {
+      await scenario.stop();
+    }
+  });
+});
--- a/packages/bench/src/process/Fleet.ts
+++ b/packages/bench/src/process/Fleet.ts
@@ -108,6 +108,11 @@
     return `http://${this.vm(vm).callerAddress}`;
   }
 
+  /** Internal address that is not behind a relay. */
+  public listenAddress(vm: string): string {
+    return this.vm(vm).listenInternal;
+  }
+
   /** Internal URL that is not behind a relay. */
   public internalUrl(vm: string): string {
     return `http://${this.vm(vm).listenInternal}`;
