--- a/packages/daemon/src/settings-file.test.ts
+++ b/packages/daemon/src/settings-file.test.ts
@@ -1,7 +1,15 @@
+import { readdir } from 'node:fs/promises';
+import path from 'node:path';
 import { describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
 import { expect } from 'earl';
 import { loadSettings, parseSettings } from './settings-file.js';
 
+const EXAMPLES = path.resolve(
+  path.dirname(fileURLToPath(import.meta.url)),
+  '../../../examples/settings',
+);
+
 const VALID = `
 vm = "vm-1"
 dataCentre = "muscat-a"
@@ -67,4 +75,11 @@
       problems: ['/nonexistent.toml: does not exist'],
     });
   });
+
+  it('accepts every example', async () => {
+    const files = (await readdir(EXAMPLES)).filter((file) => /^(control|entry)-/.test(file));
+    const loaded = await Promise.all(files.map((file) => loadSettings(path.join(EXAMPLES, file))));
+    expect(files.length).toEqual(6);
+    expect(loaded.flatMap((item) => (item.kind === 'invalid' ? item.problems : []))).toEqual([]);
+  });
 });
