--- a/packages/bench/src/process/Fleet.ts
+++ b/packages/bench/src/process/Fleet.ts
@@ -3,6 +3,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import { stringify } from 'smol-toml';
+import { fetch } from 'undici';
 import { DaemonProcess } from './DaemonProcess.js';
 import { findFreePort } from './ports.js';
 import { Relay } from './Relay.js';
@@ -15,6 +16,9 @@
 
 const POLL_MS = 50;
 
+/** Entries that each entry knows from its settings. */
+const KNOWN_PEERS = 5;
+
 export interface FleetOptions {
   readonly controlCount: number;
   readonly entryCount: number;
@@ -230,6 +234,10 @@
         vm: name,
         address: this.vm(name).internalAddress,
       })),
+      peers: this.entries
+        .filter((name) => name !== vm.vm)
+        .slice(0, KNOWN_PEERS)
+        .map((name) => this.vm(name).internalAddress),
       secrets: {
         peer: PEER_SECRET,
         operator: OPERATOR_SECRET,
