--- a/packages/daemon/src/settings-file.test.ts
+++ b/packages/daemon/src/settings-file.test.ts
@@ -42,6 +42,7 @@
     ['control that is not listed', '{ vm = "vm-1"', '{ vm = "vm-2"', ['8:1: control']],
     ['another address in the list', '.1:9080" }', '.2:9080" }', ['8:27: control[0].address']],
     ['an impossible IP', '"10.0.1.1:8080"', '"10.0.1.256:8080"', ['6:1: callerAddress']],
+    ['an impossible port of a peer', 'roles', 'peers = ["10.0.1.2:0"]\nroles', ['4:10: peers[0]']],
     ['one address for two listeners', ':8080', ':9080', ['6:1: callerAddress']],
     [
       'one secret for two groups',
--- a/packages/daemon/src/settings-file.ts
+++ b/packages/daemon/src/settings-file.ts
@@ -26,13 +26,14 @@
 }
 
 function checkAddresses(settings: Settings): Finding[] {
-  const { callerAddress, internalAddress, listen, control, outgoingAddress } = settings;
+  const { callerAddress, internalAddress, listen, control, peers, outgoingAddress } = settings;
   const addresses: [KeyPath, string | undefined][] = [
     [['callerAddress'], callerAddress],
     [['internalAddress'], internalAddress],
     [['listen', 'caller'], listen.caller],
     [['listen', 'internal'], listen.internal],
     ...control.map(({ address }, i): [KeyPath, string] => [['control', i, 'address'], address]),
+    ...peers.map((address, i): [KeyPath, string] => [['peers', i], address]),
   ];
   const findings = addresses
     .filter(([, address]) => address !== undefined && !isAddress(address))
