--- a/packages/daemon/src/settings-file.test.ts
+++ b/packages/daemon/src/settings-file.test.ts
@@ -1,7 +1,15 @@
+import { readdir } from 'node:fs/promises';
+import path from 'node:path';
 import { describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
 import { expect } from 'earl';
 import { loadSettings, parseSettings } from './settings-file.js';
 
+const EXAMPLES = path.resolve(
+  path.dirname(fileURLToPath(import.meta.url)),
+  '../../../examples/settings',
+);
+
 const VALID = `
 vm = "vm-1"
 dataCentre = "muscat-a"
@@ -34,6 +42,7 @@
     ['control that is not listed', '{ vm = "vm-1"', '{ vm = "vm-2"', ['8:1: control']],
     ['another address in the list', '.1:9080" }', '.2:9080" }', ['8:27: control[0].address']],
     ['an impossible IP', '"10.0.1.1:8080"', '"10.0.1.256:8080"', ['6:1: callerAddress']],
+    ['an impossible port of a peer', 'roles', 'peers = ["10.0.1.2:0"]\nroles', ['4:10: peers[0]']],
     ['one address for two listeners', ':8080', ':9080', ['6:1: callerAddress']],
     [
       'one secret for two groups',
@@ -67,4 +76,11 @@
       problems: ['/nonexistent.toml: does not exist'],
     });
   });
+
+  it('accepts every example', async () => {
+    const files = (await readdir(EXAMPLES)).filter((file) => /^(control|entry)-/.test(file));
+    const loaded = await Promise.all(files.map((file) => loadSettings(path.join(EXAMPLES, file))));
+    expect(files.length).toEqual(6);
+    expect(loaded.flatMap((item) => (item.kind === 'invalid' ? item.problems : []))).toEqual([]);
+  });
 });
