--- a/packages/daemon/src/testing/EntryFixture.ts
+++ b/packages/daemon/src/testing/EntryFixture.ts
@@ -27,6 +27,7 @@
 const SELF_VM = 'e1';
 const CURRENT_MS = 1e9;
 const SERVICE = 'orders';
+const DEFAULT_SLOTS = 6;
 
 /** Lists with one service and routes of each kind. */
 export function createTestLists(): Lists {
@@ -49,6 +50,14 @@
   });
 }
 
+function withExtraTeams(lists: Lists, count: number): Lists {
+  const extra = Array.from({ length: count }, (_, i) => [
+    `team-${i}`,
+    { plan: 'full', keys: [`extra${i}`] },
+  ]);
+  return { ...lists, teams: { ...lists.teams, ...Object.fromEntries(extra) } };
+}
+
 function sha256(text: string): string {
   return createHash('sha256').update(text).digest('hex');
 }
@@ -80,6 +89,12 @@
 }
 
 export interface FixtureOptions {
+  /** Targets that run elsewhere, in place of `upstreams`. */
+  readonly addresses?: readonly string[];
+  /** Places at each target, 6 by default. */
+  readonly slots?: number;
+  /** Further teams with one key each, to show that their number costs nothing on the path. */
+  readonly extraTeams?: number;
   readonly upstreams?: readonly Partial<StandInOptions>[];
   readonly limits?: Partial<EntryLimits>;
   readonly logger?: Logger;
@@ -111,12 +126,14 @@
     public readonly upstreams: readonly UpstreamStandIn[],
     options: FixtureOptions,
   ) {
+    const addresses = options.addresses ?? upstreams.map(({ address }) => address);
+    const slots = options.slots ?? DEFAULT_SLOTS;
     this.pool = new FakeTargetPool(
-      upstreams.map((upstream, i) => ({ target: `t${i}`, address: upstream.address, slots: 6 })),
+      addresses.map((address, i) => ({ target: `t${i}`, address, slots })),
     );
     this.queue = new FakeQueue(this.pool);
     this.upstream = new UpstreamClient(this.clock);
-    this.setLists(createTestLists());
+    this.setLists(withExtraTeams(createTestLists(), options.extraTeams ?? 0));
     this.blackboard.currency.set({
       currentUntil: CURRENT_MS,
       source: 'control',
@@ -128,7 +145,8 @@
 
   /** Starts the upstreams and the entry on free loopback ports. */
   public static async start(options: FixtureOptions = {}): Promise<EntryFixture> {
-    const upstreams = (options.upstreams ?? [{}]).map(
+    const ownUpstreams = options.addresses === undefined ? [{}] : [];
+    const upstreams = (options.upstreams ?? ownUpstreams).map(
       (standIn, i) => new UpstreamStandIn({ service: SERVICE, target: `t${i}`, ...standIn }),
     );
     await Promise.all(upstreams.map((upstream) => upstream.listen()));
--- a/packages/daemon/src/testing/UpstreamStandIn.ts
+++ b/packages/daemon/src/testing/UpstreamStandIn.ts
@@ -155,6 +155,12 @@
     return res.statusCode;
   }
 
+  /** Announces that it leaves, and refuses further requests without running them. */
+  public leave(): void {
+    this.state = 'leaving';
+    this.choose = () => ({ kind: 'shed' });
+  }
+
   /** Ends at once; requests in progress are cut. */
   public async crash(): Promise<void> {
     clearInterval(this.announcer);
