--- a/packages/daemon/src/entry/readBody.ts
+++ b/packages/daemon/src/entry/readBody.ts
@@ -31,7 +31,11 @@
     let timer: IDisposable | undefined;
     let total: IDisposable | undefined;
     let breakListener: IDisposable | undefined;
+    let isSettled = false;
     const settle = (result: BodyResult): void => {
+      // The rest of a refused body is read later, and its events do not belong here.
+      if (isSettled) return;
+      isSettled = true;
       total?.dispose();
       timer?.dispose();
       breakListener?.dispose();
