Judge losses after their crash has settled; bound CUSUM growth per round as a whole

Cause: tests of the coordinator found three faults. A crash was judged with losses of a later, unsettled crash, and an innocent request was quarantined before the poison request was reported. Losses counted in bursts, of which the bound per round let through so little that a target losing 40% of its requests was never ejected. The bound depended on the order in which reporters poll.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -32,26 +32,33 @@
   ];
 });
 
+/** Packages that a package of the layer must not import. */
+const forbiddenFrom = (layer, name) =>
+  LAYERS.slice(layer)
+    .flat()
+    .filter((other) => other !== name)
+    .flatMap((other) => [`@marigoldbank/${other}`, `@marigoldbank/${other}/*`]);
+
+// The highest package may import all others, and the rule accepts no empty group.
 const layerRules = LAYERS.flatMap((names, layer) =>
-  names.map((name) => ({
-    files: [`packages/${name}/**/*.ts`],
-    rules: {
-      'no-restricted-imports': [
-        'error',
-        {
-          patterns: [
-            {
-              group: LAYERS.slice(layer)
-                .flat()
-                .filter((other) => other !== name)
-                .flatMap((other) => [`@marigoldbank/${other}`, `@marigoldbank/${other}/*`]),
-              message: 'A package imports only from lower layers.',
-            },
-          ],
-        },
-      ],
-    },
-  })),
+  names
+    .filter((name) => forbiddenFrom(layer, name).length > 0)
+    .map((name) => ({
+      files: [`packages/${name}/**/*.ts`],
+      rules: {
+        'no-restricted-imports': [
+          'error',
+          {
+            patterns: [
+              {
+                group: forbiddenFrom(layer, name),
+                message: 'A package imports only from lower layers.',
+              },
+            ],
+          },
+        ],
+      },
+    })),
 );
 
 const formatterRules = Object.fromEntries(
--- a/packages/bench/src/experiments/decisions.ts
+++ b/packages/bench/src/experiments/decisions.ts
@@ -2,6 +2,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { defineCommand } from 'citty';
+import { DEPLOYMENTS } from './deployments.js';
 import { DETECTION_CURVE, planDetectionCurve, planScenarios } from './plan.js';
 import { plotCurve, plotWorstTeam } from './plots.js';
 import { writeReport } from './report.js';
@@ -60,6 +61,10 @@
     },
     seed: { type: 'string', description: 'First seed', default: '1' },
     out: { type: 'string', description: 'Directory for the results', default: 'out' },
+    service: {
+      type: 'string',
+      description: `One of ${DEPLOYMENTS.map(({ name }) => name).join(', ')}; by default two, with --full all`,
+    },
     full: { type: 'boolean', description: '20 seeds and all four services', default: false },
   },
   run: async ({ args }) => {
@@ -69,7 +74,11 @@
     const seed = Number(args.seed);
     if (unknown.length > 0) throw new RangeError(`unknown experiment: ${unknown.join(', ')}`);
     if (!Number.isSafeInteger(seed)) throw new RangeError(`not a seed: ${args.seed}`);
-    const options = { seed, isFull: args.full, experiments };
+    const { service } = args;
+    if (service !== undefined && !DEPLOYMENTS.some(({ name }) => name === service)) {
+      throw new RangeError(`unknown service: ${service}`);
+    }
+    const options = { seed, isFull: args.full, experiments, service };
     const hasCurve = experiments.length === 0 || experiments.includes(DETECTION_CURVE);
     const isCurveOnly = experiments.length === 1 && hasCurve;
     const scenarioRuns = isCurveOnly ? [] : planScenarios(options);
@@ -77,7 +86,7 @@
     console.log(`${scenarioRuns.length + curveRuns.length} runs`);
     const results = await runAll([...scenarioRuns, ...curveRuns]);
     const chosen = experiments.length === 0 ? '' : ` --experiment ${experiments.join(',')}`;
-    const command = `npm run bench -- --seed ${seed}${chosen}${args.full ? ' --full' : ''}`;
+    const command = `npm run bench -- --seed ${seed}${chosen}${service === undefined ? '' : ` --service ${service}`}${args.full ? ' --full' : ''}`;
     const misses = await writeOut(
       args.out,
       command,
--- a/packages/bench/src/experiments/plan.ts
+++ b/packages/bench/src/experiments/plan.ts
@@ -6,6 +6,8 @@
 export interface PlanOptions {
   readonly seed: number;
   readonly isFull: boolean;
+  /** One service only. */
+  readonly service?: string;
   /** Names of experiments, all when empty. */
   readonly experiments: readonly string[];
 }
@@ -30,7 +32,8 @@
   return Array.from({ length: isFull ? FULL_SEEDS : DEFAULT_SEEDS }, (_, i) => seed + i);
 }
 
-function deploymentsOf({ isFull }: PlanOptions): string[] {
+function deploymentsOf({ isFull, service }: PlanOptions): string[] {
+  if (service !== undefined) return [service];
   return isFull ? DEPLOYMENTS.map(({ name }) => name) : DEFAULT_DEPLOYMENTS;
 }
 
--- a/packages/bench/src/experiments/scenarios.ts
+++ b/packages/bench/src/experiments/scenarios.ts
@@ -220,7 +220,7 @@
     durationMs: 12_000,
     variants: [OURS, FIFO, NAIVE],
     greedy: GREEDY,
-    setUp: (fleet) => {
+    setUp: (fleet: FleetModel): void => {
       shrinkCapacity(fleet);
       overload(fleet);
     },
@@ -267,7 +267,7 @@
     durationMs: 15_000,
     variants: BOTH,
     greedy: GREEDY,
-    setUp: (fleet) => {
+    setUp: (fleet: FleetModel): void => {
       shrinkCapacity(fleet);
       overload(fleet);
       const [gray] = lastTargets(fleet, 0);
@@ -280,7 +280,7 @@
     title: 'A data centre is lost while 60% of the traffic goes to one entry',
     durationMs: 13_000,
     variants: BOTH,
-    setUp: (fleet) => {
+    setUp: (fleet: FleetModel): void => {
       Object.assign(fleet, { skew: 0.6 });
       fleet.at(FAULT_AT_MS, () => loseDataCentre(fleet, 'dc-2'));
     },
@@ -291,7 +291,7 @@
     title: 'Entries restart one after the other while a target flaps',
     durationMs: 30_000,
     variants: BOTH,
-    setUp: (fleet) => {
+    setUp: (fleet: FleetModel): void => {
       restartEntries(fleet);
       fleet.at(FAULT_AT_MS, () => flap(fleet, lastTargets(fleet, 0)[0]!, 3_000, 4));
     },
--- a/packages/ejection/src/PoisonTracker.ts
+++ b/packages/ejection/src/PoisonTracker.ts
@@ -14,9 +14,22 @@
   readonly startedAt: number;
   lastAt: number;
   readonly losses: { readonly fingerprint: string; readonly reporter: string }[];
+  /** All its losses are known. */
+  isSettled: boolean;
+  /** The losses may be a request's fault rather than the target's. */
+  isExcused: boolean;
 }
 
-/** Losses that tell against a target. */
+interface PendingLoss {
+  readonly at: number;
+  readonly reporter: string;
+  readonly crash: Crash;
+}
+
+/** A crash is settled by then, whenever in its window a loss was reported. */
+const LOSS_DELAY_MS = CRASH_WINDOW_MS + CRASH_SETTLE_MS;
+
+/** A loss that tells against a target. */
 export interface CountedLoss {
   readonly target: string;
   readonly reporter: string;
@@ -30,6 +43,9 @@
 export class PoisonTracker {
   private readonly open: Crash[] = [];
 
+  /** Losses that do not count yet, oldest first. */
+  private pending: PendingLoss[] = [];
+
   /** Unexplained crashes per fingerprint, oldest fingerprint first. */
   private readonly suspects = new Map<string, Crash[]>();
 
@@ -41,6 +57,7 @@
       const crash = this.crashAt(target, now);
       crash.lastAt = now;
       crash.losses.push({ fingerprint, reporter });
+      if (this.pending.length < MAX_FINGERPRINTS) this.pending.push({ at: now, reporter, crash });
       const crashes = this.suspects.get(fingerprint) ?? [];
       if (!crashes.includes(crash)) crashes.push(crash);
       this.suspects.set(fingerprint, crashes);
@@ -55,14 +72,16 @@
     this.suspects.delete(fingerprint);
   }
 
-  /** Judges the crashes whose losses are complete, and returns the losses that tell against their target. */
+  /** Judges the crashes whose losses are complete, and returns the losses that now tell against their target. */
   public judge(now: number): CountedLoss[] {
     this.expire(now);
     const settled = this.open.filter((crash) => now - crash.lastAt >= CRASH_SETTLE_MS);
-    if (settled.length === 0) return [];
-    const rest = this.open.filter((crash) => now - crash.lastAt < CRASH_SETTLE_MS);
-    this.open.splice(0, this.open.length, ...rest);
-    return settled.flatMap((crash) => this.judgeCrash(crash, now));
+    if (settled.length > 0) {
+      const rest = this.open.filter((crash) => now - crash.lastAt < CRASH_SETTLE_MS);
+      this.open.splice(0, this.open.length, ...rest);
+      settled.forEach((crash) => this.judgeCrash(crash, now));
+    }
+    return this.takeDue(now);
   }
 
   public get quarantined(): string[] {
@@ -78,12 +97,29 @@
       (crash) => crash.target === target && now - crash.startedAt <= CRASH_WINDOW_MS,
     );
     if (known !== undefined) return known;
-    const crash: Crash = { target, startedAt: now, lastAt: now, losses: [] };
+    const crash: Crash = {
+      target,
+      startedAt: now,
+      lastAt: now,
+      losses: [],
+      isSettled: false,
+      isExcused: false,
+    };
     this.open.push(crash);
     return crash;
   }
 
-  private judgeCrash(crash: Crash, now: number): CountedLoss[] {
+  /** Losses count one by one after a delay, so that a target that loses many is not judged in bursts. */
+  private takeDue(now: number): CountedLoss[] {
+    const first = this.pending.findIndex(({ at }) => now - at < LOSS_DELAY_MS);
+    const due = this.pending.splice(0, first < 0 ? this.pending.length : first);
+    return due
+      .filter(({ crash }) => !crash.isExcused)
+      .map(({ crash, reporter }) => ({ target: crash.target, reporter }));
+  }
+
+  private judgeCrash(crash: Crash, now: number): void {
+    Object.assign(crash, { isSettled: true });
     const fingerprints = [...new Set(crash.losses.map(({ fingerprint }) => fingerprint))];
     const repeated = fingerprints
       .map((fingerprint) => ({ fingerprint, targets: this.targetsOf(fingerprint) }))
@@ -93,16 +129,12 @@
     if (worst.length === 1 || most >= 3) {
       worst.forEach(({ fingerprint }) => this.quarantine(fingerprint, now));
     }
-    if (fingerprints.some((fingerprint) => this.releaseAt.has(fingerprint))) {
-      this.explain(crash);
-      return [];
-    }
-    if (repeated.length > 0) return [];
-    return crash.losses.map(({ reporter }) => ({ target: crash.target, reporter }));
+    if (repeated.length > 0) Object.assign(crash, { isExcused: true });
+    if (fingerprints.some((fingerprint) => this.releaseAt.has(fingerprint))) this.explain(crash);
   }
 
   private targetsOf(fingerprint: string): number {
-    const crashes = this.suspects.get(fingerprint) ?? [];
+    const crashes = (this.suspects.get(fingerprint) ?? []).filter(({ isSettled }) => isSettled);
     return new Set(crashes.map(({ target }) => target)).size;
   }
 
@@ -115,6 +147,7 @@
 
   /** The crash no longer counts against any fingerprint. */
   private explain(crash: Crash): void {
+    Object.assign(crash, { isExcused: true });
     crash.losses.forEach(({ fingerprint }) => {
       const rest = this.suspects.get(fingerprint)?.filter((other) => other !== crash);
       if (rest === undefined) return;
--- a/packages/ejection/src/TargetEvidence.ts
+++ b/packages/ejection/src/TargetEvidence.ts
@@ -27,8 +27,11 @@
 
   private round = 0;
 
-  /** CUSUM up to which it may grow in this round. */
-  private roundCeiling = 0;
+  /** Log likelihood ratio of this round's samples, without the bound on the growth. */
+  private roundSum = 0;
+
+  /** CUSUM at the end of the last round. */
+  private cusumBefore = 0;
 
   private cusumValue = 0;
 
@@ -127,7 +130,8 @@
   /** Starts from nothing: the target is a new process, or a decision has used the evidence. */
   public reset(): void {
     this.cusumValue = 0;
-    this.roundCeiling = 0;
+    this.cusumBefore = 0;
+    this.roundSum = 0;
     this.round = 0;
     this.good = 0;
     this.reporters.clear();
@@ -177,14 +181,16 @@
     const round = Math.floor(now / EVIDENCE_ROUND_MS);
     if (round !== this.round) {
       this.round = round;
-      this.roundCeiling = this.cusumValue + gainPerRound * cusumThreshold;
+      this.cusumBefore = this.cusumValue;
+      this.roundSum = 0;
     }
     const normal = Math.max(parameters.leastPeerBadRate, baseline.badRate);
     // With many bad samples everywhere, a target must be clearly worse than its peers.
     const worse = Math.max(parameters.badShare, Math.min(0.95, 3 * normal));
-    const ratio =
+    this.roundSum +=
       bad * Math.log(worse / normal) + (total - bad) * Math.log((1 - worse) / (1 - normal));
-    const ceiling = Math.min(this.roundCeiling, 2 * cusumThreshold);
-    this.cusumValue = Math.min(ceiling, Math.max(0, this.cusumValue + ratio));
+    // Bounded over the whole round, so that the order in which the reporters poll does not matter.
+    const grown = this.cusumBefore + Math.min(gainPerRound * cusumThreshold, this.roundSum);
+    this.cusumValue = Math.min(2 * cusumThreshold, Math.max(0, grown));
   }
 }
--- a/packages/ejection/src/floor.test.ts
+++ b/packages/ejection/src/floor.test.ts
@@ -77,7 +77,8 @@
     succeeded: 4,
     failed: isBad[target] ? 6 : 0,
     shed: 0,
-    outstanding: random.int(3),
+    // No load, so that a target without room is one that is out of rotation.
+    outstanding: 0,
     latencyBuckets: bucketsOf([10, 11, 12, isBad[target] ? 200 : 13]),
   });
   const poll = (): CoordinateResponse => {
