--- a/packages/bench/src/experiments/decisions.ts
+++ b/packages/bench/src/experiments/decisions.ts
@@ -2,8 +2,10 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { defineCommand } from 'citty';
+import type { BudgetFigures } from './BudgetModel.js';
+import { BUDGET_SCENARIOS, budgetMisses, runBudgets } from './budgets.js';
 import { DEPLOYMENTS } from './deployments.js';
-import { DETECTION_CURVE, planDetectionCurve, planScenarios } from './plan.js';
+import { DETECTION_CURVE, planDetectionCurve, planScenarios, seedsOf } from './plan.js';
 import { plotCurve, plotWorstTeam } from './plots.js';
 import { writeReport } from './report.js';
 import { runAll } from './run-all.js';
@@ -27,11 +29,18 @@
   },
 ] as const;
 
+const KNOWN_EXPERIMENTS: readonly string[] = [
+  DETECTION_CURVE,
+  ...BUDGET_SCENARIOS,
+  ...SCENARIOS.map(({ name }) => name),
+];
+
 async function writeOut(
   out: string,
   command: string,
   results: readonly RunResult[],
   curveResults: readonly RunResult[],
+  budgets: readonly BudgetFigures[],
 ): Promise<string[]> {
   mkdirSync(out, { recursive: true });
   const summaries = summarizeAll(results);
@@ -43,10 +52,13 @@
           file,
           points: curveOf(curveResults, parameter, fixed),
         }));
-  const misses = findMisses(summaries);
+  const misses = [...findMisses(summaries), ...budgetMisses(budgets)];
   const save = (file: string, text: string): void => writeFileSync(path.join(out, file), text);
-  save('decisions.json', JSON.stringify({ command, summaries, curves, misses, results }, null, 1));
-  save('decisions.md', writeReport({ command, summaries, curves, misses }));
+  save(
+    'decisions.json',
+    JSON.stringify({ command, summaries, curves, budgets, misses, results }, null, 1),
+  );
+  save('decisions.md', writeReport({ command, summaries, curves, budgets, misses }));
   await Promise.all(curves.map(async ({ file, points }) => save(file, await plotCurve(points))));
   if (summaries.length > 0) save('worst-team.svg', await plotWorstTeam(summaries));
   return misses;
@@ -57,7 +69,7 @@
   args: {
     experiment: {
       type: 'string',
-      description: `Comma-separated names: ${DETECTION_CURVE}, ${SCENARIOS.map(({ name }) => name).join(', ')}`,
+      description: `Comma-separated names: ${KNOWN_EXPERIMENTS.join(', ')}`,
     },
     seed: { type: 'string', description: 'First seed', default: '1' },
     out: { type: 'string', description: 'Directory for the results', default: 'out' },
@@ -69,7 +81,7 @@
   },
   run: async ({ args }) => {
     const experiments = (args.experiment ?? '').split(',').filter((name) => name !== '');
-    const known = [DETECTION_CURVE, ...SCENARIOS.map(({ name }) => name)];
+    const known = KNOWN_EXPERIMENTS;
     const unknown = experiments.filter((name) => !known.includes(name));
     const seed = Number(args.seed);
     if (unknown.length > 0) throw new RangeError(`unknown experiment: ${unknown.join(', ')}`);
@@ -80,11 +92,14 @@
     }
     const options = { seed, isFull: args.full, experiments, service };
     const hasCurve = experiments.length === 0 || experiments.includes(DETECTION_CURVE);
-    const isCurveOnly = experiments.length === 1 && hasCurve;
-    const scenarioRuns = isCurveOnly ? [] : planScenarios(options);
+    const hasScenarios =
+      experiments.length === 0 || SCENARIOS.some(({ name }) => experiments.includes(name));
+    const chosenBudgets = experiments.length === 0 ? BUDGET_SCENARIOS : experiments;
+    const scenarioRuns = hasScenarios ? planScenarios(options) : [];
     const curveRuns = hasCurve ? planDetectionCurve(options) : [];
     console.log(`${scenarioRuns.length + curveRuns.length} runs`);
     const results = await runAll([...scenarioRuns, ...curveRuns]);
+    const budgets = await runBudgets(seedsOf(options), chosenBudgets);
     const chosen = experiments.length === 0 ? '' : ` --experiment ${experiments.join(',')}`;
     const command = `npm run bench -- --seed ${seed}${chosen}${service === undefined ? '' : ` --service ${service}`}${args.full ? ' --full' : ''}`;
     const misses = await writeOut(
@@ -92,6 +107,7 @@
       command,
       results.slice(0, scenarioRuns.length),
       results.slice(scenarioRuns.length),
+      budgets,
     );
     misses.forEach((line) => console.log(`missed: ${line}`));
     console.log(`results in ${path.join(args.out, 'decisions.md')}`);
--- a/packages/bench/src/experiments/plan.ts
+++ b/packages/bench/src/experiments/plan.ts
@@ -28,7 +28,8 @@
 const CURVE_FAULT_MS = 8_000;
 const CURVE_NOISE_MS = { default: 30_000, full: 120_000 };
 
-function seedsOf({ seed, isFull }: PlanOptions): number[] {
+/** Seeds of the runs, from the first on. */
+export function seedsOf({ seed, isFull }: PlanOptions): number[] {
   return Array.from({ length: isFull ? FULL_SEEDS : DEFAULT_SEEDS }, (_, i) => seed + i);
 }
 
--- a/packages/bench/src/experiments/report.ts
+++ b/packages/bench/src/experiments/report.ts
@@ -1,4 +1,6 @@
 /** Readable report of the experiments. */
+import type { BudgetFigures } from './BudgetModel.js';
+import { budgetRows } from './budgets.js';
 import { SCENARIOS } from './scenarios.js';
 import type { CurvePoint, Summary } from './summary.js';
 
@@ -16,6 +18,15 @@
   'retries per request',
 ];
 
+const BUDGET_COLUMNS = [
+  'experiment',
+  'version',
+  'seeds',
+  'refused within the rate (worst)',
+  'requests above rate and burst',
+  'wait p50 / p99 (ms)',
+];
+
 function percent(share: number): string {
   return `${(share * 100).toFixed(2)}%`;
 }
@@ -91,10 +102,11 @@
     readonly points: readonly CurvePoint[];
     readonly file: string;
   }[];
+  readonly budgets: readonly BudgetFigures[];
   readonly misses: readonly string[];
 }
 
-export function writeReport({ command, summaries, curves, misses }: ReportInput): string {
+export function writeReport({ command, summaries, curves, budgets, misses }: ReportInput): string {
   const sections = SCENARIOS.flatMap((scenario) => {
     const own = summaries.filter(({ scenario: name }) => name === scenario.name);
     if (own.length === 0) return [];
@@ -110,6 +122,7 @@
     '## Missed targets',
     missed.map((line) => `- ${line}`).join('\n'),
     ...sections,
+    ...(budgets.length === 0 ? [] : ['## Budgets', table(BUDGET_COLUMNS, budgetRows(budgets))]),
     ...curves.flatMap(({ title, points, file }) => [
       `## ${title}`,
       curveTable(points),
