Test the bound on rate and burst under faults

Cause: the bound must hold exactly in every interval through restarts, view changes, freezes and lost messages.

Change: seeded simulation that replays the merged dispatches against one central bucket, and the same with each wait or check switched off.

Conclusion: the check can fail and does not.

--- /dev/null
+++ b/packages/budgets/src/simulation.test.ts
@@ -0,0 +1,332 @@
+import { describe, it } from 'node:test';
+import type { Clock } from '@marigoldbank/base/clock';
+import { Random } from '@marigoldbank/base/random';
+import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { expect } from 'earl';
+import type { BudgetTiming } from './constants.js';
+import { FleetBudgets } from './FleetBudgets.js';
+import type {
+  BorrowRequest,
+  BorrowResponse,
+  BudgetTransport,
+  BudgetView,
+  TeamLimit,
+} from './types.js';
+
+const RUN_MS = 25_000;
+
+/** More seeds on request, for example SEEDS=1000. */
+const SEED_COUNT = Number(process.env.SEEDS ?? 25);
+const CURRENCY_MS = 2_000;
+const TEAM = 'team-a';
+
+/** All times are multiples of 1/16 ms, so that the replay computes without rounding. */
+const TICKS_PER_MS = 16;
+
+/** A safety mechanism that is switched off, to show that the check finds its absence. */
+interface Variant {
+  readonly timing?: Partial<BudgetTiming>;
+  readonly isCurrencyIgnored?: boolean;
+}
+
+interface Entry {
+  readonly vm: string;
+  budgets: FleetBudgets;
+  view: BudgetView;
+  run: number;
+  currentUntil: number;
+  frozenUntil: number;
+}
+
+/** Most tokens by which a single central bucket that starts full would have been exceeded. */
+function replayCentralBucket(dispatches: readonly number[], limit: TeamLimit): number {
+  let levelTimes1000 = 0;
+  let last = 0;
+  let excess = 0;
+  dispatches.forEach((at) => {
+    levelTimes1000 = Math.max(0, levelTimes1000 - (at - last) * limit.rate) + 1_000;
+    last = at;
+    excess = Math.max(excess, levelTimes1000 / 1_000 - limit.burst);
+  });
+  return excess;
+}
+
+function buildView(epoch: number, vms: readonly string[]): BudgetView {
+  return { epoch, entries: vms.map((vm) => ({ vm, dataCentre: `dc-${Number(vm.at(-1)) % 3}` })) };
+}
+
+class BudgetSimulation {
+  public readonly dispatches: number[] = [];
+
+  private readonly clock = new VirtualClock();
+
+  private readonly random: Random;
+
+  private readonly entries: Entry[];
+
+  private readonly cuts = new Set<string>();
+
+  private views: BudgetView[];
+
+  private acceptedEpoch = 1;
+
+  private acceptedAt = 0;
+
+  public readonly limit: TeamLimit;
+
+  public constructor(
+    seed: number,
+    private readonly variant: Variant,
+  ) {
+    this.random = new Random(seed);
+    this.limit = {
+      rate: this.random.pick([0.5, 2, 10, 40])!,
+      burst: this.random.pick([1, 2, 3, 4.5, 10, 25])!,
+    };
+    const size = this.random.between(3, 8);
+    const vms = Array.from({ length: size }, (_, i) => `vm-${i}`);
+    this.views = [buildView(1, vms.slice(0, this.random.between(3, size)))];
+    this.entries = vms.map((vm) => ({
+      vm,
+      budgets: this.buildBudgets(vm, 1),
+      view: this.views[0]!,
+      run: 1,
+      currentUntil: 0,
+      frozenUntil: 0,
+    }));
+    this.entries.forEach((entry) => this.begin(entry));
+  }
+
+  public async run(): Promise<number> {
+    this.entries.forEach((entry) => {
+      this.schedulePoll(entry);
+      this.scheduleRequests(entry);
+    });
+    this.scheduleFault();
+    await this.clock.advanceAsync(RUN_MS);
+    this.entries.forEach((entry) => entry.budgets.dispose());
+    return replayCentralBucket(this.dispatches, this.limit);
+  }
+
+  private find(vm: string): Entry | undefined {
+    return this.entries?.find((entry) => entry.vm === vm);
+  }
+
+  private delayOf(maxMs: number): number {
+    return this.random.between(1, maxMs * TICKS_PER_MS) / TICKS_PER_MS;
+  }
+
+  /** Timers of a frozen entry fire when it thaws; those of an earlier run never do. */
+  private entryClock(vm: string, run: number): Clock {
+    return {
+      now: () => this.clock.now(),
+      setTimeout: (fn, delayMs) => this.clock.setTimeout(() => this.runAt(vm, run, fn), delayMs),
+    };
+  }
+
+  private runAt(vm: string, run: number, fn: () => void): void {
+    const entry = this.find(vm);
+    if (entry === undefined || entry.run !== run) return;
+    const frozenMs = entry.frozenUntil - this.clock.now();
+    if (frozenMs > 0) this.clock.setTimeout(() => this.runAt(vm, run, fn), frozenMs);
+    else fn();
+  }
+
+  private buildBudgets(vm: string, run: number): FleetBudgets {
+    const transport: BudgetTransport = {
+      borrow: (to, req) => this.borrow(vm, run, to, req),
+    };
+    return new FleetBudgets({
+      self: vm,
+      incarnation: `${vm}-${run}`,
+      clock: this.entryClock(vm, run),
+      transport,
+      timing: this.variant.timing,
+      isCurrent: () =>
+        this.variant.isCurrencyIgnored === true ||
+        this.clock.now() < (this.find(vm)?.currentUntil ?? 0),
+    });
+  }
+
+  private begin(entry: Entry): void {
+    entry.budgets.setView(entry.view);
+    entry.budgets.setLimits((team) => (team === TEAM ? this.limit : undefined));
+    entry.budgets.markLimitsAccepted(-1e6);
+    if (entry.view.epoch === 1) entry.budgets.markViewAccepted(1, -1e6);
+  }
+
+  /** A message with faults: lost, delayed, duplicated, one-way cuts, frozen receivers. */
+  private send(from: string, to: string, fn: () => void): void {
+    const copies = this.random.chance(0.05) ? 2 : 1;
+    Array.from({ length: copies }).forEach(() => {
+      if (this.random.chance(0.03) || this.cuts.has(`${from}>${to}`)) return;
+      const delayMs = this.delayOf(this.random.chance(0.1) ? 1_500 : 4);
+      this.clock.setTimeout(fn, delayMs);
+    });
+  }
+
+  private borrow(
+    from: string,
+    run: number,
+    to: string,
+    req: BorrowRequest,
+  ): Promise<BorrowResponse> {
+    return new Promise((resolve) => {
+      this.send(from, to, () => {
+        const target = this.find(to)!;
+        this.runAt(to, target.run, () => {
+          const res = target.budgets.handleBorrow(req);
+          this.send(to, from, () => this.runAt(from, run, () => resolve(res)));
+        });
+      });
+    });
+  }
+
+  private scheduleRequests(entry: Entry): void {
+    this.clock.setTimeout(
+      () => {
+        this.runAt(entry.vm, entry.run, () => {
+          this.request(entry).catch(() => undefined);
+        });
+        this.scheduleRequests(entry);
+      },
+      this.delayOf(this.random.chance(0.05) ? 2_000 : 60),
+    );
+  }
+
+  private async request(entry: Entry): Promise<void> {
+    const { run } = entry;
+    const outcome = await entry.budgets.reserve(TEAM, 200);
+    if (outcome.kind !== 'reserved') return;
+    const { reservation } = outcome;
+    const dispatch = (): void => {
+      if (!reservation.consume()) return;
+      this.dispatches.push(this.clock.now());
+    };
+    if (this.random.chance(0.1)) reservation.release();
+    else if (this.random.chance(0.2)) {
+      this.clock.setTimeout(() => this.runAt(entry.vm, run, dispatch), this.delayOf(1_500));
+    } else dispatch();
+  }
+
+  /** Polls an omniscient control: the entry adopts the newest view, or is confirmed. */
+  private schedulePoll(entry: Entry): void {
+    this.clock.setTimeout(() => {
+      this.runAt(entry.vm, entry.run, () => this.poll(entry));
+      this.schedulePoll(entry);
+    }, this.delayOf(600));
+  }
+
+  private poll(entry: Entry): void {
+    const sentAt = this.clock.now();
+    const { run } = entry;
+    this.send(entry.vm, 'control', () => {
+      const newest = this.views.at(-1)!;
+      const { acceptedEpoch, acceptedAt } = this;
+      this.send('control', entry.vm, () =>
+        this.runAt(entry.vm, run, () => {
+          if (newest.epoch > entry.view.epoch) {
+            entry.budgets.setView(newest);
+            Object.assign(entry, { view: newest });
+            this.updateAccepted();
+          }
+          if (acceptedEpoch >= entry.view.epoch) {
+            entry.budgets.markViewAccepted(entry.view.epoch, acceptedAt);
+          }
+          const currentUntil = Math.max(entry.currentUntil, sentAt + CURRENCY_MS);
+          Object.assign(entry, { currentUntil });
+        }),
+      );
+    });
+  }
+
+  private updateAccepted(): void {
+    const next = this.views.find((view) => view.epoch === this.acceptedEpoch + 1);
+    if (next === undefined) return;
+    const previous = this.views.find((view) => view.epoch === this.acceptedEpoch)!;
+    const isInForce = (view: BudgetView): boolean => {
+      const count = view.entries.filter(({ vm }) => this.find(vm)!.view.epoch >= next.epoch).length;
+      return count * 2 > view.entries.length;
+    };
+    if (!isInForce(next) || !isInForce(previous)) return;
+    this.acceptedEpoch = next.epoch;
+    this.acceptedAt = this.clock.now();
+    this.updateAccepted();
+  }
+
+  private scheduleFault(): void {
+    this.clock.setTimeout(() => {
+      this.injectFault();
+      this.scheduleFault();
+    }, this.delayOf(1_500));
+  }
+
+  private injectFault(): void {
+    const entry = this.random.pick(this.entries)!;
+    const actions = [
+      () => this.restart(entry),
+      () => Object.assign(entry, { frozenUntil: this.clock.now() + this.delayOf(5_000) }),
+      () => this.cuts.add(`${entry.vm}>${this.random.pick(this.entries)!.vm}`),
+      () => this.cuts.add(this.random.chance(0.5) ? `${entry.vm}>control` : `control>${entry.vm}`),
+      () => this.cuts.clear(),
+      () => this.changeView(),
+    ];
+    this.random.pick(actions)!();
+  }
+
+  /** A restarted entry keeps its view, as with a data folder, and is not current. */
+  private restart(entry: Entry): void {
+    entry.budgets.dispose();
+    const run = entry.run + 1;
+    Object.assign(entry, { run, currentUntil: 0, frozenUntil: 0 });
+    Object.assign(entry, { budgets: this.buildBudgets(entry.vm, run) });
+    this.begin(entry);
+  }
+
+  private changeView(): void {
+    const newest = this.views.at(-1)!;
+    const inView = newest.entries.map(({ vm }) => vm);
+    const outside = this.entries.map(({ vm }) => vm).filter((vm) => !inView.includes(vm));
+    const added = this.random.pick(outside);
+    const removed = this.random.pick(inView);
+    const kept = inView.filter((vm) => inView.length <= 2 || vm !== removed);
+    const vms = added !== undefined && this.random.chance(0.6) ? [...kept, added] : kept;
+    this.views = [...this.views, buildView(newest.epoch + 1, vms)];
+    this.updateAccepted();
+  }
+}
+
+/** Runs seeds until `count` are done or, for a variant, the bound is found broken. */
+async function runSeeds(firstSeed: number, count: number, variant: Variant, isVariant: boolean) {
+  const total = { excess: 0, dispatches: 0, seeds: 0 };
+  while (total.seeds < count && !(isVariant && total.excess > 0)) {
+    const simulation = new BudgetSimulation(firstSeed + total.seeds, variant);
+    total.seeds += 1;
+    total.excess = Math.max(total.excess, await simulation.run());
+    total.dispatches += simulation.dispatches.length;
+  }
+  return total;
+}
+
+describe('the bound on rate and burst under faults', () => {
+  it('holds exactly in every interval', async () => {
+    const total = await runSeeds(1, SEED_COUNT, {}, false);
+    expect(total.excess).toEqual(0);
+    expect(total.dispatches).toBeGreaterThan(20 * SEED_COUNT);
+  });
+
+  // The first seeds are close to those that find the fault, which keeps the test short.
+  const variants: [string, number, Variant][] = [
+    ['lenders forget loans before they end', 1, { timing: { lenderLifetimeMs: 0 } }],
+    ['borrowers use expired tokens', 1, { timing: { loanLifetimeMs: 60_000 } }],
+    ['a restarted holder does not wait', 98, { timing: { restartWaitMs: 0 } }],
+    ['a new holder does not wait', 130, { timing: { acceptanceWaitMs: 0 } }],
+    ['holders and borrowers do not check currency', 136, { isCurrencyIgnored: true }],
+  ];
+  variants.forEach(([name, firstSeed, variant]) => {
+    it(`is found broken when ${name}`, async () => {
+      const total = await runSeeds(firstSeed, 10, variant, true);
+      expect(total.excess).toBeGreaterThan(0);
+    });
+  });
+});
