--- a/packages/claims/src/ClaimHolder.ts
+++ b/packages/claims/src/ClaimHolder.ts
@@ -48,7 +48,8 @@
   /** Newest last. */
   private views: readonly ClaimView[] = [];
 
-  private recoveries: readonly ShardRecovery[] = [];
+  /** Recoveries that are not complete, by view and shard. */
+  private readonly recoveries = new Map<ClaimView, Map<number, ShardRecovery>>();
 
   private readonly timers: readonly IDisposable[];
 
@@ -79,9 +80,8 @@
 
   /** Shards of the current view that this entry holds and cannot acknowledge claims of yet. */
   public get recoveringShards(): readonly number[] {
-    return this.recoveries
-      .filter((recovery) => recovery.view === this.view)
-      .map((recovery) => recovery.shard);
+    const { view } = this;
+    return view === undefined ? [] : [...(this.recoveries.get(view)?.keys() ?? [])];
   }
 
   /** Number of keys in memory. */
@@ -101,11 +101,14 @@
       held.forEach((state) => state.markReady(view.epoch, undefined));
       return;
     }
-    const added = held.map(
-      (state) => new ShardRecovery(self, state.shard, view, earlier, clock.now()),
-    );
-    const known = new Set(this.views);
-    this.recoveries = [...this.recoveries.filter((recovery) => known.has(recovery.view)), ...added];
+    const added = held.map(({ shard }) => {
+      const recovery = new ShardRecovery(self, shard, view, earlier, clock.now());
+      return [shard, recovery] as const;
+    });
+    this.recoveries.set(view, new Map(added));
+    [...this.recoveries.keys()]
+      .filter((known) => !this.views.includes(known))
+      .forEach((known) => this.recoveries.delete(known));
     this.recover();
   }
 
@@ -148,17 +151,16 @@
       const answer = state.answerRecovery(req.from, req.incarnation, req.viewEpoch);
       return answer === undefined ? [] : [{ answer, records: state.store.list() }];
     });
-    const vms = states.flatMap((state) => this.knownHolders(state.shard));
     return {
       records: answers.flatMap(({ records }) => records),
       shards: answers.map(({ answer }) => answer),
-      incarnations: this.incarnations.list([...new Set([this.options.self, ...vms])]),
+      incarnations: this.incarnations.listAll(),
     };
   }
 
   public dispose(): void {
     this.timers.forEach((timer) => timer.dispose());
-    this.recoveries = [];
+    this.recoveries.clear();
   }
 
   private respond(
@@ -187,16 +189,17 @@
   private recover(): void {
     this.completeByAge();
     const now = this.options.clock.now();
-    const views = new Set(this.recoveries.map((recovery) => recovery.view));
-    views.forEach((view) => {
-      const pending = this.recoveries.filter((recovery) => recovery.view === view);
-      const sources = new Set(pending.flatMap((recovery) => recovery.sourcesAt(now)));
-      sources.forEach((source) => {
-        const shards = pending
-          .filter((recovery) => recovery.sourcesAt(now).includes(source))
-          .map((recovery) => recovery.shard);
-        this.ask(source, view, shards);
+    this.recoveries.forEach((byShard, view) => {
+      const shardsBySource = new Map<string, number[]>();
+      byShard.forEach((recovery) => {
+        if (!recovery.isDue(now)) return;
+        recovery.sourcesAt(now).forEach((source) => {
+          const shards = shardsBySource.get(source) ?? [];
+          shards.push(recovery.shard);
+          shardsBySource.set(source, shards);
+        });
       });
+      shardsBySource.forEach((shards, source) => this.ask(source, view, shards));
     });
   }
 
@@ -219,41 +222,30 @@
       this.shards[shardOf(record.team, record.key)]!.store.put(record);
     });
     const own = res.incarnations.find((known) => known.vm === source);
-    const answers = new Map(res.shards.map((answer) => [answer.shard, answer]));
-    this.recoveries
-      .filter((recovery) => recovery.view === view)
-      .forEach((recovery) => {
-        const answer = answers.get(recovery.shard);
-        if (answer === undefined || own === undefined) return;
-        recovery.add(source, own.incarnation, answer);
-      });
-    this.completeRecoveries();
-  }
-
-  private completeRecoveries(): void {
-    this.recoveries.forEach((recovery) => {
+    if (own === undefined) return;
+    res.shards.forEach((answer) => {
+      const recovery = this.recoveries.get(view)?.get(answer.shard);
+      if (recovery === undefined) return;
+      recovery.add(source, own.incarnation, answer);
       const result = recovery.check(this.incarnations);
-      if (result === undefined) return;
-      this.shards[recovery.shard]!.markReady(recovery.view.epoch, result.predecessor);
+      if (result !== undefined) this.complete(recovery, result.predecessor);
     });
-    this.dropCompleted();
   }
 
   /** Without anyone to read from, a holder waits until nothing that it may have forgotten is valid. */
   private completeByAge(): void {
-    if (this.options.clock.now() < this.emptyAt) return;
-    this.recoveries
-      .filter((recovery) => recovery.view === this.view)
-      .forEach((recovery) =>
-        this.shards[recovery.shard]!.markReady(recovery.view.epoch, undefined),
-      );
-    this.dropCompleted();
+    const { view } = this;
+    if (view === undefined || this.options.clock.now() < this.emptyAt) return;
+    this.recoveries.get(view)?.forEach((recovery) => this.complete(recovery, undefined));
   }
 
-  private dropCompleted(): void {
-    this.recoveries = this.recoveries.filter(
-      (recovery) => (this.shards[recovery.shard]!.readyEpoch ?? -Infinity) < recovery.view.epoch,
-    );
+  /** Ends this recovery and those of the shard for earlier views. */
+  private complete(recovery: ShardRecovery, predecessor: number | undefined): void {
+    const { shard } = recovery;
+    this.shards[shard]!.markReady(recovery.view.epoch, predecessor);
+    this.recoveries.forEach((byShard, view) => {
+      if (view.epoch <= recovery.view.epoch) byShard.delete(shard);
+    });
   }
 
   private sweep(): void {
--- a/packages/claims/src/Incarnations.ts
+++ b/packages/claims/src/Incarnations.ts
@@ -20,6 +20,10 @@
     return incarnation < this.get(vm);
   }
 
+  public listAll(): HolderIncarnation[] {
+    return this.list([...this.newest.keys()]);
+  }
+
   /** The known incarnations of the given VMs. */
   public list(vms: readonly string[]): HolderIncarnation[] {
     return vms.filter((vm) => this.newest.has(vm)).map((vm) => ({ vm, incarnation: this.get(vm) }));
--- a/packages/claims/src/ShardRecovery.ts
+++ b/packages/claims/src/ShardRecovery.ts
@@ -1,5 +1,5 @@
 /** Decides when a holder's state of one shard is complete for one epoch. */
-import { OVERDUE_RECOVERY_MS } from './constants.js';
+import { OVERDUE_RECOVERY_MS, OVERDUE_RETRY_MS } from './constants.js';
 import type { Incarnations } from './Incarnations.js';
 import { holdersOf, majorityOf, recoveryQuorumOf } from './sharding.js';
 import type { ClaimView, RecoveredShard } from './types.js';
@@ -20,8 +20,14 @@
 
   private readonly peers: readonly string[];
 
+  private askedAt = -Infinity;
+
+  private readonly nearSources: readonly string[];
+
+  private readonly allSources: readonly string[];
+
   public constructor(
-    private readonly self: string,
+    self: string,
     public readonly shard: number,
     public readonly view: ClaimView,
     /** Earlier views that may be handed over, newest first. */
@@ -29,6 +35,8 @@
     private readonly startedAt: number,
   ) {
     this.peers = holdersOf(view, shard).filter((vm) => vm !== self);
+    this.nearSources = this.listSources(earlier.slice(0, 1));
+    this.allSources = this.listSources(earlier);
   }
 
   /**
@@ -37,10 +45,16 @@
    */
   public sourcesAt(now: number): readonly string[] {
     const isOverdue = now - this.startedAt >= OVERDUE_RECOVERY_MS;
-    const earlier = (isOverdue ? this.earlier : this.earlier.slice(0, 1)).flatMap((view) =>
-      holdersOf(view, this.shard),
-    );
-    return [...new Set([...this.peers, ...earlier])];
+    return isOverdue ? this.allSources : this.nearSources;
+  }
+
+  /** Whether to ask again; less often when the holders have not answered for a while. Notes that they are asked. */
+  public isDue(now: number): boolean {
+    const isOverdue = now - this.startedAt >= OVERDUE_RECOVERY_MS;
+    const pauseMs = isOverdue ? OVERDUE_RETRY_MS : 0;
+    if (now - this.askedAt < pauseMs) return false;
+    this.askedAt = now;
+    return true;
   }
 
   public add(vm: string, incarnation: number, answer: RecoveredShard): void {
@@ -56,6 +70,11 @@
     return predecessor === undefined ? undefined : { predecessor: predecessor.epoch };
   }
 
+  private listSources(earlier: readonly ClaimView[]): readonly string[] {
+    const vms = earlier.flatMap((view) => holdersOf(view, this.shard));
+    return [...new Set([...this.peers, ...vms])];
+  }
+
   /** Enough other holders of the same epoch answered. */
   private isRead(incarnations: Incarnations): boolean {
     const complete = this.peers.filter(
--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -35,6 +35,9 @@
 /** Age at which a recovery also reads from holders of views before the last one. */
 export const OVERDUE_RECOVERY_MS = 2_000;
 
+/** Period at which an overdue recovery asks again. */
+export const OVERDUE_RETRY_MS = 1_000;
+
 /** Views that a holder remembers, to finish a recovery that another view change overtook. */
 export const MAX_VIEWS = 4;
 
