Show that the currency checks can fail

Cause: a check that never found a fault proves little.

Change: the simulation gains splits of the fleet, simultaneous restarts and slower messages. Counting entries without configuration, counting time from the answer, and unchecked adoption after a restart are switched off one by one.

Conclusion: three of six mechanisms are covered by the randomised check, three by direct tests only.

--- a/packages/fleet/src/currency.test.ts
+++ b/packages/fleet/src/currency.test.ts
@@ -7,13 +7,12 @@
 import { CURRENCY_MS } from './currency-constants.js';
 import { CurrencyTracker, type TrackedConfig } from './CurrencyTracker.js';
 
-const RUN_MS = 30_000;
+const RUN_MS = 20_000;
 const POLL_MS = 300;
 
 /** A safety mechanism that is switched off, to show that the check finds its absence. */
 interface Variant {
   readonly changeTracker?: (tracker: CurrencyTracker) => void;
-  readonly changeAcceptance?: (acceptance: AcceptanceTracker) => void;
   readonly isAdoptionUnchecked?: boolean;
 }
 
@@ -49,7 +48,10 @@
 
   private readonly acceptance = new AcceptanceTracker();
 
-  /** Chance that a poll reaches the leader. */
+  /** Upper end of the delay of slow messages. */
+  private readonly slowMs: number;
+
+  /** Chance that the leader can confirm its answer to a poll. */
   private readonly controlReach: number;
 
   private readonly acceptedAt = new Map<number, number>();
@@ -71,8 +73,8 @@
     private readonly variant: Variant,
   ) {
     this.random = new Random(seed);
-    variant.changeAcceptance?.(this.acceptance);
-    this.controlReach = this.random.pick([0.05, 0.2, 0.6])!;
+    this.slowMs = seed % 2 === 0 ? 4_000 : 9_000;
+    this.controlReach = this.random.pick([0.02, 0.1, 0.5])!;
     const size = this.random.between(3, 7);
     this.entries = Array.from({ length: size }, (_, i) => ({
       vm: `vm-${i}`,
@@ -137,7 +139,7 @@
     Array.from({ length: copies }).forEach(() => {
       if (this.random.chance(0.05) || this.cuts.has(`${from}>${to}`)) return;
       const delayMs = this.random.chance(0.08)
-        ? this.random.int(4_000)
+        ? this.random.int(this.slowMs)
         : this.random.between(1, 40);
       this.clock.setTimeout(() => this.deliver(to, fn), delayMs);
     });
@@ -172,7 +174,8 @@
     const { revision } = tracker;
     this.send(entry.vm, 'control', () => {
       const isAway = this.clock.now() < this.controlAwayUntil;
-      if (isAway || !this.random.chance(this.controlReach)) return;
+      if (isAway) return;
+      const isConfirmed = this.random.chance(this.controlReach);
       const receivedAt = this.clock.now();
       const incarnation = String(run);
       this.acceptance.report({
@@ -186,6 +189,7 @@
       this.send('control', entry.vm, () => {
         if (entry.run !== run) return;
         Object.assign(entry, { heardAt: Math.max(entry.heardAt, receivedAt) });
+        if (!isConfirmed) return;
         adopt(entry, config);
         tracker.acceptControlAnswer(poll, config.revision);
       });
@@ -246,6 +250,9 @@
       () => this.cut(entry.vm, this.random.pick([...this.entries.map(({ vm }) => vm), 'control'])!),
       () => this.cut(entry.vm, 'control'),
       () => this.cuts.clear(),
+      () => this.split(),
+      () => this.split(),
+      () => this.restartMany(),
       () => Object.assign(this, { controlAwayUntil: now + this.random.int(6_000) }),
     ];
     this.random.pick(actions)!();
@@ -255,6 +262,25 @@
     this.cuts.add(this.random.chance(0.5) ? `${a}>${b}` : `${b}>${a}`);
   }
 
+  /** Cuts a group of entries, and possibly control, off from the others. */
+  private split(): void {
+    const names = [...this.entries.map(({ vm }) => vm), 'control'];
+    const group = names.filter(() => this.random.chance(0.5));
+    const others = names.filter((name) => !group.includes(name));
+    group.forEach((a) =>
+      others.forEach((b) => {
+        this.cuts.add(`${a}>${b}`);
+        this.cuts.add(`${b}>${a}`);
+      }),
+    );
+  }
+
+  /** Several entries restart at once while all cuts heal. */
+  private restartMany(): void {
+    this.cuts.clear();
+    this.entries.filter(() => this.random.chance(0.5)).forEach((entry) => this.restart(entry));
+  }
+
   private changeView(): void {
     const { view } = this.newest;
     const inView = view.entries.map((entry) => entry.vm);
@@ -296,6 +322,28 @@
   return total;
 }
 
+function patch<T extends object>(target: T, methods: Partial<T>): void {
+  Object.assign(target, methods);
+}
+
+const countEmptyEntries: Variant = {
+  changeTracker: (tracker) => {
+    const accept = tracker.acceptPeerAnswer.bind(tracker);
+    patch(tracker, {
+      acceptPeerAnswer: (round, vm, revision) => accept(round, vm, Math.max(1, revision)),
+    });
+  },
+};
+
+const countFromAnswer: Variant = {
+  changeTracker: (tracker) => {
+    const accept = tracker.acceptControlAnswer.bind(tracker);
+    patch(tracker, {
+      acceptControlAnswer: (_, revision) => accept(tracker.beginControlPoll(), revision),
+    });
+  },
+};
+
 describe('currency under faults', () => {
   it('lets no entry be current 2 s after the acceptance of a change that it misses', () => {
     const result = runSeeds(100, {}, false);
@@ -303,4 +351,63 @@
     expect(result.accepted).toBeGreaterThan(100);
     expect(result.checks).toBeGreaterThan(10_000);
   });
+
+  const variants: [string, Variant][] = [
+    ['entries without configuration count', countEmptyEntries],
+    ['time counts from the answer', countFromAnswer],
+    ['a restarted entry adopts what any peer has', { isAdoptionUnchecked: true }],
+  ];
+  variants.forEach(([name, variant]) => {
+    it(`finds a violation when ${name}`, () => {
+      expect(runSeeds(1_000, variant, true).violations).toBeGreaterThan(0);
+    });
+  });
+});
+
+describe('AcceptanceTracker', () => {
+  const report = (vm: string, revision: number, receivedAt: number, sentAfter: number) => ({
+    vm,
+    incarnation: '1',
+    revision,
+    receivedAt,
+    sentAfter,
+  });
+
+  it('does not add up reports of different moments, since an entry may restart in between', () => {
+    const tracker = new AcceptanceTracker();
+    tracker.commit(1, buildView(1, ['a', 'b', 'c']));
+    tracker.report(report('a', 1, 10, 5));
+    tracker.report(report('b', 1, 20, 15));
+    tracker.report(report('b', 1, 40, 30));
+    expect(tracker.evaluate(40)).toEqual([]);
+    tracker.report(report('a', 1, 50, 20));
+    expect(tracker.evaluate(50)).toEqual([1]);
+  });
+
+  it('accepts a change of the view only with the majorities of both views', () => {
+    const tracker = new AcceptanceTracker();
+    tracker.commit(1, buildView(1, ['a', 'b', 'c']));
+    tracker.commit(2, buildView(2, ['c', 'd', 'e']));
+    const inForce = (vm: string): void => tracker.report(report(vm, 2, 10, 10));
+    ['c', 'd', 'e'].forEach(inForce);
+    expect(tracker.evaluate(10)).toEqual([]);
+    inForce('a');
+    expect(tracker.evaluate(20)).toEqual([1, 2]);
+  });
+});
+
+describe('CurrencyTracker', () => {
+  it('does not count a round whose adoption changes the view', () => {
+    const tracker = new CurrencyTracker('a', new VirtualClock());
+    tracker.adopt({ revision: 1, view: buildView(1, ['a', 'b', 'c']) });
+    const round = tracker.beginPeerRound()!;
+    expect(tracker.acceptPeerAnswer(round, 'b', 2).kind).toEqual('behind');
+    tracker.adopt({ revision: 2, view: buildView(2, ['a', 'b', 'c', 'd', 'e']) });
+    expect(tracker.isCurrent()).toEqual(false);
+    expect(tracker.acceptPeerAnswer(round, 'c', 2).kind).toEqual('void');
+    const repeated = tracker.beginPeerRound()!;
+    expect(tracker.acceptPeerAnswer(repeated, 'b', 2).kind).toEqual('open');
+    expect(tracker.acceptPeerAnswer(repeated, 'c', 2).kind).toEqual('counted');
+    expect(tracker.isCurrent()).toEqual(true);
+  });
 });
