Poll control again at once after a failure; count peers' answers as they arrive

Cause: a frozen leader cost two polls of 600 ms at intervals of 500 ms before the peers were asked, so entries lost currency (2,000 ms) although a majority of peers could confirm it. Change: polls time out after 300 ms, a failed poll is repeated after 100 ms, and the peers are asked after two failures.

--- a/packages/daemon/src/controllers/CurrencyController.ts
+++ b/packages/daemon/src/controllers/CurrencyController.ts
@@ -11,11 +11,17 @@
 
 const POLL_INTERVAL_MS = 500;
 
-/** While a revision in force here is not accepted, the leader needs further reports. */
+/**
+ * Used after a failed poll, and while a revision in force here is not accepted, since the leader then needs further
+ * reports.
+ */
 const HASTY_POLL_INTERVAL_MS = 100;
 
 const FAILURES_BEFORE_PEERS = 2;
 
+/** Failed polls in a row that are repeated hastily; a longer outage of control is left to the normal interval. */
+const MAX_HASTY_FAILURES = 4;
+
 export interface CurrencyControllerOptions {
   readonly clock: Clock;
   readonly blackboard: Blackboard;
@@ -88,7 +94,9 @@
     this.hastyPoll?.dispose();
     this.hastyPoll = undefined;
     const isAccepted = blackboard.currency.value.acceptedRevision >= config.revision;
-    if (isAccepted || this.failures > 0) return;
+    const isFailing = this.failures > 0 && this.failures <= MAX_HASTY_FAILURES;
+    const isReporting = this.failures === 0 && !isAccepted;
+    if (!isFailing && !isReporting) return;
     this.hastyPoll = clock.setTimeout(() => this.startRound(), HASTY_POLL_INTERVAL_MS);
   }
 
--- a/packages/daemon/src/controllers/PeerConfirmation.ts
+++ b/packages/daemon/src/controllers/PeerConfirmation.ts
@@ -68,7 +68,10 @@
         .filter((record) => record.vm !== self)
         .map(async (record): Promise<AskedPeer | undefined> => {
           try {
-            return { record, answer: await client.ask(record.internalAddress, req) };
+            const answer = await client.ask(record.internalAddress, req);
+            // Counted as it arrives: a peer that does not answer must not delay the majority.
+            tracker.acceptPeerAnswer(round, record.vm, answer.revision);
+            return { record, answer };
           } catch {
             return undefined;
           }
--- a/packages/daemon/src/transport/ConfigClient.ts
+++ b/packages/daemon/src/transport/ConfigClient.ts
@@ -7,8 +7,8 @@
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/config_pb';
 import type { Channels } from './Channels.js';
 
-/** Covers one confirmed read; well below the currency of 2,000 ms. */
-const CALL_TIMEOUT_MS = 600;
+/** Covers one confirmed read. Two lost polls and a round of the peers must fit into the currency of 2,000 ms. */
+const CALL_TIMEOUT_MS = 300;
 
 export interface ControlPoll {
   readonly entry: EntryRecord;
