Process tests of failures; operators can replace a control VM; settings checked at start

Cause: the invariants need runs with real processes, and the daemon did not answer Identity and ChangeMembership.

--- a/packages/bench/src/process/Fleet.ts
+++ b/packages/bench/src/process/Fleet.ts
@@ -113,6 +113,11 @@
     return this.vm(vm).listenInternal;
   }
 
+  /** Internal address as the fleet knows it. */
+  public internalAddress(vm: string): string {
+    return this.vm(vm).internalAddress;
+  }
+
   /** Internal URL that is not behind a relay. */
   public internalUrl(vm: string): string {
     return `http://${this.vm(vm).listenInternal}`;
--- a/packages/cli/src/commands/control.ts
+++ b/packages/cli/src/commands/control.ts
@@ -103,16 +103,21 @@
       io.note(`adding ${added.vm} as learner`);
       await changeMembership(connection, { case: 'addLearner', value: added });
     }
+    const removeOld = async (): Promise<void> => {
+      if (old?.member === undefined) return;
+      io.note(`removing ${args.old} from the voters`);
+      await changeMembership(connection, { case: 'removeMember', value: old.member });
+    };
+    // A VM that lost its disk: two incarnations of one VM never vote together.
+    const isSameVm = old?.member?.vm === added.vm;
     if (known === undefined || known.isLearner) {
       await waitCaughtUp(connection, added, timeoutMs, io);
+      if (isSameVm) await removeOld();
       io.note(`promoting ${added.vm} to voter`);
       await changeMembership(connection, { case: 'promoteLearner', value: added });
     }
     client.addAddress(added.address);
-    if (old?.member !== undefined) {
-      io.note(`removing ${args.old} from the voters`);
-      await changeMembership(connection, { case: 'removeMember', value: old.member });
-    }
+    if (!isSameVm) await removeOld();
     const { vm, address, incarnation } = added;
     return {
       outcome: 'inForce',
--- a/packages/daemon/src/bin/marigoldbankd.ts
+++ b/packages/daemon/src/bin/marigoldbankd.ts
@@ -1,26 +1,24 @@
 #!/usr/bin/env node
 /** The daemon's command line. */
-import { readFileSync } from 'node:fs';
 import { defineCommand, runMain } from 'citty';
-import { getStaticTOMLValue, parseTOML } from 'toml-eslint-parser';
 import { Daemon } from '../Daemon.js';
-import { settingsSchema } from '../settings.js';
+import { loadSettings } from '../settings-file.js';
 import { RoarrLogger, setLogWriter } from '../telemetry/RoarrLogger.js';
 
 const EXIT_FAILED = 1;
 const EXIT_BAD_SETTINGS = 2;
 
-async function run(file: string): Promise<void> {
-  const parsed = settingsSchema.safeParse(
-    getStaticTOMLValue(parseTOML(readFileSync(file, 'utf8'))),
-  );
-  if (!parsed.success) {
-    parsed.error.issues.forEach((issue) => {
-      console.error(`${file}: ${issue.path.join('.')}: ${issue.message}`);
-    });
+async function run(file: string, isCheckOnly: boolean): Promise<void> {
+  const loaded = await loadSettings(file);
+  if (loaded.kind === 'invalid') {
+    loaded.problems.forEach((problem) => console.error(problem));
     process.exit(EXIT_BAD_SETTINGS);
   }
-  const settings = parsed.data;
+  if (isCheckOnly) {
+    console.log(`${file}: no errors`);
+    return;
+  }
+  const { settings } = loaded;
   setLogWriter((line) => process.stdout.write(`${line}\n`));
   const logger = new RoarrLogger(settings.log.level, { vm: settings.vm });
   const daemon = new Daemon(settings, logger);
@@ -39,8 +37,9 @@
   meta: { name: 'marigoldbankd', description: 'Daemon of the marigoldbank proxy fleet' },
   args: {
     settings: { type: 'string', required: true, description: 'TOML file with the settings' },
+    check: { type: 'boolean', default: false, description: 'Check the settings and exit' },
   },
-  run: ({ args }) => run(args.settings),
+  run: ({ args }) => run(args.settings, args.check),
 });
 
 await runMain(main);
--- a/packages/daemon/src/control/operator-routes.ts
+++ b/packages/daemon/src/control/operator-routes.ts
@@ -4,12 +4,20 @@
 import { changeSchema, type Change } from '@marigoldbank/fleet/changes';
 import {
   OperatorService,
+  type ChangeMembershipRequest,
+  type ChangeMembershipResponseSchema,
   type EntryStatusSchema,
   type FleetStatusSchema,
   type ProposeResponseSchema,
   type VoterStatusSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/operator_pb';
-import type { LogStatus, Member } from '@marigoldbank/replicated-log';
+import type {
+  IReplicatedLog,
+  LogStatus,
+  Member,
+  MembershipOutcome,
+} from '@marigoldbank/replicated-log';
+import { toMember } from '../transport/consensus-codec.js';
 import { toJsonBytes, toNotLeaderMessage } from './config-routes.js';
 import type { ControlNode } from './ControlNode.js';
 import type { EntryState, FleetStatus, NotLeader, ProposalOutcome } from './types.js';
@@ -121,6 +129,53 @@
   };
 }
 
+const STEP_MISSING: MembershipOutcome = { kind: 'rejected', reason: 'the step is missing' };
+
+/** A step that was done before is answered as committed, since the command line repeats steps. */
+async function changeMembership(
+  log: IReplicatedLog,
+  req: ChangeMembershipRequest,
+): Promise<MembershipOutcome> {
+  const { membership } = log.status();
+  const { step } = req;
+  if (step.case === undefined) return STEP_MISSING;
+  const member = toMember(step.value);
+  const isVoter = membership.voters.some((other) => isSameMember(other, member));
+  const isLearner = membership.learners.some((other) => isSameMember(other, member));
+  const done: MembershipOutcome = { kind: 'committed', membership };
+  switch (step.case) {
+    case 'addLearner':
+      return isVoter || isLearner ? done : log.addLearner(member);
+    case 'promoteLearner':
+      return isVoter ? done : log.promoteLearner(member.vm);
+    default:
+      return isVoter || isLearner ? log.removeMember(member.vm, member.incarnation) : done;
+  }
+}
+
+function toMembershipResponse(
+  outcome: MembershipOutcome,
+): MessageInitShape<typeof ChangeMembershipResponseSchema> {
+  switch (outcome.kind) {
+    case 'notLeader': {
+      const value = { leaderAddress: outcome.leader?.address ?? '' };
+      return { result: { case: 'notLeader', value } };
+    }
+    case 'unknown':
+      return { result: { case: 'unknown', value: {} } };
+    case 'rejected':
+      return { result: { case: 'rejected', value: { reason: outcome.reason } } };
+    default: {
+      const { voters, learners } = outcome.membership;
+      const value = {
+        voters: voters.map((member) => ({ ...member })),
+        learners: learners.map((member) => ({ ...member })),
+      };
+      return { result: { case: 'committed', value } };
+    }
+  }
+}
+
 /** Registers the operator service of a control VM. */
 export function registerOperator(router: ConnectRouter, node: ControlNode): void {
   router.service(OperatorService, {
@@ -154,6 +209,8 @@
       const value = { records: toJsonBytes(outcome.records), total: BigInt(outcome.total) };
       return { result: { case: 'page', value } };
     },
+    identity: () => ({ member: { ...node.log.status().self } }),
+    changeMembership: async (req) => toMembershipResponse(await changeMembership(node.log, req)),
     backup: async () => {
       const outcome = await node.backup();
       if (outcome.kind === 'notLeader') return toNotLeaderResult(outcome);
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -7,6 +7,9 @@
 import path from 'node:path';
 
 const CONCURRENCY = 4;
+
+/** Tests of real processes run alone: their bounds are in real time. */
+const PROCESS_TESTS = '/process/';
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 
 const filters = process.argv.slice(2);
@@ -33,8 +36,8 @@
 const escapeRegExp = (text) => text.replace(/[.*+?^${}()|[\]\\/]/g, '\\$&');
 const compiled = (file) => file.replace('/src/', '/dist/').replace(/\.ts$/, '.js');
 
-function run(files, extra) {
-  const args = ['--enable-source-maps', '--test', `--test-concurrency=${CONCURRENCY}`, ...extra];
+function run(files, extra, concurrency = CONCURRENCY) {
+  const args = ['--enable-source-maps', '--test', `--test-concurrency=${concurrency}`, ...extra];
   return spawnSync(process.execPath, [...args, ...files.map(compiled)], { stdio: 'inherit' })
     .status;
 }
@@ -58,4 +61,10 @@
     console.log(`known red: ${file} :: ${name}: ${status === 0 ? 'passed this time' : 'failed'}`);
   });
 const skips = knownRed.map(({ name }) => `--test-skip-pattern=^${escapeRegExp(name)}$`);
-process.exit(run(selected, skips) ?? 1);
+const processTests = selected.filter((file) => file.includes(PROCESS_TESTS));
+const otherTests = selected.filter((file) => !file.includes(PROCESS_TESTS));
+const statuses = [
+  otherTests.length === 0 ? 0 : run(otherTests, skips),
+  processTests.length === 0 ? 0 : run(processTests, skips, 1),
+];
+process.exit(statuses.find((status) => status !== 0) ?? 0);
