--- a/packages/bench/src/bin/bench.ts
+++ b/packages/bench/src/bin/bench.ts
@@ -1,12 +1,13 @@
 #!/usr/bin/env node
 /** Command line of the experiments. */
 import { defineCommand, runMain } from 'citty';
+import { controlCommand } from '../control/controlCommand.js';
 import { decisionsCommand } from '../experiments/decisions.js';
 import { pathCommand } from '../path/path.js';
 
 const main = defineCommand({
   meta: { name: 'bench', description: 'Experiments and load tool' },
-  subCommands: { decisions: decisionsCommand, path: pathCommand },
+  subCommands: { decisions: decisionsCommand, path: pathCommand, control: controlCommand },
 });
 
 await runMain(main);
--- /dev/null
+++ b/packages/bench/src/control/processUsage.ts
@@ -0,0 +1,28 @@
+/** Processor time, memory and socket bytes of a process, read from the kernel. */
+import { readFileSync } from 'node:fs';
+
+/** Kernel clock ticks a second, as reported in /proc. */
+const TICKS_PER_SECOND = 100;
+
+const PAGE_BYTES = 4_096;
+
+const UTIME_FIELD = 11;
+const STIME_FIELD = 12;
+const RSS_FIELD = 21;
+
+export interface ProcessUsage {
+  readonly cpuSeconds: number;
+  readonly rssBytes: number;
+}
+
+/** Reads the usage of a process. Throws if it has ended. */
+export function readUsage(pid: number): ProcessUsage {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'latin1');
+  // The name in parentheses may hold spaces; fields are counted after it.
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[UTIME_FIELD]) + Number(fields[STIME_FIELD]);
+  return {
+    cpuSeconds: ticks / TICKS_PER_SECOND,
+    rssBytes: Number(fields[RSS_FIELD]) * PAGE_BYTES,
+  };
+}
--- a/packages/bench/src/demo/Demo.ts
+++ b/packages/bench/src/demo/Demo.ts
@@ -56,6 +56,7 @@
     const addresses = await this.askForAddresses();
     await this.serve(addresses, hospital.key);
     await Demo.refuse(addresses, market.key);
+    await this.explain();
     await this.placeOnce(addresses, hospital.key);
     await this.withdraw(addresses, hospital);
     await this.verifyAudit();
@@ -164,6 +165,14 @@
     );
   }
 
+  private async explain(): Promise<void> {
+    const { stdout } = await this.command('explain', 'POST', '/orders', '--team', 'fish-market');
+    Demo.check(
+      stdout.includes('does not include route place-order'),
+      'marigoldbank explain: says why, without sending the request',
+    );
+  }
+
   private async placeOnce(addresses: readonly string[], key: string): Promise<void> {
     const executed = (): number =>
       this.upstreams.flatMap((upstream) =>
--- a/packages/claims/src/ClaimRegistry.ts
+++ b/packages/claims/src/ClaimRegistry.ts
@@ -10,6 +10,7 @@
   MAX_BACKOFF_MS,
   MAX_OUTCOME_BYTES,
   MIN_BACKOFF_MS,
+  UNAVAILABLE_PAUSE_MS,
 } from './constants.js';
 import { ResolveSender } from './ResolveSender.js';
 import { holdersOf, shardOf } from './sharding.js';
@@ -112,7 +113,11 @@
       const final = view === undefined ? undefined : await this.attempt(search, view);
       if (final?.isFinal) return final.outcome;
       if (final !== undefined) last = final.outcome;
-      await this.pause(this.random.between(MIN_BACKOFF_MS, MAX_BACKOFF_MS), deadline);
+      const pauseMs =
+        last.kind === 'unavailable'
+          ? UNAVAILABLE_PAUSE_MS
+          : this.random.between(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
+      await this.pause(pauseMs, deadline);
     }
     return last;
   }
--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -48,6 +48,9 @@
 export const MIN_BACKOFF_MS = 5;
 export const MAX_BACKOFF_MS = 60;
 
+/** Pause after an attempt without a majority of answers: holders finish a recovery round in this time. */
+export const UNAVAILABLE_PAUSE_MS = 250;
+
 /** Results and releases are sent again with this pause to holders that have not confirmed them. */
 export const RESOLVE_RETRY_MS = 300;
 export const MAX_RESOLVE_SENDS = 6;
--- a/packages/daemon/src/ControlRole.ts
+++ b/packages/daemon/src/ControlRole.ts
@@ -5,7 +5,6 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { ControlNode } from './control/ControlNode.js';
 import { registerConfig } from './control/config-routes.js';
-import { registerOperator } from './control/operator-routes.js';
 import type { Settings } from './settings.js';
 import type { Channels } from './transport/Channels.js';
 import { ConnectConsensusTransport } from './transport/ConnectConsensusTransport.js';
@@ -38,7 +37,6 @@
   public register(router: ConnectRouter): void {
     registerConsensus(router, this.node.log);
     registerConfig(router, this.node);
-    registerOperator(router, this.node);
   }
 
   public async stop(): Promise<void> {
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -1,5 +1,8 @@
 /** One daemon: the internal listener and its roles. */
+import type { ServiceImpl } from '@connectrpc/connect';
 import { SystemClock } from '@marigoldbank/base/clock';
+import { OperatorService } from '@marigoldbank/protocol/gen/marigoldbank/v1/operator_pb';
+import { createOperatorService } from './control/operator-routes.js';
 import { ControlRole } from './ControlRole.js';
 import { createInternalApp } from './entry/internalApp.js';
 import { EntryRole } from './EntryRole.js';
@@ -9,8 +12,6 @@
 import { Channels } from './transport/Channels.js';
 import { InternalServer } from './transport/InternalServer.js';
 
-const OPERATOR_SERVICE = 'marigoldbank.v1.OperatorService';
-
 const PEER_SERVICES: ReadonlySet<string> = new Set([
   'marigoldbank.v1.ConsensusService',
   'marigoldbank.v1.ConfigService',
@@ -72,6 +73,7 @@
       register: (router) => {
         this.control?.register(router);
         this.entry?.register(router);
+        router.service(OperatorService, this.createOperatorMethods());
       },
       fallback: createInternalApp({
         announcementSecret: settings.secrets.announcement,
@@ -82,8 +84,24 @@
     });
   }
 
+  /** Both roles of one VM answer the operators through one service. */
+  private createOperatorMethods(): Partial<ServiceImpl<typeof OperatorService>> {
+    const { control, entry } = this;
+    return {
+      ...(control === undefined ? {} : createOperatorService(control.node)),
+      ...(entry === undefined
+        ? {}
+        : {
+            explain: (req) => {
+              const { steps, outcome, targets } = entry.explain(req);
+              return { steps: [...steps], outcome, targets: [...targets] };
+            },
+          }),
+    };
+  }
+
   private secretOf(typeName: string): string | undefined {
-    if (typeName === OPERATOR_SERVICE) return this.settings.secrets.operator;
+    if (typeName === OperatorService.typeName) return this.settings.secrets.operator;
     return PEER_SERVICES.has(typeName) ? this.settings.secrets.peer : undefined;
   }
 }
--- a/packages/daemon/src/EntryRole.ts
+++ b/packages/daemon/src/EntryRole.ts
@@ -14,6 +14,11 @@
 import { ControlPoller } from './controllers/ControlPoller.js';
 import { CoordinationController } from './controllers/CoordinationController.js';
 import { CurrencyController } from './controllers/CurrencyController.js';
+import {
+  explainRequest,
+  type ExplainedRequest,
+  type Explanation,
+} from './controllers/explainRequest.js';
 import { LimitController } from './controllers/LimitController.js';
 import { PeerDirectory } from './controllers/PeerDirectory.js';
 import { ServiceDirectory } from './controllers/ServiceDirectory.js';
@@ -125,6 +130,16 @@
     this.blackboard.lifecycle.set('serving');
   }
 
+  /** Answers `explain` of operators. Other operator methods belong to control. */
+  public explain(req: ExplainedRequest): Explanation {
+    const { blackboard } = this;
+    const { clock } = this.options;
+    return explainRequest(
+      { clock, blackboard, findRouter: (service) => this.services.find(service) },
+      req,
+    );
+  }
+
   public register(router: ConnectRouter): void {
     registerPeer(router, {
       blackboard: this.blackboard,
--- a/packages/daemon/src/control/operator-routes.ts
+++ b/packages/daemon/src/control/operator-routes.ts
@@ -1,5 +1,5 @@
 /** Serves the operators' command line. */
-import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect';
+import { Code, ConnectError, type ServiceImpl } from '@connectrpc/connect';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import { changeSchema, type Change } from '@marigoldbank/fleet/changes';
 import {
@@ -176,9 +176,11 @@
   }
 }
 
-/** Registers the operator service of a control VM. */
-export function registerOperator(router: ConnectRouter, node: ControlNode): void {
-  router.service(OperatorService, {
+/** Answers the operator methods of a control VM. */
+export function createOperatorService(
+  node: ControlNode,
+): Partial<ServiceImpl<typeof OperatorService>> {
+  return {
     propose: async (req) => toProposeResponse(await node.propose(parseChange(req.change))),
     changeStatus: async (req) => {
       const outcome = await node.changeProgress(Number(req.revision));
@@ -217,5 +219,5 @@
       const value = { content: outcome.content, revision: BigInt(outcome.revision) };
       return { result: { case: 'backup', value } };
     },
-  });
+  };
 }
