Tests: order of control replace for one VM; seed of the claims check

The command-line test expected the promotion of a new incarnation before the removal of the old one of the same VM; the replicated log rejects that, so that two incarnations never vote together. Ruled out: a fault of the claims; with recovery on, the same seeds have no double run. Change: the test covers both cases, another VM (order as before) and the same VM (removal before promotion).

--- a/packages/claims/src/simulation.test.ts
+++ b/packages/claims/src/simulation.test.ts
@@ -305,7 +305,7 @@
 
   // The first seeds are close to those that find the fault, which keeps the test short.
   const variants: [string, number, Variant][] = [
-    ['restarted holders do not recover', 6, { isRecoverySkipped: true }],
+    ['restarted holders do not recover', 2, { isRecoverySkipped: true }],
     ['sealed epochs are still acknowledged', 1, acknowledgeSealedEpochs],
   ];
   variants.forEach(([name, firstSeed, variant]) => {
--- a/packages/cli/src/run-cli.test.ts
+++ b/packages/cli/src/run-cli.test.ts
@@ -176,10 +176,11 @@
     expect(notes).toInclude('- key hotel01 of team hotel stops working');
   });
 
-  it('replaces a control VM as learner first, and removes the old incarnation last', async () => {
+  /** Runs `control replace` for vm-1 and returns the steps that control was asked for. */
+  async function replaceControl(addedVm: string): Promise<string[]> {
     const steps: string[] = [];
     const old = { vm: 'vm-1', incarnation: 'a', address: '127.0.0.1:1' };
-    const added = { vm: 'vm-1', incarnation: 'b', address: '127.0.0.1:2' };
+    const added = { vm: addedVm, incarnation: 'b', address: '127.0.0.1:2' };
     let polls = 0;
     const { address } = await start({
       identity: () => ({ member: added }),
@@ -197,8 +198,18 @@
     place.writeSettings([address]);
     const { exitCode } = await place.run(['control', 'replace', 'vm-1', address]);
     expect(exitCode).toEqual(0);
-    expect(steps).toEqual(['addLearner b', 'promoteLearner b', 'removeMember a']);
     expect(polls).toEqual(3);
+    return steps;
+  }
+
+  it('replaces a control VM by another: learner, promotion, removal of the old one last', async () => {
+    const steps = await replaceControl('vm-9');
+    expect(steps).toEqual(['addLearner b', 'promoteLearner b', 'removeMember a']);
+  });
+
+  it('replaces a control VM that lost its disk: the old incarnation leaves before the promotion', async () => {
+    const steps = await replaceControl('vm-1');
+    expect(steps).toEqual(['addLearner b', 'removeMember a', 'promoteLearner b']);
   });
 
   it('verifies and exports the audit trail, and finds an edited record', async () => {
