--- a/packages/daemon/src/entry/UpstreamClient.ts
+++ b/packages/daemon/src/entry/UpstreamClient.ts
@@ -2,13 +2,27 @@
 import { DisposableStore, type IDisposable } from '@marigoldbank/base/lifecycle';
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { Pool } from 'undici';
-import { HEADER_TIMEOUT } from './constants.js';
-import { UpstreamExchange, type GateFailure } from './UpstreamExchange.js';
+import { HEADER_REQUEST_ID, HEADER_TIMEOUT } from './constants.js';
+import { UpstreamExchange, type GateFailure, type ResponseRules } from './UpstreamExchange.js';
 
-const CONNECT_TIMEOUT_MS = 1_000;
+/** How requests are sent to upstreams. */
+export interface UpstreamProtocol extends ResponseRules {
+  /** Header with the time left for the request, in milliseconds. */
+  readonly timeoutHeader: string;
+  /** Time for a new connection. */
+  readonly connectTimeoutMs: number;
+  /** Time that an idle connection is kept, unless the upstream announces a shorter one. */
+  readonly keepAliveTimeoutMs: number;
+}
 
-/** Below the 5 s after which many servers close idle connections, so that few requests meet a closing one. */
-const KEEP_ALIVE_TIMEOUT_MS = 4_000;
+const DEFAULT_PROTOCOL: UpstreamProtocol = {
+  requestIdHeader: HEADER_REQUEST_ID,
+  allowsCloseDelimited: false,
+  timeoutHeader: HEADER_TIMEOUT,
+  connectTimeoutMs: 1_000,
+  // Below the 5 s after which many servers close idle connections, so that few requests meet a closing one.
+  keepAliveTimeoutMs: 4_000,
+};
 
 /** Connections to a target that was not used for this long are closed. */
 const IDLE_POOL_MS = 60_000;
@@ -45,7 +59,10 @@
 
   private readonly store = new DisposableStore();
 
-  public constructor(private readonly clock: Clock) {
+  public constructor(
+    private readonly clock: Clock,
+    private readonly protocol: UpstreamProtocol = DEFAULT_PROTOCOL,
+  ) {
     this.store.add(setPeriodic(clock, () => this.closeIdle(), IDLE_POOL_MS));
   }
 
@@ -53,10 +70,16 @@
   public send(req: UpstreamRequest): UpstreamExchange {
     const entry = this.poolOf(req.address, req.maxConnections);
     const lifetime = new DisposableStore();
-    const exchange = new UpstreamExchange(req.method, req.requestId, req.checkDispatch, () => {
-      entry.running -= 1;
-      lifetime.dispose();
-    });
+    const exchange = new UpstreamExchange(
+      req.method,
+      req.requestId,
+      this.protocol,
+      req.checkDispatch,
+      () => {
+        entry.running -= 1;
+        lifetime.dispose();
+      },
+    );
     entry.running += 1;
     this.limitLifetime(exchange, req, lifetime);
     this.dispatch(entry.pool, req, exchange);
@@ -96,7 +119,7 @@
         {
           path: req.target,
           method: req.method,
-          headers: [...req.headers, HEADER_TIMEOUT, String(remainingMs)],
+          headers: [...req.headers, this.protocol.timeoutHeader, String(remainingMs)],
           body: req.body.length > 0 ? req.body : null,
           idempotent: false,
         },
@@ -117,9 +140,9 @@
     const pool = new Pool(`http://${address}`, {
       connections: maxConnections,
       pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      connectTimeout: this.protocol.connectTimeoutMs,
+      keepAliveTimeout: this.protocol.keepAliveTimeoutMs,
+      keepAliveMaxTimeout: this.protocol.keepAliveTimeoutMs,
       // Each exchange has its own deadline.
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/daemon/src/entry/UpstreamExchange.ts
+++ b/packages/daemon/src/entry/UpstreamExchange.ts
@@ -1,6 +1,5 @@
 /** One request sent to one target, and its response. */
 import type { Dispatcher } from 'undici';
-import { HEADER_REQUEST_ID } from './constants.js';
 import { ExchangeError, type FailureCause } from './ExchangeError.js';
 import type { ResponseHeaders } from './headers.js';
 import type { Refusal } from './refusals.js';
@@ -38,11 +37,20 @@
 
 const STATUS_WITHOUT_BODY = new Set([204, 304]);
 
+/** How the responses of an upstream are checked. */
+export interface ResponseRules {
+  /** Header in which the upstream echoes the id of the request, in lower case. */
+  readonly requestIdHeader: string;
+  /** Whether a response may end with its connection. A connection that is reset never ends a response. */
+  readonly allowsCloseDelimited: boolean;
+}
+
 /** A response must show its own end, or a cut one could not be told from a complete one. */
 function findFramingFault(
   method: string,
   status: number,
   headers: ResponseHeaders,
+  allowsCloseDelimited: boolean,
 ): string | undefined {
   const length = headers['content-length'];
   const coding = headers['transfer-encoding'];
@@ -50,7 +58,7 @@
   if (length !== undefined && !/^\d{1,15}$/.test(String(length))) return 'bad Content-Length';
   if (coding !== undefined && String(coding).toLowerCase() !== 'chunked') return 'unknown coding';
   const hasBody = method !== 'HEAD' && !STATUS_WITHOUT_BODY.has(status);
-  if (hasBody && length === undefined && coding === undefined) {
+  if (!allowsCloseDelimited && hasBody && length === undefined && coding === undefined) {
     return 'neither Content-Length nor chunked';
   }
   return undefined;
@@ -82,6 +90,7 @@
   public constructor(
     private readonly method: string,
     private readonly requestId: string,
+    private readonly rules: ResponseRules,
     private readonly checkDispatch: () => GateFailure | undefined,
     private readonly onDone: () => void,
   ) {
@@ -114,12 +123,17 @@
     headers: ResponseHeaders,
   ): void {
     if (status < 200 || this.failure !== undefined) return;
-    const echo = headers[HEADER_REQUEST_ID];
+    const echo = headers[this.rules.requestIdHeader];
     if (echo !== undefined && echo !== this.requestId) {
       this.abort('wrongRequestId', 'the response carries the id of another request');
       return;
     }
-    const fault = findFramingFault(this.method, status, headers);
+    const fault = findFramingFault(
+      this.method,
+      status,
+      headers,
+      this.rules.allowsCloseDelimited,
+    );
     if (fault !== undefined) {
       this.abort('brokenResponse', fault);
       return;
--- a/packages/daemon/src/entry/checkRequest.ts
+++ b/packages/daemon/src/entry/checkRequest.ts
@@ -47,17 +47,21 @@
   return { kind: 'badRequest', verdict: 'notRun', detail };
 }
 
-function toHeaderList(rawHeaders: readonly string[]): HeaderList {
+/** Pairs of lower-case names and values. */
+export function toHeaderList(rawHeaders: readonly string[]): HeaderList {
   return rawHeaders.flatMap((name, i) =>
     i % 2 === 0 ? [[name.toLowerCase(), rawHeaders[i + 1] ?? ''] as const] : [],
   );
 }
 
 /** Values of the headers that may come once, and the name of one that came twice. */
-function collectSingles(headers: HeaderList): { values: Map<string, string>; doubled?: string } {
+export function collectSingles(
+  headers: HeaderList,
+  singleHeaders: readonly string[] = SINGLE_HEADERS,
+): { values: Map<string, string>; doubled?: string } {
   const values = new Map<string, string>();
   const doubled = headers.find(([name, value]) => {
-    if (!SINGLE_HEADERS.includes(name)) return false;
+    if (!singleHeaders.includes(name)) return false;
     if (values.has(name)) return true;
     values.set(name, value);
     return false;
@@ -65,7 +69,8 @@
   return doubled === undefined ? { values } : { values, doubled: doubled[0] };
 }
 
-function findFramingFault(single: ReadonlyMap<string, string>): string | undefined {
+/** Contradictions about where the body ends. */
+export function findFramingFault(single: ReadonlyMap<string, string>): string | undefined {
   const length = single.get('content-length');
   const coding = single.get('transfer-encoding');
   if (length !== undefined && coding !== undefined) {
--- a/packages/daemon/src/entry/headers.ts
+++ b/packages/daemon/src/entry/headers.ts
@@ -8,7 +8,8 @@
 import { holdsKey } from './keys.js';
 import type { HeaderList } from './types.js';
 
-const HOP_BY_HOP = [
+/** Headers that concern one connection only. */
+export const HOP_BY_HOP = [
   'connection',
   'keep-alive',
   'proxy-authenticate',
@@ -54,7 +55,7 @@
 const DROPPED_RESPONSE_HEADERS = new Set([...HOP_BY_HOP, HEADER_REQUEST_ID]);
 
 /** Names that a `Connection` header declares as hop-by-hop. */
-function connectionTokens(values: readonly string[]): string[] {
+export function connectionTokens(values: readonly string[]): string[] {
   return values
     .flatMap((value) => value.split(','))
     .map((token) => token.trim().toLowerCase())
--- /dev/null
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -0,0 +1,167 @@
+/** HTTP interface of a control VM to operators, targets and callers who ask for addresses. */
+import { H3, toNodeHandler, type H3Event } from 'h3';
+import { createServer, type Server } from 'node:http';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
+import type { IReplicatedLog, ProposeOutcome } from '@marigoldbank/replicated-log';
+import type { ControlCall, Dialect } from '../Dialect.js';
+import { encodeCommand, type Command } from './commands.js';
+import type { Hub } from './Hub.js';
+import type { PlanMachine } from './PlanMachine.js';
+
+/** Time that callers keep an answer with addresses: short, since entries come and go. */
+const ADDRESS_TTL_MS = 2_000;
+
+/** Connections that are idle for this long are closed; callers ask again within seconds. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** Largest body: a whole configuration. */
+const MAX_BODY_BYTES = 33_554_432;
+
+const JSON_HEADERS = { 'content-type': 'application/json' };
+
+export interface ControlApiContext {
+  readonly dialect: Dialect;
+  readonly hub: Hub;
+  readonly log: IReplicatedLog;
+  readonly machine: PlanMachine;
+  readonly logger: Logger;
+  /** Port on which every control VM serves operators. */
+  readonly controlPort: number;
+  readonly maxTtlMs: number;
+}
+
+function answer(status: number, body: string, headers: Record<string, string> = {}): Response {
+  return new Response(body, { status, headers: { ...JSON_HEADERS, ...headers } });
+}
+
+function problem(status: number, detail: string): Response {
+  return answer(status, JSON.stringify({ error: detail }));
+}
+
+export class ControlApi {
+  private readonly servers: Server[] = [];
+
+  public constructor(private readonly ctx: ControlApiContext) {}
+
+  /** Listens on the given addresses. Rejects if one is in use. */
+  public async listen(control: string, directory: string): Promise<void> {
+    await this.serve(control, (event) => this.handleControl(event));
+    await this.serve(directory, (event) => this.handleDirectory(event));
+  }
+
+  public close(): void {
+    this.servers.forEach((server) => {
+      server.close();
+      server.closeIdleConnections();
+    });
+  }
+
+  private serve(address: string, handle: (event: H3Event) => Promise<Response>): Promise<void> {
+    const app = new H3().use((event) => handle(event));
+    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, toNodeHandler(app));
+    this.servers.push(server);
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () => {
+        server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  private async handleDirectory({ req, url }: H3Event): Promise<Response> {
+    const { dialect, hub, maxTtlMs } = this.ctx;
+    const question = dialect.parseAddressQuestion(req.method, url.pathname + url.search);
+    if (question === undefined) return problem(404, 'not found');
+    const addresses = hub.addressesFor(question.dataCentre);
+    if (addresses.length === 0) return problem(503, 'no entry is known');
+    return answer(200, dialect.formatAddresses(addresses, Math.min(ADDRESS_TTL_MS, maxTtlMs)));
+  }
+
+  private async handleControl(event: H3Event): Promise<Response> {
+    const { req, url } = event;
+    const target = url.pathname + url.search;
+    const call = this.ctx.dialect.parseCall(req.method, target);
+    if (call.kind === 'unknown') return problem(404, 'not found');
+    const length = Number(req.headers.get('content-length') ?? 0);
+    if (length > MAX_BODY_BYTES) return problem(413, 'body too large');
+    const body = await req.text();
+    return this.run(call, target, body);
+  }
+
+  private run(call: ControlCall, target: string, body: string): Promise<Response> {
+    switch (call.kind) {
+      case 'announce':
+        return this.announce(call.id, target, body);
+      case 'leave':
+        return this.markLeaving(call.id, this.ctx.dialect.parseLeaving(body), true, target);
+      case 'putPlan':
+        return this.putPlan(target, body);
+      case 'getPlan':
+        return this.getPlan(target);
+      default:
+        return Promise.resolve(problem(404, 'not found'));
+    }
+  }
+
+  private async announce(id: string, target: string, body: string): Promise<Response> {
+    const announcement = this.ctx.dialect.parseAnnouncement(id, body);
+    if (announcement === undefined) {
+      this.ctx.logger.warn('unreadable announcement', { target: id });
+      return problem(400, 'unreadable announcement');
+    }
+    this.ctx.hub.announce(announcement);
+    if (!announcement.isDraining) return answer(200, '{}');
+    return this.markLeaving(id, announcement.born, false, target);
+  }
+
+  /** Acknowledged only when the mark is replicated, since the acknowledgement ends new work everywhere. */
+  private async markLeaving(
+    id: string,
+    born: number,
+    isGone: boolean,
+    target: string,
+  ): Promise<Response> {
+    const mark = this.ctx.machine.markOf(id, born);
+    if (mark !== undefined && (mark.isGone || !isGone)) return answer(200, '{}');
+    const start = born === 0 ? (this.ctx.hub.registry.get(id)?.announcement.born ?? 0) : born;
+    const command: Command = { kind: 'markLeaving', id, born: start, isGone, at: Date.now() };
+    return this.propose(command, target);
+  }
+
+  private async putPlan(target: string, document: string): Promise<Response> {
+    const { dialect, logger, machine } = this.ctx;
+    const parsed = dialect.parsePlan(document);
+    if (parsed.kind === 'invalid') {
+      logger.warn('configuration refused', { problems: parsed.problems.join('; ').slice(0, 500) });
+      return problem(400, parsed.problems.join('; '));
+    }
+    const { version } = parsed.plan;
+    const res = await this.propose({ kind: 'putPlan', document, plan: parsed.plan }, target);
+    const held = machine.current?.plan.version ?? 0;
+    logger.info('configuration received', { version, status: res.status, held });
+    return res;
+  }
+
+  private async propose(command: Command, target: string): Promise<Response> {
+    const outcome: ProposeOutcome = await this.ctx.log.propose(encodeCommand(command));
+    if (outcome.kind === 'committed') return answer(200, '{}');
+    if (outcome.kind === 'notLeader') return this.redirect(outcome.leader?.vm, target);
+    return problem(503, 'the outcome is not known');
+  }
+
+  private async getPlan(target: string): Promise<Response> {
+    const read = await this.ctx.log.confirmRead();
+    if (read.kind === 'notLeader') return this.redirect(read.leader?.vm, target);
+    const held = this.ctx.machine.current;
+    return held === undefined ? problem(503, 'no configuration yet') : answer(200, held.document);
+  }
+
+  private redirect(leaderIp: string | undefined, target: string): Response {
+    if (leaderIp === undefined) return problem(503, 'no leader is known');
+    const location = `http://${leaderIp}:${this.ctx.controlPort}${target}`;
+    return answer(307, '{}', { location });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -0,0 +1,181 @@
+/** The control role: replicated log, hub and interfaces. */
+import http2 from 'node:http2';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import type { Clock } from '@marigoldbank/base/clock';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import { Channels } from '@marigoldbank/daemon/transport/Channels';
+import { ConnectConsensusTransport } from '@marigoldbank/daemon/transport/ConnectConsensusTransport';
+import { InternalServer, parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
+import { registerConsensus } from '@marigoldbank/daemon/transport/consensus-routes';
+import {
+  FileLogStorage,
+  openReplicatedLog,
+  type ReplicatedLog,
+} from '@marigoldbank/replicated-log';
+import type { Dialect } from '../Dialect.js';
+import type { GatewayProcess } from '../GatewayProcess.js';
+import { metricsHandler } from '../metrics.js';
+import { consensusAddress, ipOf, portOf, syncAddress, type GatewaySettings } from '../settings.js';
+import { SyncClients } from '../sync/SyncClients.js';
+import { ControlApi } from './ControlApi.js';
+import { Hub } from './Hub.js';
+import { PlanMachine } from './PlanMachine.js';
+import { registerSync } from './sync-routes.js';
+import { VoterKeeper } from './VoterKeeper.js';
+
+/** Control VMs are few and share a core with nothing else; an election must outlast a slow disk sync. */
+const TUNING = {
+  heartbeatIntervalMs: 100,
+  electionTimeoutMinMs: 500,
+  electionTimeoutMaxMs: 900,
+  resendAfterMs: 250,
+  snapshotEveryEntries: 400,
+  retainedEntries: 100,
+};
+
+/** Own processes share a network that strangers do not reach; the secret only tells services apart. */
+const INTERNAL_SECRET = 'internal';
+
+/** Time for entries to follow another hub before the process ends. */
+const LEAVE_MS = 300;
+
+function requireAddress(address: string | undefined, name: string): string {
+  if (address === undefined) throw new Error(`the role control needs listen.${name}`);
+  return address;
+}
+
+export class ControlProcess implements GatewayProcess {
+  private readonly clients = new SyncClients();
+
+  private channels: Channels | undefined;
+
+  private log: ReplicatedLog | undefined;
+
+  private hub: Hub | undefined;
+
+  private keeper: VoterKeeper | undefined;
+
+  private api: ControlApi | undefined;
+
+  public constructor(
+    private settings: GatewaySettings,
+    private readonly dialect: Dialect,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  public async start(): Promise<void> {
+    const { settings, clock, logger, dialect } = this;
+    const control = requireAddress(settings.listen.control, 'control');
+    const directory = requireAddress(settings.listen.directory, 'directory');
+    const machine = new PlanMachine();
+    const log = await this.openLog(machine);
+    const clientOf = (address: string): ReturnType<SyncClients['client']> =>
+      this.clients.client(address);
+    const hub = new Hub({ clock, settings, log, machine, logger, clientOf });
+    const keeper = new VoterKeeper({
+      clock,
+      log,
+      logger,
+      wantedVoters: 2 * settings.toleratedLosses + 1,
+      hubs: () => this.otherHubs(hub),
+      clientOf,
+    });
+    this.hub = hub;
+    this.keeper = keeper;
+    await this.serveConsensus(log);
+    await this.serveStreams(hub, keeper, log);
+    this.api = new ControlApi({
+      dialect,
+      hub,
+      log,
+      machine,
+      logger,
+      controlPort: portOf(control),
+      maxTtlMs: settings.bounds.maxTtl,
+    });
+    await this.api.listen(control, directory);
+  }
+
+  /** Adopts changed settings; new seeds are contacted. */
+  public reload(settings: GatewaySettings): void {
+    this.settings = settings;
+    this.hub?.setSeeds(settings.seeds);
+  }
+
+  /** Sends the entries to other hubs, then ends. */
+  public async stop(): Promise<void> {
+    this.hub?.leave();
+    this.api?.close();
+    await new Promise((resolve) => {
+      this.clock.setTimeout(() => resolve(undefined), LEAVE_MS);
+    });
+    this.keeper?.dispose();
+    this.hub?.dispose();
+    await this.log?.close();
+    this.channels?.dispose();
+  }
+
+  private async openLog(machine: PlanMachine): Promise<ReplicatedLog> {
+    const { settings } = this;
+    if (settings.dataFolder === undefined) throw new Error('the role control needs dataFolder');
+    this.channels = new Channels({ secret: INTERNAL_SECRET, outgoingAddress: undefined });
+    const seedIps = settings.seeds.map(ipOf);
+    const isFounder = settings.bootstrap && seedIps.includes(settings.ip);
+    const founders = seedIps.map((ip) => ({
+      vm: ip,
+      address: consensusAddress(settings, ip),
+      incarnation: '',
+    }));
+    const log = await openReplicatedLog({
+      vm: settings.ip,
+      address: consensusAddress(settings, settings.ip),
+      storage: new FileLogStorage(settings.dataFolder),
+      transport: new ConnectConsensusTransport(this.channels),
+      stateMachine: machine,
+      bootstrap: isFounder ? founders : undefined,
+      clock: this.clock,
+      tuning: TUNING,
+    });
+    log.onFailure((err) => {
+      this.logger.error('the data folder failed, the process ends', { error: String(err) });
+      process.exitCode = 1;
+      process.kill(process.pid, 'SIGTERM');
+    });
+    this.log = log;
+    return log;
+  }
+
+  private async serveConsensus(log: ReplicatedLog): Promise<void> {
+    const server = new InternalServer({
+      address: consensusAddress(this.settings, this.settings.ip),
+      secretOf: () => INTERNAL_SECRET,
+      register: (router) => registerConsensus(router, log),
+      fallback: metricsHandler(),
+    });
+    await server.listen();
+  }
+
+  private serveStreams(hub: Hub, keeper: VoterKeeper, log: ReplicatedLog): Promise<void> {
+    const server = http2.createServer(
+      connectNodeAdapter({
+        routes: (router) => registerSync(router, hub, keeper, log, this.logger),
+      }),
+    );
+    server.on('sessionError', (err) =>
+      this.logger.info('stream session broke', { error: String(err) }),
+    );
+    const { host, port } = parseAddress(syncAddress(this.settings, this.settings.ip));
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () => resolve());
+    });
+  }
+
+  private otherHubs(hub: Hub): string[] {
+    const own = syncAddress(this.settings, this.settings.ip);
+    const known = hub.hubAddresses().map(({ address }) => address);
+    const seeds = this.settings.seeds.map((seed) => syncAddress(this.settings, ipOf(seed)));
+    return [...new Set([...known, ...seeds])].filter((address) => address !== own);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -0,0 +1,149 @@
+/** Stream of one entry that follows this hub. */
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type { Clock } from '@marigoldbank/base/clock';
+import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import type {
+  HubUpdateSchema,
+  RetryStateSchema,
+  TargetSchema,
+  TokenAnswerSchema,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import { diffPlanItems } from '@marigoldbank/routing/plan-items';
+import { Batcher } from '../sync/Batcher.js';
+import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
+import { MessageQueue } from '../sync/MessageQueue.js';
+import type { EntryIdentity } from './Fleet.js';
+import type { HeldPlan } from './PlanMachine.js';
+
+/** Failures travel at once; what else has changed travels together. */
+export const URGENT_FLUSH_MS = 1;
+export const FLUSH_MS = 40;
+
+/** Shortest time between two plans for one entry, so that a series of changes costs one update. */
+const PLAN_INTERVAL_MS = 150;
+
+export type HubUpdateInit = MessageInitShape<typeof HubUpdateSchema>;
+
+/** What a session reads of the hub when it flushes. */
+export interface SessionSource {
+  readonly clock: Clock;
+  readonly currentPlan: () => HeldPlan | undefined;
+  /** Requests in flight at a target from all entries but this one. */
+  readonly othersInFlight: (vm: string, target: string) => number;
+}
+
+export class EntrySession implements IDisposable {
+  public readonly queue = new MessageQueue<HubUpdateInit>();
+
+  /** Monotonic ms of the last report. */
+  public heardAt: number;
+
+  private readonly evidence = new EvidenceBuffer();
+
+  private readonly targets = new Map<string, MessageInitShape<typeof TargetSchema>>();
+
+  private readonly removed = new Set<string>();
+
+  private readonly tokens: MessageInitShape<typeof TokenAnswerSchema>[] = [];
+
+  private readonly teams = new Map<string, boolean>();
+
+  private readonly retries = new Map<string, MessageInitShape<typeof RetryStateSchema>>();
+
+  private sentPlan: HeldPlan | undefined;
+
+  private planSentAt = -Infinity;
+
+  private readonly batcher: Batcher;
+
+  public constructor(
+    public readonly identity: EntryIdentity,
+    private readonly source: SessionSource,
+  ) {
+    this.heardAt = source.clock.now();
+    this.batcher = new Batcher(source.clock, () => this.flush());
+  }
+
+  /** Sends a message now, as a whole. */
+  public send(update: HubUpdateInit): void {
+    this.queue.push(update);
+  }
+
+  public addEvidence(id: string, succeeded: number, failed: number, slow: number): void {
+    this.evidence.add(id, succeeded, failed, slow);
+    this.batcher.request(failed > 0 ? URGENT_FLUSH_MS : FLUSH_MS);
+  }
+
+  public setTarget(target: MessageInitShape<typeof TargetSchema> & { readonly id: string }): void {
+    this.removed.delete(target.id);
+    this.targets.set(target.id, target);
+    this.batcher.request(URGENT_FLUSH_MS);
+  }
+
+  public removeTarget(id: string): void {
+    this.targets.delete(id);
+    this.removed.add(id);
+    this.batcher.request(URGENT_FLUSH_MS);
+  }
+
+  public answerToken(answer: MessageInitShape<typeof TokenAnswerSchema>): void {
+    this.tokens.push(answer);
+    this.batcher.request(URGENT_FLUSH_MS);
+  }
+
+  public setTeam(team: string, isTight: boolean): void {
+    this.teams.set(team, isTight);
+    this.batcher.request(URGENT_FLUSH_MS);
+  }
+
+  public setRetryUse(service: string, usedPermille: number): void {
+    this.retries.set(service, { service, usedPermille });
+    this.batcher.request(FLUSH_MS);
+  }
+
+  public planChanged(): void {
+    const wait = this.planSentAt + PLAN_INTERVAL_MS - this.source.clock.now();
+    this.batcher.request(Math.max(URGENT_FLUSH_MS, wait));
+  }
+
+  public dispose(): void {
+    this.batcher.dispose();
+    this.queue.end();
+  }
+
+  private flush(): void {
+    const { vm } = this.identity;
+    const update: HubUpdateInit = {
+      plan: this.takePlan(),
+      targets: [...this.targets.values()],
+      removedTargets: [...this.removed],
+      evidence: this.evidence.take((target) => this.source.othersInFlight(vm, target)),
+      teams: [...this.teams].map(([team, isTight]) => ({ team, isTight })),
+      tokens: this.tokens.splice(0),
+      retries: [...this.retries.values()],
+    };
+    this.targets.clear();
+    this.removed.clear();
+    this.teams.clear();
+    this.retries.clear();
+    this.queue.push(update);
+  }
+
+  private takePlan(): HubUpdateInit['plan'] {
+    const current = this.source.currentPlan();
+    if (current === undefined || current === this.sentPlan) return undefined;
+    const now = this.source.clock.now();
+    if (now < this.planSentAt + PLAN_INTERVAL_MS) {
+      this.planChanged();
+      return undefined;
+    }
+    const from = this.sentPlan;
+    this.sentPlan = current;
+    this.planSentAt = now;
+    return {
+      fromVersion: BigInt(from?.plan.version ?? 0),
+      version: BigInt(current.plan.version),
+      items: diffPlanItems(from?.items ?? new Map(), current.items),
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/Fleet.ts
@@ -0,0 +1,61 @@
+/** Entries as the hubs know them, for callers who ask where to connect. */
+
+export interface EntryIdentity {
+  readonly vm: string;
+  /** Address that callers connect to, `ip:port`. */
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+interface KnownEntry {
+  readonly identity: EntryIdentity;
+  readonly isReady: boolean;
+}
+
+/** Most addresses in one answer. */
+const MAX_ADDRESSES = 64;
+
+/** With fewer entries in the caller's data centre, those of the others are named as well. */
+const MIN_NEAR_ENTRIES = 3;
+
+/** Entries by the hub that they follow; the own hub has the name `''`. */
+export class Fleet {
+  private readonly byHub = new Map<string, Map<string, KnownEntry>>();
+
+  public set(hub: string, identity: EntryIdentity, isReady: boolean): void {
+    const entries = this.byHub.get(hub) ?? new Map<string, KnownEntry>();
+    entries.set(identity.vm, { identity, isReady });
+    this.byHub.set(hub, entries);
+  }
+
+  public remove(hub: string, vm: string): void {
+    this.byHub.get(hub)?.delete(vm);
+  }
+
+  /** Forgets the entries of a hub that is silent. */
+  public removeHub(hub: string): void {
+    this.byHub.delete(hub);
+  }
+
+  /** Entries that follow one hub. */
+  public ofHub(hub: string): KnownEntry[] {
+    return [...(this.byHub.get(hub)?.values() ?? [])];
+  }
+
+  /** Number of entries of all hubs. */
+  public get size(): number {
+    return new Set([...this.byHub.values()].flatMap((entries) => [...entries.keys()])).size;
+  }
+
+  /** Addresses for a caller: ready entries of its data centre, or all ready ones if those are few. */
+  public addressesFor(dataCentre: string, shuffle: (items: string[]) => string[]): string[] {
+    const ready = [...this.byHub.values()]
+      .flatMap((entries) => [...entries.values()])
+      .filter(({ isReady }) => isReady)
+      .map(({ identity }) => identity);
+    const near = ready.filter((identity) => identity.dataCentre === dataCentre);
+    const chosen = near.length >= MIN_NEAR_ENTRIES ? near : ready;
+    const addresses = [...new Set(chosen.map(({ address }) => address))];
+    return shuffle(addresses).slice(0, MAX_ADDRESSES);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/Hub.ts
@@ -0,0 +1,530 @@
+/**
+ * State that control VMs share with the entries and among each other: targets, outcomes, load, budgets, entries.
+ * Each hub serves the entries that follow it and relays what they report to all other hubs.
+ */
+import type { Client } from '@connectrpc/connect';
+import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import { DisposableStore } from '@marigoldbank/base/lifecycle';
+import { Random } from '@marigoldbank/base/random';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import type {
+  EntryReport,
+  HubRelay,
+  SyncService,
+  TargetEvidence,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { IReplicatedLog } from '@marigoldbank/replicated-log';
+import { TargetBoard } from '@marigoldbank/routing/TargetBoard';
+import type { Announcement } from '../Dialect.js';
+import { ipOf, syncAddress, type GatewaySettings } from '../settings.js';
+import { BudgetBroker } from './BudgetBroker.js';
+import { Confirmation } from './Confirmation.js';
+import { EntrySession, type HubUpdateInit } from './EntrySession.js';
+import { Fleet, type EntryIdentity } from './Fleet.js';
+import { LoadTable } from './LoadTable.js';
+import { isHeard, type PeerHub } from './PeerHub.js';
+import type { PlanMachine } from './PlanMachine.js';
+import { RelayLink, type HubRelayInit } from './RelayLink.js';
+import { TargetRegistry } from './TargetRegistry.js';
+import { fromRegistered, toAnnouncement, type TargetInit } from './targets-codec.js';
+
+const TICK_MS = 200;
+
+/** Entries and hubs hear from this hub at least once in so many ticks. */
+const TICKS_PER_STATUS = 2;
+
+/** An entry that reports nothing for this long is gone. */
+const ENTRY_SILENCE_MS = 3_000;
+
+/** Name of this hub among the sources of entries. */
+const OWN = '';
+
+/** Age that stands for "never" on the wire. */
+const MAX_AGE_MS = 1_000_000;
+
+const MAX_SEED = 0x7fffffff;
+
+export interface HubContext {
+  readonly clock: Clock;
+  readonly settings: GatewaySettings;
+  readonly log: IReplicatedLog;
+  readonly machine: PlanMachine;
+  readonly logger: Logger;
+  readonly clientOf: (address: string) => Client<typeof SyncService>;
+}
+
+export class Hub extends DisposableStore {
+  public readonly fleet = new Fleet();
+
+  public readonly registry = new TargetRegistry();
+
+  private readonly sessions = new Map<string, EntrySession>();
+
+  private readonly links = new Map<string, RelayLink>();
+
+  private readonly peers = new Map<string, PeerHub>();
+
+  private readonly load = new LoadTable();
+
+  private readonly board = new TargetBoard();
+
+  private readonly budgets: BudgetBroker;
+
+  private readonly confirmation = new Confirmation();
+
+  private readonly random = new Random(Math.floor(Math.random() * MAX_SEED));
+
+  private readonly ownAddress: string;
+
+  /** Whether teams are short of tokens, as the holder of the budgets said last. */
+  private readonly modes = new Map<string, boolean>();
+
+  private isConfirming = false;
+
+  private ticks = 0;
+
+  private isLeaving = false;
+
+  public constructor(private readonly ctx: HubContext) {
+    super();
+    const { settings, clock, machine } = ctx;
+    const { retryRatio, retrySlack, retryWindow } = settings.bounds;
+    this.budgets = new BudgetBroker({
+      ratio: retryRatio,
+      slack: retrySlack,
+      windowMs: retryWindow,
+    });
+    this.ownAddress = syncAddress(settings, settings.ip);
+    this.add(machine.onDidChangePlan(() => this.planChanged()));
+    this.add(machine.onDidMarkLeaving((id) => this.leavingMarked(id)));
+    this.add(setPeriodic(clock, () => this.tick(), TICK_MS));
+    this.setSeeds(settings.seeds);
+    if (machine.current !== undefined) this.planChanged();
+  }
+
+  /** Milliseconds since a majority confirmed what this hub holds. */
+  public confirmedAgeMs(): number {
+    return this.confirmation.ageMs(this.ctx.clock.now());
+  }
+
+  /** Connects to the hubs at further seeds. */
+  public setSeeds(seeds: readonly string[]): void {
+    seeds.forEach((seed) => this.meet(syncAddress(this.ctx.settings, ipOf(seed)), ''));
+  }
+
+  /** Addresses for a caller of a data centre. */
+  public addressesFor(dataCentre: string): string[] {
+    return this.fleet.addressesFor(dataCentre, (items) => this.random.shuffle(items));
+  }
+
+  /** Addresses of the hubs that are heard, this one included. */
+  public hubAddresses(): { address: string; dataCentre: string }[] {
+    const now = this.ctx.clock.now();
+    const heard = [...this.peers.values()].filter((peer) => isHeard(peer, now));
+    const { dataCentre } = this.ctx.settings;
+    return [
+      { address: this.ownAddress, dataCentre },
+      ...heard.map((peer) => ({ address: peer.address, dataCentre: peer.dataCentre })),
+    ];
+  }
+
+  /** Takes an announcement that arrived here. */
+  public announce(announcement: Announcement): void {
+    this.register(announcement, this.ctx.clock.now());
+    const registered = this.registry.get(announcement.id);
+    if (registered === undefined) return;
+    this.links.forEach((link) => link.setTarget(this.toTarget(announcement.id)!));
+  }
+
+  /** Opens the stream of an entry. */
+  public openSession(identity: EntryIdentity): EntrySession {
+    const { clock, machine } = this.ctx;
+    this.sessions.get(identity.vm)?.dispose();
+    const session = new EntrySession(identity, {
+      clock,
+      currentPlan: () => machine.current,
+      othersInFlight: (vm, target) => this.load.total(target) - this.load.of(vm, target),
+    });
+    this.sessions.set(identity.vm, session);
+    session.send(this.snapshotForEntry(identity.vm));
+    session.planChanged();
+    this.ctx.logger.info('entry follows this hub', { entry: identity.vm });
+    return session;
+  }
+
+  /** Ends the stream of an entry. */
+  public closeSession(session: EntrySession): void {
+    session.dispose();
+    const { vm } = session.identity;
+    if (this.sessions.get(vm) !== session) return;
+    this.sessions.delete(vm);
+    this.fleet.remove(OWN, vm);
+    this.links.forEach((link) =>
+      link.send({ entries: [{ identity: session.identity, isGone: true }] }),
+    );
+    this.load.removeSource(vm).forEach((target) => this.spreadEvidence(target, 0, 0, 0, vm, true));
+    this.ctx.logger.info('entry no longer follows this hub', { entry: vm });
+  }
+
+  /** Takes a report of an entry that follows this hub. */
+  public report(session: EntrySession, report: EntryReport): void {
+    const { identity } = session;
+    const now = this.ctx.clock.now();
+    session.heardAt = now;
+    if (this.sessions.get(identity.vm) !== session) return;
+    this.noteReadiness(identity, report.isReady);
+    report.evidence.forEach((item) => {
+      this.load.set(identity.vm, item.id, item.inFlight);
+      this.observe(item, now);
+      this.spreadEvidence(item.id, item.succeeded, item.failed, item.slow, identity.vm, true);
+    });
+    report.uses.forEach(({ service, requests, repeats }) => {
+      this.budgets.countRequests(service, requests, repeats, now);
+      this.links.forEach((link) => link.addUse(service, requests, repeats));
+    });
+    report.teams.forEach(({ team, admitted }) => this.reportTeam(team, admitted, now));
+    report.tokens.forEach(({ id, team }) => this.askToken(identity.vm, id, team, now));
+    if (report.teams.length > 0) this.spreadModes(now);
+  }
+
+  /** Takes a message of another hub. */
+  public relayed(relay: HubRelay, peer: PeerHub): void {
+    const now = this.ctx.clock.now();
+    Object.assign(peer, { heardAt: now });
+    this.links.get(peer.address)?.noteHeard();
+    if (relay.confirmedIndex > 0n) {
+      const { commitIndex } = this.ctx.log.status();
+      this.confirmation.note(Number(relay.confirmedIndex), now, commitIndex);
+    }
+    relay.hubs.forEach(({ address, dataCentre }) => this.meet(address, dataCentre));
+    relay.entries.forEach(({ identity, isReady, isGone }) => {
+      if (identity === undefined) return;
+      if (isGone) this.fleet.remove(peer.address, identity.vm);
+      else this.fleet.set(peer.address, identity, isReady);
+    });
+    relay.targets.forEach((target) => this.register(toAnnouncement(target), now - target.ageMs));
+    relay.evidence.forEach((item) => {
+      this.load.set(peer.address, item.id, item.inFlight);
+      this.observe(item, now);
+      this.spreadEvidence(item.id, item.succeeded, item.failed, item.slow, peer.address, false);
+    });
+    relay.uses.forEach(({ service, requests, repeats }) =>
+      this.budgets.countRequests(service, requests, repeats, now),
+    );
+    relay.teams.forEach(({ team, admitted }) => this.budgets.report(team, admitted, now));
+    relay.tokens.forEach(({ id, team, entry }) => this.answerRelayedToken(peer, id, team, entry));
+    relay.answers.forEach(({ entry, answer }) => {
+      if (answer !== undefined) this.sessions.get(entry)?.answerToken(answer);
+    });
+    relay.teamStates.forEach(({ team, isTight }) => this.setMode(team, isTight));
+    if (relay.teams.length > 0) this.spreadModes(now);
+  }
+
+  /** The state of another hub whose stream begins. */
+  public openPeer(address: string, dataCentre: string): PeerHub {
+    this.meet(address, dataCentre);
+    const peer = this.peers.get(address)!;
+    peer.dataCentre = dataCentre;
+    return peer;
+  }
+
+  /** Tells the entries to follow other hubs. */
+  public leave(): void {
+    this.isLeaving = true;
+    this.sessions.forEach((session) => session.send({ isLeaving: true }));
+  }
+
+  public override dispose(): void {
+    super.dispose();
+    this.links.forEach((link) => link.dispose());
+    this.sessions.forEach((session) => session.dispose());
+  }
+
+  private meet(address: string, dataCentre: string): void {
+    if (address === this.ownAddress || this.peers.has(address) || address === '') return;
+    this.peers.set(address, { address, dataCentre, heardAt: -Infinity });
+    const { clock, logger, clientOf } = this.ctx;
+    const link = new RelayLink(address, clientOf(address), {
+      clock,
+      logger,
+      snapshot: () => this.snapshotForPeer(),
+      ownInFlight: (target) => this.ownInFlight(target),
+    });
+    this.links.set(address, link);
+    link.run().catch((err: unknown) => {
+      logger.error('relay to another hub failed', { hub: address, error: String(err) });
+    });
+  }
+
+  private ownInFlight(target: string): number {
+    const fromPeers = [...this.peers.keys()].reduce(
+      (sum, address) => sum + this.load.of(address, target),
+      0,
+    );
+    return this.load.total(target) - fromPeers;
+  }
+
+  private register(announcement: Announcement, heardAt: number): void {
+    const displaced = this.registry.displacedBy(announcement);
+    const effect = this.registry.announce(announcement, heardAt);
+    if (effect !== 'changed') return;
+    const { id, service, address, isDraining } = announcement;
+    this.ctx.logger.info('target changed', { target: id, service, address, isDraining });
+    if (displaced !== undefined) this.dropTarget(displaced, 0);
+    this.targetChanged(id);
+  }
+
+  private targetChanged(id: string): void {
+    const target = this.toTarget(id);
+    if (target === undefined) return;
+    const mark = this.ctx.machine.markOf(id, Number(target.born ?? 0));
+    if (mark?.isGone) {
+      this.dropTarget(id, mark.born);
+      return;
+    }
+    this.board.upsert(this.toInfo(target), this.ctx.clock.now());
+    this.sessions.forEach((session) => session.setTarget(target));
+  }
+
+  private leavingMarked(id: string): void {
+    const known = this.registry.get(id);
+    const mark = this.ctx.machine.markOf(id, known?.announcement.born ?? 0);
+    if (mark === undefined) return;
+    this.ctx.logger.info('target leaves', { target: id, isGone: mark.isGone });
+    if (mark.isGone) this.dropTarget(id, mark.born);
+    else this.targetChanged(id);
+  }
+
+  private dropTarget(id: string, born: number): void {
+    this.registry.leave(id, born);
+    this.board.remove(id);
+    this.sessions.forEach((session) => session.removeTarget(id));
+  }
+
+  private toTarget(id: string): TargetInit | undefined {
+    const registered = this.registry.get(id);
+    if (registered === undefined) return undefined;
+    const target = fromRegistered(registered, this.ctx.clock.now());
+    const mark = this.ctx.machine.markOf(id, registered.announcement.born);
+    return mark === undefined ? target : { ...target, isDraining: true };
+  }
+
+  private toInfo(target: TargetInit): Parameters<TargetBoard['upsert']>[0] {
+    const { id, address = '', service = '', dataCentre = '', slots = 1 } = target;
+    const { isDraining = false, coldMs = 0 } = target;
+    return { id, address, service, dataCentre, slots, isDraining, coldMs };
+  }
+
+  private observe(item: TargetEvidence, now: number): void {
+    const repeat = (count: number): undefined[] => Array.from({ length: count }, () => undefined);
+    repeat(item.succeeded).forEach(() => this.board.observe(item.id, 'succeeded', now));
+    repeat(item.slow).forEach(() => this.board.observe(item.id, 'slow', now));
+    repeat(item.failed).forEach(() => this.board.observe(item.id, 'failed', now));
+  }
+
+  /** Passes outcomes on to all entries but their source, and those of own entries to the other hubs. */
+  private spreadEvidence(
+    id: string,
+    succeeded: number,
+    failed: number,
+    slow: number,
+    source: string,
+    isOwn: boolean,
+  ): void {
+    [...this.sessions.values()]
+      .filter(({ identity }) => identity.vm !== source)
+      .forEach((session) => session.addEvidence(id, succeeded, failed, slow));
+    if (isOwn) this.links.forEach((link) => link.addEvidence(id, succeeded, failed, slow));
+  }
+
+  private noteReadiness(identity: EntryIdentity, isReady: boolean): void {
+    const known = this.fleet.ofHub(OWN).find((entry) => entry.identity.vm === identity.vm);
+    if (known?.isReady === isReady) return;
+    this.fleet.set(OWN, identity, isReady);
+    this.ctx.logger.info('entry readiness', { entry: identity.vm, isReady });
+    this.links.forEach((link) => link.send({ entries: [{ identity, isReady }] }));
+  }
+
+  private reportTeam(team: string, admitted: number, now: number): void {
+    if (this.budgets.holdsBuckets) this.budgets.report(team, admitted, now);
+    else this.leaderLink()?.addTeamUse(team, admitted);
+  }
+
+  private leaderPeer(): PeerHub | undefined {
+    const leader = this.ctx.log.status().leader?.vm;
+    if (leader === undefined) return undefined;
+    return this.peers.get(syncAddress(this.ctx.settings, leader));
+  }
+
+  private leaderLink(): RelayLink | undefined {
+    const leader = this.leaderPeer();
+    return leader === undefined ? undefined : this.links.get(leader.address);
+  }
+
+  private askToken(entry: string, id: number, team: string, now: number): void {
+    if (!this.budgets.holdsBuckets) {
+      this.leaderLink()?.send({ tokens: [{ id, team, entry }] });
+      return;
+    }
+    this.sessions.get(entry)?.answerToken(this.decideToken(id, team, now));
+  }
+
+  private answerRelayedToken(peer: PeerHub, id: number, team: string, entry: string): void {
+    if (!this.budgets.holdsBuckets) return;
+    const answer = this.decideToken(id, team, this.ctx.clock.now());
+    this.links.get(peer.address)?.send({ answers: [{ entry, answer }] });
+  }
+
+  private decideToken(
+    id: number,
+    team: string,
+    now: number,
+  ): { id: number; isGranted: boolean; retryAfterMs: number } {
+    const decision = this.budgets.take(team, now);
+    const isGranted = decision.kind === 'granted';
+    return { id, isGranted, retryAfterMs: isGranted ? 0 : decision.retryAfterMs };
+  }
+
+  private spreadModes(now: number): void {
+    const teamStates = this.budgets.takeModeChanges(now);
+    if (teamStates.length === 0) return;
+    teamStates.forEach(({ team, isTight }) => {
+      this.ctx.logger.info('team budget mode', { team, isTight });
+      this.setMode(team, isTight);
+    });
+    this.links.forEach((link) => link.send({ teamStates }));
+  }
+
+  private setMode(team: string, isTight: boolean): void {
+    this.modes.set(team, isTight);
+    this.sessions.forEach((session) => session.setTeam(team, isTight));
+  }
+
+  private planChanged(): void {
+    const { machine, clock, logger } = this.ctx;
+    const { plan } = machine.current!;
+    logger.info('plan in force', { version: plan.version, routes: plan.routes.length });
+    this.budgets.setTeams(plan.teams, clock.now());
+    this.sessions.forEach((session) => session.planChanged());
+  }
+
+  private tick(): void {
+    const { clock, log } = this.ctx;
+    const now = clock.now();
+    const status = log.status();
+    const isLeader = status.role === 'leader';
+    this.confirmation.advance(status.commitIndex);
+    if (isLeader) this.confirm();
+    const wasHolder = this.budgets.holdsBuckets;
+    this.budgets.setHolder(isLeader, now);
+    if (isLeader && !wasHolder) this.spreadAllModes();
+    this.spreadModes(now);
+    this.registry.expire(now).forEach((id) => this.dropTarget(id, 0));
+    this.dropSilent(now);
+    this.spreadRetryUses(now);
+    this.ticks += 1;
+    if (this.ticks % TICKS_PER_STATUS !== 0) return;
+    const update = this.status(now);
+    this.sessions.forEach((session) => session.send(update));
+    this.links.forEach((link) => link.send({ hubs: this.hubAddresses() }));
+  }
+
+  /** A leader asks a majority whether it still leads; the answer vouches for what all hubs hold. */
+  private confirm(): void {
+    if (this.isConfirming) return;
+    this.isConfirming = true;
+    const askedAt = this.ctx.clock.now();
+    this.ctx.log
+      .confirmRead()
+      .then((read) => {
+        this.isConfirming = false;
+        if (read.kind !== 'confirmed') return;
+        this.confirmation.note(read.index, askedAt, this.ctx.log.status().commitIndex);
+        this.links.forEach((link) =>
+          link.send({ confirmedIndex: BigInt(read.index) }),
+        );
+      })
+      .catch((err: unknown) => {
+        this.isConfirming = false;
+        this.ctx.logger.warn('leadership was not confirmed', { error: String(err) });
+      });
+  }
+
+  private spreadAllModes(): void {
+    const teamStates = this.budgets.modes();
+    this.ctx.logger.info('this hub holds the team budgets', { teams: teamStates.length });
+    teamStates.forEach(({ team, isTight }) => this.setMode(team, isTight));
+    this.links.forEach((link) => link.send({ teamStates }));
+  }
+
+  private spreadRetryUses(now: number): void {
+    this.budgets
+      .takeRetryUses(now)
+      .forEach(({ service, usedPermille }) =>
+        this.sessions.forEach((session) => session.setRetryUse(service, usedPermille)),
+      );
+  }
+
+  private dropSilent(now: number): void {
+    [...this.sessions.values()]
+      .filter(({ heardAt }) => now - heardAt > ENTRY_SILENCE_MS)
+      .forEach((session) => this.closeSession(session));
+    [...this.peers.values()]
+      .filter((peer) => !isHeard(peer, now) && this.fleet.ofHub(peer.address).length > 0)
+      .forEach((peer) => {
+        this.ctx.logger.warn('another hub is silent', { hub: peer.address });
+        this.fleet.removeHub(peer.address);
+        this.load
+          .removeSource(peer.address)
+          .forEach((target) => this.spreadEvidence(target, 0, 0, 0, peer.address, false));
+      });
+  }
+
+  private status(now: number): { status: HubUpdateInit['status']; hubs: HubUpdateInit['hubs']; isLeaving: boolean } {
+    const budgetAge = this.budgets.holdsBuckets
+      ? this.confirmation.ageMs(now)
+      : now - (this.leaderPeer()?.heardAt ?? -Infinity);
+    return {
+      status: {
+        confirmedAgeMs: Math.round(Math.min(MAX_AGE_MS, this.confirmation.ageMs(now))),
+        budgetAgeMs: Math.round(Math.min(MAX_AGE_MS, budgetAge)),
+        entries: this.fleet.size,
+      },
+      hubs: this.hubAddresses(),
+      isLeaving: this.isLeaving,
+    };
+  }
+
+  private snapshotForEntry(vm: string): HubUpdateInit {
+    const now = this.ctx.clock.now();
+    const targets = this.registry.all().map(({ announcement }) => this.toTarget(announcement.id)!);
+    return {
+      ...this.status(now),
+      targets,
+      beliefs: this.board.all().map(({ info, belief }) => ({
+        id: info.id,
+        failingProbability: belief.failingProbability(now),
+      })),
+      evidence: this.load.busyTargets().map((id) => ({
+        id,
+        inFlight: this.load.total(id) - this.load.of(vm, id),
+      })),
+      teams: [...this.modes].map(([team, isTight]) => ({ team, isTight })),
+    };
+  }
+
+  private snapshotForPeer(): HubRelayInit {
+    const { settings } = this.ctx;
+    return {
+      hello: { address: this.ownAddress, dataCentre: settings.dataCentre },
+      entries: this.fleet.ofHub(OWN).map(({ identity, isReady }) => ({ identity, isReady })),
+      targets: this.registry.all().map(({ announcement }) => this.toTarget(announcement.id)!),
+      evidence: this.load
+        .busyTargets()
+        .map((id) => ({ id, inFlight: this.ownInFlight(id) }))
+        .filter(({ inFlight }) => inFlight > 0),
+      teamStates: this.budgets.modes(),
+      hubs: this.hubAddresses(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/sync-routes.ts
@@ -0,0 +1,71 @@
+/** Serves the state streams of a control VM. */
+import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect';
+import { SyncService, type EntryReport } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { IReplicatedLog } from '@marigoldbank/replicated-log';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import type { EntrySession } from './EntrySession.js';
+import type { Hub } from './Hub.js';
+import type { PeerHub } from './PeerHub.js';
+import type { VoterKeeper } from './VoterKeeper.js';
+
+/** Feeds the reports of an entry to the hub until its stream ends. */
+async function readReports(
+  reports: AsyncIterator<EntryReport>,
+  hub: Hub,
+  session: EntrySession,
+): Promise<void> {
+  let next = await reports.next();
+  while (next.done !== true && !session.queue.isEnded) {
+    hub.report(session, next.value);
+    next = await reports.next();
+  }
+}
+
+/** Registers the state streams. */
+export function registerSync(
+  router: ConnectRouter,
+  hub: Hub,
+  keeper: VoterKeeper,
+  log: IReplicatedLog,
+  logger: Logger,
+): void {
+  router.service(SyncService, {
+    async *follow(reports) {
+      const iterator = reports[Symbol.asyncIterator]();
+      const first = await iterator.next();
+      const hello = first.done === true ? undefined : first.value.hello;
+      if (hello === undefined) throw new ConnectError('no hello', Code.InvalidArgument);
+      const session = hub.openSession(hello);
+      hub.report(session, first.value as EntryReport);
+      readReports(iterator, hub, session)
+        .catch((err: unknown) => {
+          logger.info('stream of an entry broke', { entry: hello.vm, error: String(err) });
+        })
+        .finally(() => hub.closeSession(session));
+      try {
+        yield* session.queue;
+      } finally {
+        hub.closeSession(session);
+      }
+    },
+
+    async relay(messages) {
+      let peer: PeerHub | undefined;
+      const iterator = messages[Symbol.asyncIterator]();
+      let next = await iterator.next();
+      while (next.done !== true) {
+        const { hello } = next.value;
+        if (hello !== undefined) peer = hub.openPeer(hello.address, hello.dataCentre);
+        if (peer === undefined) throw new ConnectError('no hello', Code.InvalidArgument);
+        hub.relayed(next.value, peer);
+        next = await iterator.next();
+      }
+      return {};
+    },
+
+    async join(req) {
+      const isAccepted = await keeper.admit(req);
+      return { isAccepted, leaderAddress: log.status().leader?.address ?? '' };
+    },
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -0,0 +1,449 @@
+/** The listener for callers: from the head of a request to its final answer. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { delay, type Clock } from '@marigoldbank/base/clock';
+import { CallerConnection } from '@marigoldbank/daemon/entry/CallerConnection';
+import { HOP_BY_HOP, connectionTokens } from '@marigoldbank/daemon/entry/headers';
+import { readBody } from '@marigoldbank/daemon/entry/readBody';
+import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
+import type { PlanLimits, Route, Team } from '@marigoldbank/routing/plan';
+import type { RouteTable } from '@marigoldbank/routing/RouteTable';
+import { requestSeconds, requestsTotal } from '../metrics.js';
+import { formatReply, type Reply } from './CallerReply.js';
+import type { RequestLog } from './RequestLog.js';
+import { RequestRun, type Answered, type RunContext, type RunOutcome } from './RequestRun.js';
+import { readRequestHead, type RequestHead } from './requestHead.js';
+import type { SendAttempt } from './SendAttempt.js';
+
+/** Limits until a plan is known. */
+const INITIAL_LIMITS: PlanLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 67_108_864,
+  headersTimeoutMs: 10_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Largest head that the parser accepts; the plan's limit is checked afterwards. */
+const MAX_HEAD_BYTES = 65_536;
+
+/** Callers reuse a connection up to its idle limit; it is kept a little longer. */
+const IDLE_MARGIN_MS = 2_000;
+
+const CHECKING_INTERVAL_MS = 500;
+
+/** Longest time for a whole body. */
+const BODY_TIMEOUT_MS = 30_000;
+
+/** Time that the rest of a refused body is read, so that the caller can read the answer. */
+const LINGER_MS = 1_000;
+
+/** Without a confirmation for this long, an unknown route or key may only be unknown here. */
+const MAX_CONFIRMED_AGE_MS = 1_200;
+
+/** Wait of a request that says nothing about its deadline, if its route says nothing either. */
+const DEFAULT_DEADLINE_MS = 60_000;
+
+const MS_PER_SECOND = 1_000;
+
+export interface ServerContext extends RunContext {
+  readonly log: RequestLog;
+}
+
+interface Transaction {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly connection: CallerConnection;
+  readonly receivedAt: number;
+  readonly gone: AbortController;
+}
+
+/** A request whose route and team are known. */
+interface Admitted {
+  readonly route: Route;
+  readonly team: Team | undefined;
+}
+
+type Admission =
+  | { readonly kind: 'admitted'; readonly admitted: Admitted }
+  | { readonly kind: 'refused'; readonly reply: Reply };
+
+function hasUnreadBody(req: IncomingMessage): boolean {
+  const hasBody =
+    req.headers['transfer-encoding'] !== undefined ||
+    Number(req.headers['content-length'] ?? 0) > 0;
+  return hasBody && !req.complete;
+}
+
+function refused(reply: Reply): Admission {
+  return { kind: 'refused', reply };
+}
+
+export class CallerServer {
+  private readonly server: Server;
+
+  private readonly connections = new WeakMap<Duplex, CallerConnection>();
+
+  private limits = INITIAL_LIMITS;
+
+  /** Answers end their connections. */
+  private isLeaving = false;
+
+  /** New requests are refused. */
+  private isRefusing = false;
+
+  private inProgress = 0;
+
+  public constructor(private readonly ctx: ServerContext) {
+    this.server = this.createServer();
+    ctx.board.onDidChangePlan((table) => this.adoptLimits(table));
+  }
+
+  /** Requests that have no final answer yet. */
+  public get running(): number {
+    return this.inProgress;
+  }
+
+  public listen(address: string): Promise<void> {
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Ends connections after their next answer. */
+  public leave(): void {
+    this.isLeaving = true;
+    this.server.keepAliveTimeout = 1;
+  }
+
+  /** Refuses requests that would not be answered before the process ends. */
+  public refuseNew(): void {
+    this.isRefusing = true;
+    this.server.closeIdleConnections();
+  }
+
+  /** Stops accepting connections and closes idle ones. */
+  public close(): void {
+    // The close of the HTTP server itself would also close connections with a request on its way.
+    NetServer.prototype.close.call(this.server);
+    this.server.closeIdleConnections();
+  }
+
+  private createServer(): Server {
+    const server = createServer({
+      maxHeaderSize: MAX_HEAD_BYTES,
+      headersTimeout: INITIAL_LIMITS.headersTimeoutMs,
+      requestTimeout: BODY_TIMEOUT_MS,
+      keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
+      connectionsCheckingInterval: CHECKING_INTERVAL_MS,
+      insecureHTTPParser: false,
+      noDelay: true,
+    });
+    // Node.js drops headers beyond its own limit without a word.
+    server.maxHeadersCount = 0;
+    server.on('request', (req, res) => this.accept(req, res));
+    server.on('checkExpectation', (req, res) => this.accept(req, res));
+    server.on('connect', (_req, socket) => this.connectionOf(socket).handleBroken(undefined));
+    server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
+      this.connectionOf(socket).handleBroken(err.code),
+    );
+    return server;
+  }
+
+  private adoptLimits({ plan }: RouteTable): void {
+    this.limits = plan.limits;
+    this.server.headersTimeout = plan.limits.headersTimeoutMs + MS_PER_SECOND;
+    if (!this.isLeaving) this.server.keepAliveTimeout = plan.limits.idleTimeoutMs + IDLE_MARGIN_MS;
+  }
+
+  private accept(req: IncomingMessage, res: ServerResponse): void {
+    // A request behind one that ends the connection cannot be answered and must not run.
+    const connection = this.connectionOf(req.socket);
+    if (connection.isClosing) return;
+    connection.requestStarted();
+    const gone = new AbortController();
+    const receivedAt = this.ctx.clock.now();
+    res.on('error', () => res.destroy());
+    res.once('close', () => {
+      connection.requestEnded();
+      if (!res.writableFinished) gone.abort();
+    });
+    this.inProgress += 1;
+    this.handle({ req, res, connection, receivedAt, gone })
+      .catch((err: unknown) => {
+        this.ctx.log.write(false, { outcome: 'error', error: String(err) });
+        res.destroy();
+      })
+      .finally(() => {
+        this.inProgress -= 1;
+      });
+  }
+
+  private async handle(tx: Transaction): Promise<void> {
+    const { ctx } = this;
+    const parsed = readRequestHead(tx.req, ctx.names);
+    if (parsed.kind === 'invalid') {
+      tx.connection.markClosing();
+      const { detail } = parsed;
+      await this.refuse(tx, undefined, undefined, { kind: 'badRequest', verdict: 'notRun', detail });
+      return;
+    }
+    const { head } = parsed;
+    const admission = this.admit(head);
+    if (admission.kind === 'refused') {
+      await this.refuse(tx, head, undefined, admission.reply);
+      return;
+    }
+    const { route, team } = admission.admitted;
+    const body = await this.readWholeBody(tx);
+    if (body === undefined) return;
+    if (!Buffer.isBuffer(body)) {
+      tx.connection.markClosing();
+      await this.refuse(tx, head, route, body);
+      return;
+    }
+    const reply = await this.chargeTeam(team);
+    if (reply !== undefined) {
+      await this.refuse(tx, head, route, reply);
+      return;
+    }
+    await this.forward(tx, head, body, admission.admitted);
+  }
+
+  /** Route and key of a request. What is unknown may only be unknown here while the plan is not confirmed. */
+  private admit(head: RequestHead): Admission {
+    const { board, clock } = this.ctx;
+    const { table } = board;
+    if (table === undefined) return refused({ kind: 'notCurrent', verdict: 'notRun' });
+    if (this.isRefusing) return refused({ kind: 'stopping', verdict: 'notRun' });
+    const isConfirmed = board.confirmedAgeMs(clock.now()) < MAX_CONFIRMED_AGE_MS;
+    const unknown = (kind: 'noRoute' | 'unknownKey'): Admission =>
+      refused({ kind: isConfirmed ? kind : 'notCurrent', verdict: 'notRun' });
+    const route = table.findRoute(head.host, head.path);
+    if (route === undefined) return unknown('noRoute');
+    const owner = table.findTeam(route, head.key);
+    if (owner.kind === 'unknown') return unknown('unknownKey');
+    const team = owner.kind === 'team' ? owner.team : undefined;
+    return { kind: 'admitted', admitted: { route, team } };
+  }
+
+  /** The body, a refusal, or undefined if the caller has gone. */
+  private async readWholeBody(tx: Transaction): Promise<Buffer | Reply | undefined> {
+    const { req, connection } = tx;
+    if (Number(req.headers['content-length'] ?? 0) > this.limits.maxBodyBytes) {
+      return { kind: 'bodyTooLarge', verdict: 'notRun' };
+    }
+    if (req.headers.expect !== undefined) tx.res.writeContinue();
+    const result = await readBody(req, connection, this.ctx.clock, {
+      maxBytes: this.limits.maxBodyBytes,
+      idleTimeoutMs: this.limits.idleTimeoutMs,
+      totalTimeoutMs: BODY_TIMEOUT_MS,
+    });
+    switch (result.kind) {
+      case 'read':
+        return result.body;
+      case 'tooLarge':
+        return { kind: 'bodyTooLarge', verdict: 'notRun' };
+      case 'tooSlow':
+        return { kind: 'bodyTooSlow', verdict: 'notRun' };
+      case 'broken':
+        return { kind: 'badRequest', verdict: 'notRun', detail: 'the body is not valid' };
+      default:
+        return undefined;
+    }
+  }
+
+  /** Takes one request from the team's budget, or says why not. */
+  private async chargeTeam(team: Team | undefined): Promise<Reply | undefined> {
+    if (team === undefined) return undefined;
+    const { board, clock, reporter } = this.ctx;
+    const now = clock.now();
+    const overQuota = (retryAfterMs: number): Reply => ({
+      kind: 'overQuota',
+      verdict: 'notRun',
+      retryAfterMs: Math.ceil(retryAfterMs),
+    });
+    const decision = board.teams.decide(team, board.hasBudgetHolder(now), board.entries, now);
+    if (decision.kind === 'refused') return overQuota(decision.retryAfterMs);
+    if (decision.kind === 'admitted') {
+      reporter.teamUsed(team.name);
+      return undefined;
+    }
+    const token = await reporter.askToken(team.name);
+    if (token.kind === 'granted') return undefined;
+    if (token.kind === 'refused') {
+      board.teams.noteRefusal(team.name, token.retryAfterMs, clock.now());
+      return overQuota(token.retryAfterMs);
+    }
+    const alone = board.teams.decideAlone(team, board.entries, clock.now());
+    if (alone.kind === 'refused') return overQuota(alone.retryAfterMs);
+    reporter.teamUsed(team.name);
+    return undefined;
+  }
+
+  private async forward(
+    tx: Transaction,
+    head: RequestHead,
+    body: Buffer,
+    { route, team }: Admitted,
+  ): Promise<void> {
+    const waitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
+    const run = new RequestRun(this.ctx, {
+      head,
+      body,
+      route,
+      team: team?.name,
+      priority: team?.priority ?? route.priority,
+      dueAt: tx.receivedAt + waitMs,
+      signal: tx.gone.signal,
+    });
+    const outcome = await run.run();
+    await this.finish(tx, head, route, outcome, run.trace);
+  }
+
+  private async finish(
+    tx: Transaction,
+    head: RequestHead,
+    route: Route,
+    outcome: RunOutcome,
+    trace: RequestRun['trace'],
+  ): Promise<void> {
+    if (outcome.kind === 'callerGone') {
+      this.record(tx, head, route, 'callerGone', 0, trace);
+      return;
+    }
+    if (outcome.kind === 'refused') {
+      await this.refuse(tx, head, route, outcome.reply, trace);
+      return;
+    }
+    this.record(tx, head, route, 'answered', outcome.answer.status, trace);
+    await this.answer(tx, outcome.answer, outcome.attempt);
+  }
+
+  private async answer(tx: Transaction, answer: Answered, attempt: SendAttempt): Promise<void> {
+    const { res } = tx;
+    if (res.destroyed) {
+      answer.rest?.abort('cancelled', 'the caller went away');
+      attempt.cancel();
+      return;
+    }
+    res.writeHead(answer.status, this.answerHeaders(answer));
+    answer.body.forEach((chunk) => res.write(chunk));
+    if (answer.rest === undefined) {
+      res.end();
+      return;
+    }
+    await CallerServer.stream(res, answer, attempt);
+  }
+
+  /** Passes on the rest of a large answer. One that breaks off must not look complete. */
+  private static stream(res: ServerResponse, answer: Answered, attempt: SendAttempt): Promise<void> {
+    const exchange = answer.rest!;
+    return new Promise((resolve) => {
+      res.on('drain', () => exchange.resume());
+      res.once('close', () => {
+        exchange.abort('cancelled', 'the caller went away');
+        attempt.cancel();
+        resolve();
+      });
+      exchange.consume({
+        onData: (chunk) => res.write(chunk),
+        onEnd: () => {
+          attempt.judge(answer.status);
+          res.end(() => resolve());
+        },
+        onFail: () => res.destroy(),
+      });
+    });
+  }
+
+  private answerHeaders({ headers, body, rest }: Answered): Record<string, string | string[]> {
+    const tokens = connectionTokens([headers.connection ?? []].flat());
+    const dropped = new Set([...HOP_BY_HOP, ...tokens]);
+    const kept = Object.entries(headers).flatMap(([name, value]) =>
+      value === undefined || dropped.has(name) ? [] : [[name, value] as const],
+    );
+    const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
+    // A response that ended with its connection gets the length that was received.
+    const needsLength = rest === undefined && headers['content-length'] === undefined && length > 0;
+    return {
+      ...Object.fromEntries(kept),
+      ...(needsLength ? { 'content-length': String(length) } : {}),
+      ...(this.isLeaving ? { connection: 'close' } : {}),
+    };
+  }
+
+  private async refuse(
+    tx: Transaction,
+    head: RequestHead | undefined,
+    route: Route | undefined,
+    reply: Reply,
+    trace?: RequestRun['trace'],
+  ): Promise<void> {
+    const { req, res } = tx;
+    const message = formatReply(reply);
+    this.record(tx, head, route, reply.kind, message.status, trace, reply);
+    if (res.headersSent || res.destroyed) return;
+    const isUnread = hasUnreadBody(req);
+    const isLast = isUnread || tx.connection.isClosing || this.isLeaving;
+    const { names } = this.ctx;
+    res.writeHead(message.status, {
+      ...message.headers,
+      ...(head === undefined ? {} : { [names.requestId]: head.requestId }),
+      ...(isLast ? { connection: 'close' } : {}),
+    });
+    res.write(message.body);
+    if (isUnread) {
+      req.resume();
+      await Promise.race([
+        new Promise((resolve) => {
+          req.once('close', resolve);
+        }),
+        delay(this.ctx.clock, LINGER_MS),
+      ]);
+    }
+    res.end();
+  }
+
+  private record(
+    tx: Transaction,
+    head: RequestHead | undefined,
+    route: Route | undefined,
+    outcome: string,
+    status: number,
+    trace?: RequestRun['trace'],
+    reply?: Reply,
+  ): void {
+    const { board, clock, log } = this.ctx;
+    const now = clock.now();
+    const elapsedMs = now - tx.receivedAt;
+    const name = route?.name ?? '(none)';
+    requestsTotal.inc({ route: name, outcome });
+    if (route !== undefined) requestSeconds.observe({ route: name }, elapsedMs / MS_PER_SECOND);
+    log.write(outcome === 'answered' && status < 500, {
+      requestId: head?.requestId,
+      route: name,
+      outcome,
+      status,
+      verdict: reply?.verdict,
+      detail: reply !== undefined && 'detail' in reply ? reply.detail : undefined,
+      elapsedMs: Math.round(elapsedMs),
+      plan: board.version,
+      confirmedAgeMs: Math.round(Math.min(board.confirmedAgeMs(now), Number.MAX_SAFE_INTEGER)),
+      ...trace,
+    });
+  }
+
+  private connectionOf(socket: Duplex): CallerConnection {
+    const known = this.connections.get(socket);
+    if (known !== undefined) return known;
+    const created = new CallerConnection(socket);
+    this.connections.set(socket, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/entry/EntryBoard.ts
@@ -0,0 +1,111 @@
+/** Blackboard of an entry: what the hub says, read by the HTTP path. */
+import { Emitter } from '@marigoldbank/base/events';
+import { Random } from '@marigoldbank/base/random';
+import { DurationEstimate } from '@marigoldbank/routing/DurationEstimate';
+import type { Route } from '@marigoldbank/routing/plan';
+import {
+  applyPlanChanges,
+  fromPlanItems,
+  type PlanChange,
+  type PlanItems,
+} from '@marigoldbank/routing/plan-items';
+import { RetryGate } from '@marigoldbank/routing/RetryGate';
+import type { RetryBounds } from '@marigoldbank/routing/RetryWindow';
+import { RouteTable } from '@marigoldbank/routing/RouteTable';
+import { TargetBoard } from '@marigoldbank/routing/TargetBoard';
+import { TargetSelector } from '@marigoldbank/routing/TargetSelector';
+import { TeamGate } from '@marigoldbank/routing/TeamGate';
+
+/** Without news of the holder of the team budgets for this long, an entry keeps to its even share. */
+const HOLDER_SILENCE_MS = 1_500;
+
+const MAX_SEED = 0x7fffffff;
+
+/** Ages are as received; the time since then is added when they are read. */
+interface HubStatus {
+  readonly confirmedAgeMs: number;
+  readonly budgetAgeMs: number;
+  readonly entries: number;
+  readonly receivedAt: number;
+}
+
+export class EntryBoard {
+  public readonly targets = new TargetBoard();
+
+  public readonly random = new Random(Math.floor(Math.random() * MAX_SEED));
+
+  public readonly selector = new TargetSelector(this.targets, this.random);
+
+  public readonly teams = new TeamGate();
+
+  public readonly retries: RetryGate;
+
+  private readonly planEmitter = new Emitter<RouteTable>();
+
+  /** A newer plan is in force here. */
+  public readonly onDidChangePlan = this.planEmitter.event;
+
+  private routeTable: RouteTable | undefined;
+
+  private items: PlanItems = new Map();
+
+  private status: HubStatus | undefined;
+
+  private readonly durations = new Map<string, DurationEstimate>();
+
+  public constructor(bounds: RetryBounds) {
+    this.retries = new RetryGate(bounds);
+  }
+
+  /** The plan in force, undefined before the first one. */
+  public get table(): RouteTable | undefined {
+    return this.routeTable;
+  }
+
+  public get version(): number {
+    return this.routeTable?.plan.version ?? 0;
+  }
+
+  /** Entries of the fleet as last heard, at least this one. */
+  public get entries(): number {
+    return Math.max(1, this.status?.entries ?? 1);
+  }
+
+  /** Adopts a plan unless a newer one is in force: plans never go back. */
+  public adoptPlan(fromVersion: number, version: number, changes: readonly PlanChange[]): void {
+    const base = fromVersion === 0 ? new Map<string, string>() : this.items;
+    if (fromVersion !== 0 && fromVersion !== this.version) {
+      throw new Error(`plan ${version} builds on ${fromVersion}, not on ${this.version}`);
+    }
+    if (version < this.version) return;
+    this.items = applyPlanChanges(base, changes);
+    this.routeTable = new RouteTable(fromPlanItems(version, this.items));
+    this.planEmitter.fire(this.routeTable);
+  }
+
+  public setStatus(status: HubStatus): void {
+    this.status = status;
+  }
+
+  /** Milliseconds since a majority of the voters confirmed the plan in force. */
+  public confirmedAgeMs(now: number): number {
+    if (this.status === undefined) return Infinity;
+    return this.status.confirmedAgeMs + now - this.status.receivedAt;
+  }
+
+  /** Whether the holder of the team budgets is in reach. */
+  public hasBudgetHolder(now: number): boolean {
+    if (this.status === undefined) return false;
+    return this.status.budgetAgeMs + now - this.status.receivedAt < HOLDER_SILENCE_MS;
+  }
+
+  /** Expected duration of a route's requests. */
+  public durationOf(route: Route): DurationEstimate {
+    const key = `${route.host}${route.prefix}`;
+    const known = this.durations.get(key);
+    if (known !== undefined) return known;
+    const created = new DurationEstimate(route.objectiveMs);
+    this.durations.set(key, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -0,0 +1,162 @@
+/** The entry role: callers, readiness and the hub that is followed. */
+import { createServer, type Server } from 'node:http';
+import { delay, setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import { DisposableStore } from '@marigoldbank/base/lifecycle';
+import { UpstreamClient } from '@marigoldbank/daemon/entry/UpstreamClient';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
+import type { Dialect } from '../Dialect.js';
+import type { GatewayProcess } from '../GatewayProcess.js';
+import { metricsHandler } from '../metrics.js';
+import { ipOf, metricsAddress, syncAddress, type GatewaySettings } from '../settings.js';
+import { SyncClients } from '../sync/SyncClients.js';
+import { CallerServer } from './CallerServer.js';
+import { EntryBoard } from './EntryBoard.js';
+import { HubChoice } from './HubChoice.js';
+import { HubFollower } from './HubFollower.js';
+import { Reporter } from './Reporter.js';
+import { RequestLog } from './RequestLog.js';
+
+/** A target that does not accept a connection in this time is given up; within a region it takes milliseconds. */
+const CONNECT_TIMEOUT_MS = 300;
+
+/** Idle connections to targets are kept for less than targets keep them. */
+const UPSTREAM_KEEP_ALIVE_MS = 4_000;
+
+const READY_CHECK_MS = 100;
+
+/** Shares of the grace period: new requests are refused, and the process ends at the latest. */
+const REFUSE_AT_SHARE = 0.45;
+const END_AT_SHARE = 0.95;
+
+const DRAIN_CHECK_MS = 25;
+
+export class EntryProcess extends DisposableStore implements GatewayProcess {
+  private readonly board: EntryBoard;
+
+  private readonly reporter: Reporter;
+
+  private readonly server: CallerServer;
+
+  private readonly follower: HubFollower;
+
+  private readonly listeners: Server[] = [];
+
+  private isStopping = false;
+
+  public constructor(
+    private settings: GatewaySettings,
+    private readonly dialect: Dialect,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    super();
+    const { retryRatio, retrySlack, retryWindow } = settings.bounds;
+    const clients = new SyncClients();
+    this.board = new EntryBoard({
+      ratio: retryRatio,
+      slack: retrySlack,
+      windowMs: retryWindow,
+    });
+    this.reporter = this.add(new Reporter(clock, this.board));
+    const names = dialect.headers;
+    const upstream = this.add(
+      new UpstreamClient(clock, {
+        requestIdHeader: names.requestId,
+        timeoutHeader: names.deadlineMs,
+        allowsCloseDelimited: true,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        keepAliveTimeoutMs: UPSTREAM_KEEP_ALIVE_MS,
+      }),
+    );
+    this.server = new CallerServer({
+      clock,
+      board: this.board,
+      upstream,
+      reporter: this.reporter,
+      names,
+      dataCentre: settings.dataCentre,
+      log: new RequestLog(clock, logger),
+    });
+    this.follower = this.add(
+      new HubFollower({
+        clock,
+        board: this.board,
+        reporter: this.reporter,
+        choice: new HubChoice(settings.dataCentre, this.seedAddresses()),
+        logger,
+        identity: {
+          vm: settings.vm,
+          address: settings.listen.caller ?? '',
+          dataCentre: settings.dataCentre,
+        },
+        seeds: () => this.seedAddresses(),
+        clientOf: (address) => clients.client(address),
+      }),
+    );
+    this.add(setPeriodic(clock, () => this.updateReadiness(), READY_CHECK_MS));
+  }
+
+  public async start(): Promise<void> {
+    const { listen, ip } = this.settings;
+    if (listen.caller === undefined) throw new Error('the role entry needs listen.caller');
+    await this.server.listen(listen.caller);
+    if (listen.ready !== undefined) await this.serveReadiness(listen.ready);
+    await this.serveMetrics(metricsAddress(this.settings, ip));
+    this.follower.run().catch((err: unknown) => {
+      this.logger.error('following a hub failed', { error: String(err) });
+    });
+  }
+
+  public reload(settings: GatewaySettings): void {
+    this.settings = settings;
+  }
+
+  /** Leaves the answers with addresses at once, serves for a while, then finishes what runs. */
+  public async stop(): Promise<void> {
+    const { clock, settings } = this;
+    const startedAt = clock.now();
+    const { grace: graceMs } = settings.bounds;
+    this.isStopping = true;
+    this.updateReadiness();
+    this.server.leave();
+    await delay(clock, graceMs * REFUSE_AT_SHARE);
+    this.server.refuseNew();
+    while (this.server.running > 0 && clock.now() - startedAt < graceMs * END_AT_SHARE) {
+      await delay(clock, DRAIN_CHECK_MS);
+    }
+    this.server.close();
+    this.listeners.forEach((server) => server.close());
+    this.dispose();
+  }
+
+  private updateReadiness(): void {
+    this.reporter.setReady(!this.isStopping && this.board.table !== undefined);
+  }
+
+  private seedAddresses(): string[] {
+    return this.settings.seeds.map((seed) => syncAddress(this.settings, ipOf(seed)));
+  }
+
+  private serveReadiness(address: string): Promise<void> {
+    return this.serve(address, (req, res) => {
+      const isReady = req.url === this.dialect.readyPath && this.reporter.isReady;
+      res.writeHead(isReady ? 200 : 503, { 'content-length': '0' });
+      res.end();
+    });
+  }
+
+  private serveMetrics(address: string): Promise<void> {
+    return this.serve(address, metricsHandler());
+  }
+
+  private serve(address: string, handler: Parameters<typeof createServer>[1]): Promise<void> {
+    const server = createServer(handler as NonNullable<typeof handler>);
+    this.listeners.push(server);
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () => resolve());
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/entry/HubChoice.ts
@@ -0,0 +1,55 @@
+/** Which hub an entry follows next. */
+
+/** A hub that failed is left out for this long, unless all have failed. */
+const FAILED_MS = 3_000;
+
+export interface HubCandidate {
+  readonly address: string;
+  /** Empty while unknown. */
+  readonly dataCentre: string;
+}
+
+export class HubChoice {
+  private readonly failedAt = new Map<string, number>();
+
+  private hubs: readonly HubCandidate[];
+
+  public constructor(
+    private readonly dataCentre: string,
+    seeds: readonly string[],
+  ) {
+    this.hubs = seeds.map((address) => ({ address, dataCentre: '' }));
+  }
+
+  /** Learns the hubs that are heard, and keeps seeds that are not among them. */
+  public learn(heard: readonly HubCandidate[], seeds: readonly string[]): void {
+    const known = new Set(heard.map(({ address }) => address));
+    const others = seeds.filter((address) => !known.has(address));
+    this.hubs = [...heard, ...others.map((address) => ({ address, dataCentre: '' }))];
+  }
+
+  public noteFailure(address: string, now: number): void {
+    this.failedAt.set(address, now);
+  }
+
+  /** A hub of the own data centre before others; those that failed lately come last. */
+  public next(now: number, point: number): string | undefined {
+    const isUsable = ({ address }: HubCandidate): boolean =>
+      now - (this.failedAt.get(address) ?? -Infinity) > FAILED_MS;
+    const usable = this.hubs.filter(isUsable);
+    const near = usable.filter(({ dataCentre }) => dataCentre === this.dataCentre);
+    const pool = [near, usable, this.hubs].find((list) => list.length > 0) ?? [];
+    return pool[Math.floor(point * pool.length)]?.address;
+  }
+
+  /** Whether another hub in the own data centre can be used instead. */
+  public hasNearer(address: string, now: number): boolean {
+    const current = this.hubs.find((hub) => hub.address === address);
+    if (current?.dataCentre === this.dataCentre) return false;
+    return this.hubs.some(
+      (hub) =>
+        hub.dataCentre === this.dataCentre &&
+        now - (this.failedAt.get(hub.address) ?? -Infinity) > FAILED_MS,
+    );
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -0,0 +1,195 @@
+/** Follows one hub and keeps the entry's blackboard up to date. */
+import type { Client } from '@connectrpc/connect';
+import { delay, setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import { DisposableStore } from '@marigoldbank/base/lifecycle';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import type {
+  HubUpdate,
+  SyncService,
+  Target,
+  TargetEvidence,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { TargetOutcome } from '@marigoldbank/routing/TargetBelief';
+import { hubConfirmedAge } from '../metrics.js';
+import { MessageQueue } from '../sync/MessageQueue.js';
+import type { EntryBoard } from './EntryBoard.js';
+import type { HubChoice } from './HubChoice.js';
+import type { EntryReportInit, Reporter } from './Reporter.js';
+
+/** A hub sends at least every 400 ms; one that is silent for this long is left. */
+const SILENCE_MS = 1_300;
+
+/** A hub that a majority has not confirmed for this long may hold old state. */
+const UNCONFIRMED_MS = 1_500;
+
+/** Time at one hub before an unconfirmed one, or one in another data centre, is left. */
+const MIN_STAY_MS = 2_000;
+
+const RECONNECT_MS = 100;
+
+const CHECK_MS = 200;
+
+/** The hub drops an entry that is silent for 3 s. */
+const SIGN_OF_LIFE_MS = 800;
+
+const PERMILLE = 1_000;
+
+const MS_PER_SECOND = 1_000;
+
+export interface FollowerContext {
+  readonly clock: Clock;
+  readonly board: EntryBoard;
+  readonly reporter: Reporter;
+  readonly choice: HubChoice;
+  readonly logger: Logger;
+  readonly identity: {
+    readonly vm: string;
+    readonly address: string;
+    readonly dataCentre: string;
+  };
+  readonly seeds: () => readonly string[];
+  readonly clientOf: (address: string) => Client<typeof SyncService>;
+}
+
+interface Stream {
+  readonly address: string;
+  readonly abort: AbortController;
+  readonly startedAt: number;
+  heardAt: number;
+  hasSnapshot: boolean;
+}
+
+export class HubFollower extends DisposableStore {
+  private stream: Stream | undefined;
+
+  public constructor(private readonly ctx: FollowerContext) {
+    super();
+    this.add(setPeriodic(ctx.clock, () => this.check(), CHECK_MS));
+    this.add(setPeriodic(ctx.clock, () => ctx.reporter.flush(), SIGN_OF_LIFE_MS));
+  }
+
+  /** Follows hubs, one after the other, until disposed. */
+  public async run(): Promise<void> {
+    const { clock, choice, board } = this.ctx;
+    while (!this.isDisposed) {
+      const address = choice.next(clock.now(), board.random.float());
+      if (address !== undefined) await this.follow(address);
+      await delay(clock, RECONNECT_MS);
+    }
+  }
+
+  public override dispose(): void {
+    super.dispose();
+    this.stream?.abort.abort();
+  }
+
+  private async follow(address: string): Promise<void> {
+    const { clock, reporter, choice, logger, identity, clientOf } = this.ctx;
+    const now = clock.now();
+    const abort = new AbortController();
+    const stream: Stream = { address, abort, startedAt: now, heardAt: now, hasSnapshot: false };
+    const queue = new MessageQueue<EntryReportInit>();
+    this.stream = stream;
+    queue.push({ hello: identity, isReady: reporter.isReady });
+    try {
+      const updates = clientOf(address).follow(queue, { signal: abort.signal });
+      const iterator = updates[Symbol.asyncIterator]();
+      let next = await iterator.next();
+      logger.info('hub is followed', { hub: address });
+      reporter.attach((report) => queue.push(report));
+      while (next.done !== true && !abort.signal.aborted) {
+        this.adopt(stream, next.value);
+        next = await iterator.next();
+      }
+    } catch (err) {
+      choice.noteFailure(address, clock.now());
+      const level = stream.hasSnapshot ? 'warn' : 'debug';
+      logger.log(level, 'stream of the hub ended', { hub: address, error: String(err) });
+    }
+    reporter.detach();
+    queue.end();
+    abort.abort();
+  }
+
+  /** Leaves a hub that is silent, may hold old state, or is farther than another one. */
+  private check(): void {
+    const { clock, board, choice, logger } = this.ctx;
+    const { stream } = this;
+    const now = clock.now();
+    const confirmedAgeMs = board.confirmedAgeMs(now);
+    hubConfirmedAge.set(confirmedAgeMs / MS_PER_SECOND);
+    if (stream === undefined || stream.abort.signal.aborted) return;
+    const isSilent = now - stream.heardAt > SILENCE_MS;
+    const hasStayed = now - stream.startedAt > MIN_STAY_MS;
+    const isOutdated = hasStayed && confirmedAgeMs > UNCONFIRMED_MS;
+    const isFar = hasStayed && choice.hasNearer(stream.address, now);
+    if (!isSilent && !isOutdated && !isFar) return;
+    logger.info('hub is left', {
+      hub: stream.address,
+      silentMs: Math.round(now - stream.heardAt),
+      confirmedAgeMs: Math.round(Math.min(confirmedAgeMs, Number.MAX_SAFE_INTEGER)),
+      isFar,
+    });
+    if (!isFar) choice.noteFailure(stream.address, now);
+    stream.abort.abort();
+  }
+
+  private adopt(stream: Stream, update: HubUpdate): void {
+    const { clock, board, choice, reporter, seeds } = this.ctx;
+    const now = clock.now();
+    Object.assign(stream, { heardAt: now });
+    if (update.status !== undefined) board.setStatus({ ...update.status, receivedAt: now });
+    if (update.hubs.length > 0) choice.learn(update.hubs, seeds());
+    if (update.plan !== undefined) {
+      const { fromVersion, version, items } = update.plan;
+      board.adoptPlan(Number(fromVersion), Number(version), items);
+      this.ctx.logger.info('plan in force', { version: board.version });
+    }
+    if (!stream.hasSnapshot) {
+      board.targets.retain(new Set(update.targets.map(({ id }) => id)));
+      board.targets.all().forEach((target) => Object.assign(target, { othersInFlight: 0 }));
+      Object.assign(stream, { hasSnapshot: true });
+    }
+    update.targets.forEach((target) => this.adoptTarget(target, now));
+    update.removedTargets.forEach((id) => board.targets.remove(id));
+    update.beliefs.forEach(({ id, failingProbability }) =>
+      board.targets.get(id)?.belief.adopt(failingProbability, now),
+    );
+    update.evidence.forEach((item) => this.adoptEvidence(item, now));
+    update.teams.forEach(({ team, isTight }) => board.teams.setTight(team, isTight));
+    update.tokens.forEach(({ id, isGranted, retryAfterMs }) =>
+      reporter.settleToken(
+        id,
+        isGranted ? { kind: 'granted' } : { kind: 'refused', retryAfterMs },
+      ),
+    );
+    update.retries.forEach(({ service, usedPermille }) =>
+      board.retries.setFleetUse(service, usedPermille / PERMILLE, now),
+    );
+    if (update.isLeaving) {
+      choice.noteFailure(stream.address, now);
+      stream.abort.abort();
+    }
+  }
+
+  private adoptTarget(target: Target, now: number): void {
+    const { id, address, service, dataCentre, slots, isDraining, coldMs } = target;
+    this.ctx.board.targets.upsert(
+      { id, address, service, dataCentre, slots, isDraining, coldMs },
+      now,
+    );
+  }
+
+  private adoptEvidence(item: TargetEvidence, now: number): void {
+    const { targets } = this.ctx.board;
+    const target = targets.get(item.id);
+    if (target === undefined) return;
+    const observe = (outcome: TargetOutcome, count: number): void =>
+      Array.from({ length: count }).forEach(() => targets.observe(item.id, outcome, now));
+    if (item.inFlight > target.othersInFlight) target.lastTriedAt = now;
+    target.othersInFlight = item.inFlight;
+    observe('succeeded', item.succeeded);
+    observe('slow', item.slow);
+    observe('failed', item.failed);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -0,0 +1,174 @@
+/** One request sent to one target, up to its whole answer. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { UpstreamClient, UpstreamRequest } from '@marigoldbank/daemon/entry/UpstreamClient';
+import type { ResponseHeaders } from '@marigoldbank/daemon/entry/headers';
+import type {
+  BodySink,
+  ExchangeFailure,
+  UpstreamExchange,
+} from '@marigoldbank/daemon/entry/UpstreamExchange';
+import type { TargetState } from '@marigoldbank/routing/TargetBoard';
+import type { HeaderNames } from '../Dialect.js';
+import { attemptsTotal } from '../metrics.js';
+import type { Reporter } from './Reporter.js';
+
+/** Answers up to this size are received as a whole before any of it is passed on. */
+const MAX_BUFFERED_BYTES = 262_144;
+
+const FIRST_ERROR_STATUS = 500;
+
+/** What came of an attempt. */
+export type AttemptResult =
+  /** A target's answer to a request that it ran. `rest` delivers what follows the buffered part. */
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly headers: ResponseHeaders;
+      readonly body: readonly Buffer[];
+      readonly rest: UpstreamExchange | undefined;
+      readonly target: TargetState;
+    }
+  /** The target says that it did not run the request, or nothing was sent. */
+  | { readonly kind: 'notRun'; readonly detail: string; readonly target: TargetState }
+  | { readonly kind: 'mayHaveRun'; readonly detail: string; readonly target: TargetState };
+
+export interface AttemptContext {
+  readonly clock: Clock;
+  readonly upstream: UpstreamClient;
+  readonly reporter: Reporter;
+  readonly names: HeaderNames;
+}
+
+export class SendAttempt {
+  public readonly result: Promise<AttemptResult>;
+
+  public readonly startedAt: number;
+
+  private readonly exchange: UpstreamExchange;
+
+  private hasEnded = false;
+
+  public constructor(
+    private readonly ctx: AttemptContext,
+    public readonly target: TargetState,
+    request: UpstreamRequest,
+    /** Duration above which the answer counts as slow. */
+    private readonly slowMs: () => number,
+  ) {
+    this.startedAt = ctx.clock.now();
+    target.ownInFlight += 1;
+    target.lastTriedAt = this.startedAt;
+    ctx.reporter.loadChanged(target.info.id);
+    this.exchange = ctx.upstream.send(request);
+    this.result = this.receive();
+  }
+
+  /** Time since the start in ms. */
+  public get elapsedMs(): number {
+    return this.ctx.clock.now() - this.startedAt;
+  }
+
+  /** Reports that the target is slow while the answer is still awaited. */
+  public noteStalled(): void {
+    if (!this.hasEnded) this.ctx.reporter.outcome(this.target.info.id, 'slow');
+  }
+
+  /** Ends the attempt without a judgement of the target. */
+  public cancel(): void {
+    if (this.hasEnded) return;
+    this.end('cancelled');
+    this.exchange.abort('cancelled', 'no longer needed');
+  }
+
+  private async receive(): Promise<AttemptResult> {
+    const { names, reporter } = this.ctx;
+    const { target } = this;
+    const { id } = target.info;
+    const head = await this.exchange.head;
+    if (head.kind === 'failed') return this.failed(head);
+    const { status, headers } = head;
+    if (headers[names.notRun] !== undefined) {
+      this.drain();
+      this.end('notRun');
+      // A full target is sound, but another one is the better choice for a moment.
+      if (status === 503) reporter.outcome(id, 'slow');
+      return { kind: 'notRun', detail: `target answered ${status}`, target };
+    }
+    if (status === 421) {
+      this.drain();
+      this.end('notRun');
+      reporter.outcome(id, 'failed');
+      return { kind: 'notRun', detail: 'another target has the address', target };
+    }
+    if (headers[names.seal] === undefined && status < FIRST_ERROR_STATUS) {
+      this.exchange.abort('brokenResponse', 'no seal');
+      this.end('failed');
+      reporter.outcome(id, 'failed');
+      return { kind: 'mayHaveRun', detail: 'the response bears no seal', target };
+    }
+    return this.collect(status, headers);
+  }
+
+  private collect(status: number, headers: ResponseHeaders): Promise<AttemptResult> {
+    const { target, exchange } = this;
+    const body: Buffer[] = [];
+    let size = 0;
+    return new Promise((resolve) => {
+      const sink: BodySink = {
+        onData: (chunk) => {
+          body.push(chunk);
+          size += chunk.length;
+          if (size < MAX_BUFFERED_BYTES) return true;
+          resolve({ kind: 'answered', status, headers, body, rest: exchange, target });
+          return false;
+        },
+        onEnd: () => {
+          this.judge(status);
+          resolve({ kind: 'answered', status, headers, body, rest: undefined, target });
+        },
+        onFail: (failure) => resolve(this.failed(failure)),
+      };
+      exchange.consume(sink);
+    });
+  }
+
+  /** Judges the target by a complete answer. */
+  public judge(status: number): void {
+    if (this.hasEnded) return;
+    const isSlow = this.elapsedMs > this.slowMs();
+    const outcome = isSlow ? 'slow' : 'succeeded';
+    this.end(status >= FIRST_ERROR_STATUS ? 'error' : outcome);
+    this.ctx.reporter.outcome(
+      this.target.info.id,
+      status >= FIRST_ERROR_STATUS ? 'failed' : outcome,
+    );
+  }
+
+  private failed(failure: ExchangeFailure): AttemptResult {
+    const { target } = this;
+    const wasOurs = failure.cause === 'cancelled' || failure.cause === 'timedOut';
+    if (!this.hasEnded) {
+      this.end(failure.cause);
+      if (!wasOurs) this.ctx.reporter.outcome(target.info.id, 'failed');
+      else if (failure.cause === 'timedOut') this.ctx.reporter.outcome(target.info.id, 'slow');
+    }
+    return { kind: failure.verdict, detail: `${failure.cause}: ${failure.detail}`, target };
+  }
+
+  /** Reads and drops the body, so that the connection can be used again. */
+  private drain(): void {
+    this.exchange.consume({
+      onData: () => true,
+      onEnd: () => undefined,
+      onFail: () => undefined,
+    });
+  }
+
+  private end(outcome: string): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    this.target.ownInFlight -= 1;
+    this.ctx.reporter.loadChanged(this.target.info.id);
+    attemptsTotal.inc({ service: this.target.info.service, outcome });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,54 @@
+/** Metrics of a gateway process. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const DURATION_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+const registry = new Registry();
+
+export const requestsTotal = new Counter({
+  name: 'marigoldbank_requests_total',
+  help: 'Requests by route and outcome',
+  labelNames: ['route', 'outcome'] as const,
+  registers: [registry],
+});
+
+export const attemptsTotal = new Counter({
+  name: 'marigoldbank_upstream_attempts_total',
+  help: 'Requests sent to targets by service and outcome',
+  labelNames: ['service', 'outcome'] as const,
+  registers: [registry],
+});
+
+export const requestSeconds = new Histogram({
+  name: 'marigoldbank_request_duration_seconds',
+  help: 'Time from the head of a request to its answer',
+  labelNames: ['route'] as const,
+  buckets: DURATION_BUCKETS_S,
+  registers: [registry],
+});
+
+export const hubConfirmedAge = new Gauge({
+  name: 'marigoldbank_confirmed_age_seconds',
+  help: 'Time since a majority of the voters confirmed the configuration in force',
+  registers: [registry],
+});
+
+export const droppedLogLines = new Counter({
+  name: 'marigoldbank_log_lines_dropped_total',
+  help: 'Log lines that were not written because of their rate',
+  registers: [registry],
+});
+
+/** Answers every request with the metrics as text. */
+export function metricsHandler(): (req: IncomingMessage, res: ServerResponse) => void {
+  return (_req, res) => {
+    registry
+      .metrics()
+      .then((text) => {
+        res.writeHead(200, { 'content-type': registry.contentType });
+        res.end(text);
+      })
+      .catch(() => res.destroy());
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/sync/EvidenceBuffer.ts
@@ -0,0 +1,47 @@
+/** Outcomes at targets that wait to be sent. */
+
+export interface Evidence {
+  readonly id: string;
+  readonly succeeded: number;
+  readonly failed: number;
+  readonly slow: number;
+  /** Requests in flight, as the sender counts them. */
+  readonly inFlight: number;
+}
+
+interface Counts {
+  succeeded: number;
+  failed: number;
+  slow: number;
+}
+
+export class EvidenceBuffer {
+  private readonly counts = new Map<string, Counts>();
+
+  public get isEmpty(): boolean {
+    return this.counts.size === 0;
+  }
+
+  /** Adds outcomes; without any, only the number in flight has changed. */
+  public add(id: string, succeeded: number, failed: number, slow: number): void {
+    const known = this.counts.get(id);
+    if (known === undefined) {
+      this.counts.set(id, { succeeded, failed, slow });
+      return;
+    }
+    known.succeeded += succeeded;
+    known.failed += failed;
+    known.slow += slow;
+  }
+
+  /** Empties the buffer. The number in flight is read when it is sent. */
+  public take(inFlightOf: (id: string) => number): Evidence[] {
+    const taken = [...this.counts].map(([id, counts]) => ({
+      id,
+      ...counts,
+      inFlight: inFlightOf(id),
+    }));
+    this.counts.clear();
+    return taken;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/TeamGate.ts
@@ -0,0 +1,68 @@
+/** Admission of a team's requests at one entry. */
+import type { Team } from './plan.js';
+
+export type TeamDecision =
+  /** Admitted; the use is reported afterwards. */
+  | { readonly kind: 'admitted' }
+  /** The holder of the budgets must grant a token. */
+  | { readonly kind: 'ask' }
+  | { readonly kind: 'refused'; readonly retryAfterMs: number };
+
+interface LocalBucket {
+  level: number;
+  updatedAt: number;
+}
+
+/** After a refusal the entry refuses the team itself for as long as the holder says, at most this long. */
+const MAX_LOCAL_REFUSAL_MS = 150;
+
+const MS_PER_SECOND = 1_000;
+
+/** Part of its even share that an entry without contact to the holder uses, since others may still be lent to. */
+const ISOLATED_SHARE = 0.7;
+
+/**
+ * With contact to the holder of the budgets, a team with enough tokens is admitted at once and a team short of tokens
+ * asks for each request. Without contact, the entry keeps to its even share of the rate.
+ */
+export class TeamGate {
+  private readonly tight = new Map<string, boolean>();
+
+  private readonly refusedUntil = new Map<string, number>();
+
+  private readonly local = new Map<string, LocalBucket>();
+
+  /** Learns whether a team is short of tokens. */
+  public setTight(team: string, isTight: boolean): void {
+    this.tight.set(team, isTight);
+    if (!isTight) this.refusedUntil.delete(team);
+  }
+
+  /** Learns that the holder refused a token. */
+  public noteRefusal(team: string, retryAfterMs: number, now: number): void {
+    this.refusedUntil.set(team, now + Math.min(retryAfterMs, MAX_LOCAL_REFUSAL_MS));
+  }
+
+  /** Decides on one request. `entries` is the number of entries that share the rate. */
+  public decide(team: Team, hasHolder: boolean, entries: number, now: number): TeamDecision {
+    if (team.ratePerSecond === 0) return { kind: 'admitted' };
+    if (!hasHolder) return this.decideAlone(team, entries, now);
+    const until = this.refusedUntil.get(team.name) ?? 0;
+    if (until > now) return { kind: 'refused', retryAfterMs: until - now };
+    return this.tight.get(team.name) === false ? { kind: 'admitted' } : { kind: 'ask' };
+  }
+
+  /** Decides without the holder. */
+  public decideAlone(team: Team, entries: number, now: number): TeamDecision {
+    const share = ISOLATED_SHARE / Math.max(1, entries);
+    const rate = team.ratePerSecond * share;
+    const burst = Math.max(1, team.burst * share);
+    const bucket = this.local.get(team.name) ?? { level: burst, updatedAt: now };
+    const gained = (rate * (now - bucket.updatedAt)) / MS_PER_SECOND;
+    const level = Math.min(burst, bucket.level + gained);
+    const isAdmitted = level >= 1;
+    this.local.set(team.name, { level: isAdmitted ? level - 1 : level, updatedAt: now });
+    if (isAdmitted) return { kind: 'admitted' };
+    return { kind: 'refused', retryAfterMs: Math.ceil(((1 - level) / rate) * MS_PER_SECOND) };
+  }
+}
