--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -17,7 +17,7 @@
 
 /** Failures travel at once; what else has changed travels together. */
 export const URGENT_FLUSH_MS = 1;
-export const FLUSH_MS = 40;
+export const FLUSH_MS = 100;
 
 /** Shortest time between two plans for one entry, so that a series of changes costs one update. */
 const PLAN_INTERVAL_MS = 150;
@@ -69,8 +69,8 @@
     this.queue.push(update);
   }
 
-  public addEvidence(id: string, succeeded: number, failed: number, slow: number): void {
-    this.evidence.add(id, succeeded, failed, slow);
+  public addEvidence(id: string, succeeded: number, failed: number, suspect: number): void {
+    this.evidence.add(id, succeeded, failed, suspect);
     this.batcher.request(failed > 0 ? URGENT_FLUSH_MS : FLUSH_MS);
   }
 
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -176,7 +176,7 @@
     report.evidence.forEach((item) => {
       this.load.set(identity.vm, item.id, item.inFlight);
       this.observe(item, now);
-      this.spreadEvidence(item.id, item.succeeded, item.failed, item.slow, identity.vm, true);
+      this.spreadEvidence(item.id, item.succeeded, item.failed, item.suspect, identity.vm, true);
     });
     report.uses.forEach(({ service, requests, repeats }) => {
       this.budgets.countRequests(service, requests, repeats, now);
@@ -206,7 +206,7 @@
     relay.evidence.forEach((item) => {
       this.load.set(peer.address, item.id, item.inFlight);
       this.observe(item, now);
-      this.spreadEvidence(item.id, item.succeeded, item.failed, item.slow, peer.address, false);
+      this.spreadEvidence(item.id, item.succeeded, item.failed, item.suspect, peer.address, false);
     });
     relay.uses.forEach(({ service, requests, repeats }) =>
       this.budgets.countRequests(service, requests, repeats, now),
@@ -318,7 +318,7 @@
   private observe(item: TargetEvidence, now: number): void {
     const repeat = (count: number): undefined[] => Array.from({ length: count }, () => undefined);
     repeat(item.succeeded).forEach(() => this.board.observe(item.id, 'succeeded', now));
-    repeat(item.slow).forEach(() => this.board.observe(item.id, 'slow', now));
+    repeat(item.suspect).forEach(() => this.board.observe(item.id, 'suspect', now));
     repeat(item.failed).forEach(() => this.board.observe(item.id, 'failed', now));
   }
 
@@ -327,14 +327,14 @@
     id: string,
     succeeded: number,
     failed: number,
-    slow: number,
+    suspect: number,
     source: string,
     isOwn: boolean,
   ): void {
     [...this.sessions.values()]
       .filter(({ identity }) => identity.vm !== source)
-      .forEach((session) => session.addEvidence(id, succeeded, failed, slow));
-    if (isOwn) this.links.forEach((link) => link.addEvidence(id, succeeded, failed, slow));
+      .forEach((session) => session.addEvidence(id, succeeded, failed, suspect));
+    if (isOwn) this.links.forEach((link) => link.addEvidence(id, succeeded, failed, suspect));
   }
 
   private noteReadiness(identity: EntryIdentity, isReady: boolean): void {
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -12,10 +12,13 @@
 import { Batcher } from '../sync/Batcher.js';
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
-import { FLUSH_MS, URGENT_FLUSH_MS } from './EntrySession.js';
+import { URGENT_FLUSH_MS } from './EntrySession.js';
 
 const RETRY_MS = 300;
 
+/** Reports of the entries travel together for a while; team budgets depend on them. */
+const FLUSH_MS = 40;
+
 export type HubRelayInit = MessageInitShape<typeof HubRelaySchema>;
 
 /** What a link reads of the hub. */
@@ -70,8 +73,8 @@
     this.queue?.push(message);
   }
 
-  public addEvidence(id: string, succeeded: number, failed: number, slow: number): void {
-    this.evidence.add(id, succeeded, failed, slow);
+  public addEvidence(id: string, succeeded: number, failed: number, suspect: number): void {
+    this.evidence.add(id, succeeded, failed, suspect);
     this.batcher.request(failed > 0 ? URGENT_FLUSH_MS : FLUSH_MS);
   }
 
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -1,6 +1,6 @@
 /** The entry role: callers, readiness and the hub that is followed. */
 import { createServer, type Server } from 'node:http';
-import { delay, setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import { delay, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import { UpstreamClient } from '@marigoldbank/daemon/entry/UpstreamClient';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
@@ -18,13 +18,11 @@
 import { RequestLog } from './RequestLog.js';
 
 /** A target that does not accept a connection in this time is given up; within a region it takes milliseconds. */
-const CONNECT_TIMEOUT_MS = 300;
+const CONNECT_TIMEOUT_MS = 150;
 
 /** Idle connections to targets are kept for less than targets keep them. */
 const UPSTREAM_KEEP_ALIVE_MS = 4_000;
 
-const READY_CHECK_MS = 100;
-
 /** Shares of the grace period: new requests are refused, and the process ends at the latest. */
 const REFUSE_AT_SHARE = 0.45;
 const END_AT_SHARE = 0.95;
@@ -94,7 +92,7 @@
         clientOf: (address) => clients.client(address),
       }),
     );
-    this.add(setPeriodic(clock, () => this.updateReadiness(), READY_CHECK_MS));
+    this.add(this.board.onDidChangePlan(() => this.updateReadiness()));
   }
 
   public async start(): Promise<void> {
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -27,7 +27,7 @@
 
 const RECONNECT_MS = 100;
 
-const CHECK_MS = 200;
+const CHECK_MS = 300;
 
 /** The hub drops an entry that is silent for 3 s. */
 const SIGN_OF_LIFE_MS = 800;
@@ -189,7 +189,7 @@
     if (item.inFlight > target.othersInFlight) target.lastTriedAt = now;
     target.othersInFlight = item.inFlight;
     observe('succeeded', item.succeeded);
-    observe('slow', item.slow);
+    observe('suspect', item.suspect);
     observe('failed', item.failed);
   }
 }
--- a/packages/gateway/src/entry/Reporter.ts
+++ b/packages/gateway/src/entry/Reporter.ts
@@ -12,7 +12,7 @@
 
 /** Failures and questions leave in the same turn of the event loop; the rest travels together. */
 const URGENT_FLUSH_MS = 0;
-const FLUSH_MS = 30;
+const FLUSH_MS = 60;
 
 /** A question for a token that is not answered in this time is decided here. */
 const TOKEN_TIMEOUT_MS = 250;
@@ -91,11 +91,22 @@
       id,
       outcome === 'succeeded' ? 1 : 0,
       outcome === 'failed' ? 1 : 0,
-      outcome === 'slow' ? 1 : 0,
+      outcome === 'suspect' ? 1 : 0,
     );
     this.batcher.request(outcome === 'succeeded' ? FLUSH_MS : URGENT_FLUSH_MS);
   }
 
+  /** A connection to a target failed. Others may reach it, so that they learn of it as a weak sign only. */
+  public unreachable(id: string): void {
+    this.board.targets.noteUnreachable(id, this.clock.now());
+    this.outcome(id, 'suspect');
+  }
+
+  /** A target has answered on a connection. */
+  public reached(id: string): void {
+    this.board.targets.noteReached(id);
+  }
+
   /** Counts a request for a service, or a repeat of one. */
   public countSend(service: string, isRepeat: boolean): void {
     const use = this.uses.get(service) ?? { requests: 0, repeats: 0 };
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -3,7 +3,7 @@
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
 import type { Route } from '@marigoldbank/routing/plan';
 import { pickShare } from '@marigoldbank/routing/RouteTable';
-import type { Selection } from '@marigoldbank/routing/TargetSelector';
+import { DOUBT, type Selection } from '@marigoldbank/routing/TargetSelector';
 import type { EntryBoard } from './EntryBoard.js';
 import type { Reply } from './CallerReply.js';
 import type { RequestHead } from './requestHead.js';
@@ -141,12 +141,19 @@
     if (result.kind === 'mayHaveRun') this.failures.mayHaveRun = result.detail;
     if (result.kind === 'notRun') this.runs -= 1;
     if (this.pending.size > 0) return undefined;
-    const mayRepeat = this.req.route.isIdempotent || result.kind === 'notRun';
+    const mayRepeat = result.kind === 'notRun' || this.isWorthRepeating(result);
     const next = mayRepeat ? this.selectFurther() : undefined;
     if (next !== undefined) this.send(next);
     return undefined;
   }
 
+  /** An error of a target that seems sound was caused by the request, and another target would give it too. */
+  private isWorthRepeating(result: AttemptResult): boolean {
+    if (!this.req.route.isIdempotent) return false;
+    if (result.kind !== 'answered') return true;
+    return result.target.belief.failingProbability(this.ctx.clock.now()) > DOUBT;
+  }
+
   private exhausted(): RunOutcome {
     const { error, mayHaveRun } = this.failures;
     if (error !== undefined) return { kind: 'answered', ...error };
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -70,7 +70,7 @@
 
   /** Reports that the target is slow while the answer is still awaited. */
   public noteStalled(): void {
-    if (!this.hasEnded) this.ctx.reporter.outcome(this.target.info.id, 'slow');
+    if (!this.hasEnded) this.ctx.reporter.outcome(this.target.info.id, 'suspect');
   }
 
   /** Ends the attempt without a judgement of the target. */
@@ -87,11 +87,12 @@
     const head = await this.exchange.head;
     if (head.kind === 'failed') return this.failed(head);
     const { status, headers } = head;
+    reporter.reached(id);
     if (headers[names.notRun] !== undefined) {
       this.drain();
       this.end('notRun');
       // A full target is sound, but another one is the better choice for a moment.
-      if (status === 503) reporter.outcome(id, 'slow');
+      if (status === 503) reporter.outcome(id, 'suspect');
       return { kind: 'notRun', detail: `target answered ${status}`, target };
     }
     if (status === 421) {
@@ -135,13 +136,9 @@
   /** Judges the target by a complete answer. */
   public judge(status: number): void {
     if (this.hasEnded) return;
-    const isSlow = this.elapsedMs > this.slowMs();
-    const outcome = isSlow ? 'slow' : 'succeeded';
-    this.end(status >= FIRST_ERROR_STATUS ? 'error' : outcome);
-    this.ctx.reporter.outcome(
-      this.target.info.id,
-      status >= FIRST_ERROR_STATUS ? 'failed' : outcome,
-    );
+    const isSuspect = status >= FIRST_ERROR_STATUS || this.elapsedMs > this.slowMs();
+    this.end(status >= FIRST_ERROR_STATUS ? 'error' : 'succeeded');
+    this.ctx.reporter.outcome(this.target.info.id, isSuspect ? 'suspect' : 'succeeded');
   }
 
   private failed(failure: ExchangeFailure): AttemptResult {
@@ -149,8 +146,9 @@
     const wasOurs = failure.cause === 'cancelled' || failure.cause === 'timedOut';
     if (!this.hasEnded) {
       this.end(failure.cause);
-      if (!wasOurs) this.ctx.reporter.outcome(target.info.id, 'failed');
-      else if (failure.cause === 'timedOut') this.ctx.reporter.outcome(target.info.id, 'slow');
+      if (failure.cause === 'connectFailed') this.ctx.reporter.unreachable(target.info.id);
+      else if (failure.cause === 'timedOut') this.ctx.reporter.outcome(target.info.id, 'suspect');
+      else if (!wasOurs) this.ctx.reporter.outcome(target.info.id, 'failed');
     }
     return { kind: failure.verdict, detail: `${failure.cause}: ${failure.detail}`, target };
   }
--- a/packages/gateway/src/sync/EvidenceBuffer.ts
+++ b/packages/gateway/src/sync/EvidenceBuffer.ts
@@ -4,7 +4,7 @@
   readonly id: string;
   readonly succeeded: number;
   readonly failed: number;
-  readonly slow: number;
+  readonly suspect: number;
   /** Requests in flight, as the sender counts them. */
   readonly inFlight: number;
 }
@@ -12,7 +12,7 @@
 interface Counts {
   succeeded: number;
   failed: number;
-  slow: number;
+  suspect: number;
 }
 
 export class EvidenceBuffer {
@@ -23,15 +23,15 @@
   }
 
   /** Adds outcomes; without any, only the number in flight has changed. */
-  public add(id: string, succeeded: number, failed: number, slow: number): void {
+  public add(id: string, succeeded: number, failed: number, suspect: number): void {
     const known = this.counts.get(id);
     if (known === undefined) {
-      this.counts.set(id, { succeeded, failed, slow });
+      this.counts.set(id, { succeeded, failed, suspect });
       return;
     }
     known.succeeded += succeeded;
     known.failed += failed;
-    known.slow += slow;
+    known.suspect += suspect;
   }
 
   /** Empties the buffer. The number in flight is read when it is sent. */
--- a/packages/routing/src/RetryGate.ts
+++ b/packages/routing/src/RetryGate.ts
@@ -2,10 +2,10 @@
 import { RetryWindow, type RetryBounds } from './RetryWindow.js';
 
 /** Repeats stop here, since repeats of the last moments are not yet counted. */
-const URGENT_LIMIT = 0.75;
+const URGENT_LIMIT = 0.8;
 
 /** Requests that are less urgent leave the rest of the budget to the others. */
-const OTHER_LIMIT = 0.5;
+const OTHER_LIMIT = 0.65;
 
 /** A count of the fleet that is older is not used. */
 const MAX_COUNT_AGE_MS = 1_500;
--- a/packages/routing/src/TargetBelief.ts
+++ b/packages/routing/src/TargetBelief.ts
@@ -1,7 +1,12 @@
 /** Belief that a target is failing, from few outcomes a second. */
 
 /** What a request showed about its target. */
-export type TargetOutcome = 'succeeded' | 'failed' | 'slow';
+export type TargetOutcome =
+  | 'succeeded'
+  /** The connection was lost, or the answer was not the target's. Sound targets hardly ever do this. */
+  | 'failed'
+  /** A slow answer or an error of the target, which a request may also have caused itself. */
+  | 'suspect';
 
 /** Rate at which a sound target starts to fail: about one spell of seconds in half a minute. */
 const FAILING_RATE_PER_S = 0.035;
@@ -13,7 +18,7 @@
 const LIKELIHOODS: Readonly<Record<TargetOutcome, { sound: number; failing: number }>> = {
   succeeded: { sound: 0.97, failing: 0.2 },
   failed: { sound: 0.015, failing: 0.7 },
-  slow: { sound: 0.015, failing: 0.1 },
+  suspect: { sound: 0.015, failing: 0.1 },
 };
 
 /** Share of failing targets in the long run; the belief in a target without evidence. */
--- a/packages/routing/src/TargetBoard.ts
+++ b/packages/routing/src/TargetBoard.ts
@@ -14,6 +14,10 @@
   readonly coldMs: number;
 }
 
+/** A target that this entry cannot reach is left out for this long, doubled with each failure in a row. */
+const UNREACHABLE_MS = 1_000;
+const MAX_UNREACHABLE_MS = 8_000;
+
 /** A target with what is known of it. Times are monotonic ms. */
 export interface TargetState {
   info: TargetInfo;
@@ -24,6 +28,10 @@
   ownInFlight: number;
   /** Time of the last outcome that is known, 0 if there is none. */
   lastOutcomeAt: number;
+  /** Until then this entry does not reach the target, whatever others report. */
+  unreachableUntil: number;
+  /** Connections of this entry in a row that failed. */
+  unreachableInRow: number;
   /** Time at which this entry or another last started a request there, 0 if none is known. */
   lastTriedAt: number;
 }
@@ -54,6 +62,8 @@
       ownInFlight: 0,
       lastOutcomeAt: 0,
       lastTriedAt: 0,
+      unreachableUntil: 0,
+      unreachableInRow: 0,
     };
     this.targets.set(info.id, state);
     const ofService = this.byService.get(info.service) ?? new Map<string, TargetState>();
@@ -95,4 +105,19 @@
     state.belief.observe(outcome, now);
     state.lastOutcomeAt = now;
   }
+
+  /** A connection of this entry to the target failed. */
+  public noteUnreachable(id: string, now: number): void {
+    const state = this.targets.get(id);
+    if (state === undefined) return;
+    const waitMs = Math.min(MAX_UNREACHABLE_MS, UNREACHABLE_MS * 2 ** state.unreachableInRow);
+    state.unreachableInRow += 1;
+    state.unreachableUntil = now + waitMs;
+  }
+
+  /** A connection of this entry to the target succeeded. */
+  public noteReached(id: string): void {
+    const state = this.targets.get(id);
+    if (state !== undefined) Object.assign(state, { unreachableInRow: 0, unreachableUntil: 0 });
+  }
 }
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -48,10 +48,10 @@
 const EXPLORATION_MS = 1_500;
 
 /** Above this probability a target counts as failing and is only looked at, one request at a time. */
-const DOUBT = 0.4;
+export const DOUBT = 0.4;
 
 /** Time between two looks of the whole fleet at a failing target. */
-const LOOK_INTERVAL_MS = 400;
+const LOOK_INTERVAL_MS = 1_200;
 
 /** Value of a look at a failing target that is due; above the loss it risks. */
 const LOOK_VALUE = 0.2;
@@ -62,6 +62,9 @@
 /** A target that has just started serves at half speed. */
 const COLD_FACTOR = 2;
 
+/** Cost of a target that this entry could not reach a moment ago. */
+const UNREACHABLE_COST = 2;
+
 /** Breaks ties between equal targets, so that entries do not move in step. */
 const JITTER = 0.01;
 
@@ -110,7 +113,8 @@
       WAIT_COST * (waitMs / req.expectedMs);
     const failureCost = failing * (req.canRepeat ? REPEAT_COST : LOSS_COST);
     const value = req.canRepeat ? this.lookValue(target, failing, req, now) : 0;
-    return failureCost + placeCost + loadCost - value;
+    const reachCost = now < target.unreachableUntil ? UNREACHABLE_COST : 0;
+    return failureCost + placeCost + loadCost + reachCost - value;
   }
 
   private lookValue(
