--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,9 +6,10 @@
 /** Packages by layer; a package may import only from lower layers, the last one from all. */
 const LAYERS = [
   ['base'],
-  ['protocol', 'replicated-log', 'claims', 'budgets', 'admission', 'ejection', 'lists'],
+  ['protocol', 'replicated-log', 'claims', 'budgets', 'admission', 'ejection', 'lists', 'routing'],
   ['fleet'],
   ['daemon', 'cli'],
+  ['gateway'],
   ['bench'],
 ];
 
@@ -62,7 +63,7 @@
 );
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'packages/protocol/src/gen/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**', 'journal/**', 'packages/protocol/src/gen/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -110,7 +111,7 @@
   },
   {
     // Tools and command lines print, end with an exit code and read files synchronously.
-    files: ['scripts/**', 'packages/*/src/bin/**', 'packages/cli/**', 'packages/bench/**'],
+    files: ['scripts/**', 'packages/*/src/bin/**', 'platform/src/bin/**', 'packages/cli/**', 'packages/bench/**'],
     rules: {
       'no-console': 'off',
       'n/no-process-exit': 'off',
--- a/packages/daemon/src/entry/UpstreamClient.ts
+++ b/packages/daemon/src/entry/UpstreamClient.ts
@@ -1,7 +1,7 @@
 /** Connections to upstream targets. */
 import { DisposableStore, type IDisposable } from '@marigoldbank/base/lifecycle';
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
-import { Pool } from 'undici';
+import { buildConnector, Pool } from 'undici';
 import { HEADER_REQUEST_ID, HEADER_TIMEOUT } from './constants.js';
 import { UpstreamExchange, type GateFailure, type ResponseRules } from './UpstreamExchange.js';
 
@@ -49,10 +49,28 @@
 interface TargetPool {
   readonly pool: Pool;
   readonly maxConnections: number;
+  /** Errors on the connections of the pool. */
+  readonly resets: { count: number };
   lastUsedAt: number;
   running: number;
 }
 
+/** Opens connections and counts the errors on them. */
+function countingConnector(resets: { count: number }, timeout: number): buildConnector.connector {
+  const connect = buildConnector({ timeout });
+  return (options, callback) =>
+    connect(options, (...[err, socket]: buildConnector.CallbackArgs) => {
+      if (err !== null) {
+        callback(err, null);
+        return;
+      }
+      socket.once('error', () => {
+        Object.assign(resets, { count: resets.count + 1 });
+      });
+      callback(null, socket);
+    });
+}
+
 /** Keeps one pool per target; no pipelining, no retries. */
 export class UpstreamClient implements IDisposable {
   private readonly pools = new Map<string, TargetPool>();
@@ -74,6 +92,7 @@
       req.method,
       req.requestId,
       this.protocol,
+      () => entry.resets.count,
       req.checkDispatch,
       () => {
         entry.running -= 1;
@@ -137,10 +156,11 @@
       return known;
     }
     if (known !== undefined) UpstreamClient.retire(known);
+    const resets = { count: 0 };
     const pool = new Pool(`http://${address}`, {
       connections: maxConnections,
       pipelining: 1,
-      connectTimeout: this.protocol.connectTimeoutMs,
+      connect: countingConnector(resets, this.protocol.connectTimeoutMs),
       keepAliveTimeout: this.protocol.keepAliveTimeoutMs,
       keepAliveMaxTimeout: this.protocol.keepAliveTimeoutMs,
       // Each exchange has its own deadline.
@@ -148,7 +168,7 @@
       bodyTimeout: 0,
       strictContentLength: true,
     });
-    const created = { pool, maxConnections, lastUsedAt: this.clock.now(), running: 0 };
+    const created = { pool, maxConnections, resets, lastUsedAt: this.clock.now(), running: 0 };
     this.pools.set(address, created);
     return created;
   }
--- a/packages/daemon/src/entry/UpstreamExchange.ts
+++ b/packages/daemon/src/entry/UpstreamExchange.ts
@@ -77,6 +77,10 @@
 
   private hasHead = false;
 
+  private hasLength = false;
+
+  private resetsAtStart = 0;
+
   private sink: BodySink | undefined;
 
   private readonly pending: Buffer[] = [];
@@ -91,6 +95,8 @@
     private readonly method: string,
     private readonly requestId: string,
     private readonly rules: ResponseRules,
+    /** Resets seen so far on connections to the target. */
+    private readonly resetCount: () => number,
     private readonly checkDispatch: () => GateFailure | undefined,
     private readonly onDone: () => void,
   ) {
@@ -114,6 +120,7 @@
       throw new ExchangeError('gate', gate.kind);
     }
     this.hasBeenSent = true;
+    this.resetsAtStart = this.resetCount();
     this.controller = controller;
   }
 
@@ -139,6 +146,7 @@
       return;
     }
     this.hasHead = true;
+    this.hasLength = headers['content-length'] !== undefined;
     this.settleHead({ kind: 'head', status, headers });
   }
 
@@ -155,6 +163,11 @@
 
   public onResponseEnd(): void {
     if (this.failure !== undefined) return;
+    // undici ends a response that may end with its connection also when the connection is reset.
+    if (!this.hasLength && this.resetCount() !== this.resetsAtStart) {
+      this.fail('connectionLost', 'reset before the end of the response');
+      return;
+    }
     this.hasEnded = true;
     this.onDone();
     this.sink?.onEnd();
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -57,6 +57,8 @@
 
   private api: ControlApi | undefined;
 
+  private readonly servers: { close(): unknown }[] = [];
+
   public constructor(
     private settings: GatewaySettings,
     private readonly dialect: Dialect,
@@ -114,6 +116,8 @@
     this.hub?.dispose();
     await this.log?.close();
     this.channels?.dispose();
+    this.clients.dispose();
+    this.servers.forEach((server) => server.close());
   }
 
   private async openLog(machine: PlanMachine): Promise<ReplicatedLog> {
@@ -154,6 +158,7 @@
       fallback: metricsHandler(),
     });
     await server.listen();
+    this.servers.push(server);
   }
 
   private serveStreams(hub: Hub, keeper: VoterKeeper, log: ReplicatedLog): Promise<void> {
@@ -165,6 +170,7 @@
     server.on('sessionError', (err) =>
       this.logger.info('stream session broke', { error: String(err) }),
     );
+    this.servers.push(server);
     const { host, port } = parseAddress(syncAddress(this.settings, this.settings.ip));
     return new Promise((resolve, reject) => {
       server.once('error', reject);
--- /dev/null
+++ b/packages/gateway/src/control/state.test.ts
@@ -0,0 +1,113 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { RoutingPlan } from '@marigoldbank/routing/plan';
+import { encodeCommand } from './commands.js';
+import { Confirmation } from './Confirmation.js';
+import { Fleet } from './Fleet.js';
+import { LoadTable } from './LoadTable.js';
+import { PlanMachine } from './PlanMachine.js';
+
+function makePlan(version: number): RoutingPlan {
+  return {
+    version,
+    routes: [],
+    services: [],
+    teams: [],
+    hasTeams: true,
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+function putPlan(machine: PlanMachine, version: number, document: string): string {
+  const command = encodeCommand({ kind: 'putPlan', document, plan: makePlan(version) });
+  return Buffer.from(machine.apply(version, command)).toString();
+}
+
+function markLeaving(machine: PlanMachine, born: number, isGone: boolean, at = 0): void {
+  machine.apply(1, encodeCommand({ kind: 'markLeaving', id: 'i-1', born, isGone, at }));
+}
+
+describe('PlanMachine', () => {
+  it('never goes back, and keeps the first content of a version', () => {
+    const machine = new PlanMachine();
+    expect(putPlan(machine, 7, 'seven')).toEqual('applied');
+    expect(putPlan(machine, 5, 'five')).toEqual('superseded');
+    expect(putPlan(machine, 7, 'other seven')).toEqual('superseded');
+    expect(machine.current?.document).toEqual('seven');
+  });
+
+  it('is the same after a snapshot', () => {
+    const machine = new PlanMachine();
+    putPlan(machine, 7, 'seven');
+    markLeaving(machine, 50, true);
+    const copy = new PlanMachine();
+    copy.restore(machine.snapshot());
+    expect(copy.current?.document).toEqual('seven');
+    expect(copy.markOf('i-1', 50)?.isGone).toEqual(true);
+    expect(Buffer.from(copy.snapshot())).toEqual(Buffer.from(machine.snapshot()));
+  });
+
+  it('marks one start of a target and not a later one under the same id', () => {
+    const machine = new PlanMachine();
+    markLeaving(machine, 50, false);
+    expect(machine.markOf('i-1', 50)?.isGone).toEqual(false);
+    expect(machine.markOf('i-1', 60)).toEqual(undefined);
+    markLeaving(machine, 60, false);
+    markLeaving(machine, 50, true);
+    expect(machine.markOf('i-1', 60)?.isGone).toEqual(false);
+  });
+
+  it('passes over commands that it cannot read', () => {
+    const machine = new PlanMachine();
+    const command = Buffer.from(JSON.stringify({ kind: 'later' }));
+    expect(Buffer.from(machine.apply(1, command)).toString()).toEqual('superseded');
+  });
+});
+
+describe('Confirmation', () => {
+  it('counts a confirmation only once everything that it vouches for is held', () => {
+    const confirmation = new Confirmation();
+    confirmation.note(10, 1_000, 9);
+    expect(confirmation.ageMs(1_100)).toEqual(Infinity);
+    confirmation.advance(10);
+    expect(confirmation.ageMs(1_100)).toEqual(100);
+  });
+});
+
+describe('Fleet', () => {
+  const addEntry = (fleet: Fleet, hub: string, vm: string, dataCentre: string): void =>
+    fleet.set(hub, { vm, address: `${vm}:80`, dataCentre }, true);
+  const inOrder = (items: string[]): string[] => [...items].sort();
+
+  it('names the entries of the caller’s data centre while there are enough', () => {
+    const fleet = new Fleet();
+    ['a', 'b', 'c'].forEach((vm) => addEntry(fleet, '', vm, 'dc-1'));
+    addEntry(fleet, 'hub-2', 'd', 'dc-2');
+    expect(fleet.addressesFor('dc-1', inOrder)).toEqual(['a:80', 'b:80', 'c:80']);
+    expect(fleet.addressesFor('dc-2', inOrder)).toEqual(['a:80', 'b:80', 'c:80', 'd:80']);
+  });
+
+  it('names no entry that is not ready, left, or followed a hub that is lost', () => {
+    const fleet = new Fleet();
+    ['a', 'b', 'c'].forEach((vm) => addEntry(fleet, '', vm, 'dc-1'));
+    addEntry(fleet, 'hub-2', 'd', 'dc-1');
+    fleet.set('', { vm: 'a', address: 'a:80', dataCentre: 'dc-1' }, false);
+    fleet.remove('', 'b');
+    fleet.removeHub('hub-2');
+    expect(fleet.addressesFor('dc-1', inOrder)).toEqual(['c:80']);
+  });
+});
+
+describe('LoadTable', () => {
+  it('sums absolute reports of all sources and forgets a lost one', () => {
+    const load = new LoadTable();
+    load.set('e1', 't1', 2);
+    load.set('e2', 't1', 3);
+    load.set('e1', 't1', 1);
+    expect(load.total('t1')).toEqual(4);
+    expect(load.removeSource('e2')).toEqual(['t1']);
+    expect(load.total('t1')).toEqual(1);
+    load.set('e1', 't1', 0);
+    expect(load.busyTargets()).toEqual([]);
+  });
+});
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -50,7 +50,7 @@
   ) {
     super();
     const { retryRatio, retrySlack, retryWindow } = settings.bounds;
-    const clients = new SyncClients();
+    const clients = this.add(new SyncClients());
     this.board = new EntryBoard({
       ratio: retryRatio,
       slack: retrySlack,
--- /dev/null
+++ b/packages/gateway/src/entry/HubChoice.test.ts
@@ -0,0 +1,40 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { HubChoice } from './HubChoice.js';
+
+const SEEDS = ['s1:1', 's2:1'];
+
+function makeChoice(): HubChoice {
+  const choice = new HubChoice('dc-1', SEEDS);
+  choice.learn(
+    [
+      { address: 'near:1', dataCentre: 'dc-1' },
+      { address: 'far:1', dataCentre: 'dc-2' },
+    ],
+    SEEDS,
+  );
+  return choice;
+}
+
+describe('HubChoice', () => {
+  it('begins with the seeds', () => {
+    const choice = new HubChoice('dc-1', SEEDS);
+    expect(choice.next(0, 0)).toEqual('s1:1');
+    expect(choice.next(0, 0.9)).toEqual('s2:1');
+  });
+
+  it('prefers the own data centre, and leaves it for a while after a failure', () => {
+    const choice = makeChoice();
+    expect(choice.next(0, 0.5)).toEqual('near:1');
+    choice.noteFailure('near:1', 0);
+    expect(choice.next(1_000, 0)).toEqual('far:1');
+    expect(choice.hasNearer('far:1', 1_000)).toEqual(false);
+    expect(choice.hasNearer('far:1', 5_000)).toEqual(true);
+  });
+
+  it('tries again when all have failed', () => {
+    const choice = makeChoice();
+    ['near:1', 'far:1', ...SEEDS].forEach((address) => choice.noteFailure(address, 0));
+    expect(choice.next(10, 0)).toEqual('near:1');
+  });
+});
--- a/packages/gateway/src/entry/Reporter.ts
+++ b/packages/gateway/src/entry/Reporter.ts
@@ -12,7 +12,7 @@
 
 /** Failures and questions leave in the same turn of the event loop; the rest travels together. */
 const URGENT_FLUSH_MS = 0;
-const FLUSH_MS = 60;
+const FLUSH_MS = 80;
 
 /** A question for a token that is not answered in this time is decided here. */
 const TOKEN_TIMEOUT_MS = 250;
--- a/packages/gateway/src/sync/SyncClients.ts
+++ b/packages/gateway/src/sync/SyncClients.ts
@@ -1,6 +1,6 @@
 /** Clients of the state streams, one HTTP/2 connection per address. */
 import { createClient, type Client } from '@connectrpc/connect';
-import { createConnectTransport } from '@connectrpc/connect-node';
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 import { SyncService } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 
 /** A connection that answers no ping for so long is given up: partitions do not close connections. */
@@ -10,17 +10,26 @@
 export class SyncClients {
   private readonly clients = new Map<string, Client<typeof SyncService>>();
 
+  private readonly sessions: Http2SessionManager[] = [];
+
   public client(address: string): Client<typeof SyncService> {
     const known = this.clients.get(address);
     if (known !== undefined) return known;
-    const transport = createConnectTransport({
-      baseUrl: `http://${address}`,
-      httpVersion: '2',
+    const baseUrl = `http://${address}`;
+    const sessionManager = new Http2SessionManager(baseUrl, {
       pingIntervalMs: PING_INTERVAL_MS,
       pingTimeoutMs: PING_TIMEOUT_MS,
     });
+    this.sessions.push(sessionManager);
+    const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager });
     const created = createClient(SyncService, transport);
     this.clients.set(address, created);
     return created;
   }
+
+  /** Closes all connections. */
+  public dispose(): void {
+    this.sessions.forEach((session) => session.abort());
+    this.clients.clear();
+  }
 }
--- a/packages/routing/src/TargetBelief.ts
+++ b/packages/routing/src/TargetBelief.ts
@@ -17,7 +17,7 @@
 /** Probability of each outcome at a sound and at a failing target; one failure is strong evidence. */
 const LIKELIHOODS: Readonly<Record<TargetOutcome, { sound: number; failing: number }>> = {
   succeeded: { sound: 0.97, failing: 0.2 },
-  failed: { sound: 0.015, failing: 0.7 },
+  failed: { sound: 0.003, failing: 0.7 },
   suspect: { sound: 0.015, failing: 0.1 },
 };
 
@@ -25,7 +25,7 @@
 const PRIOR = FAILING_RATE_PER_S / (FAILING_RATE_PER_S + RECOVERY_RATE_PER_S);
 
 /** Keeps the belief from becoming so certain that it would not follow a change. */
-const MIN_PROBABILITY = 0.002;
+const MIN_PROBABILITY = 0.02;
 const MAX_PROBABILITY = 0.99;
 
 const MS_PER_SECOND = 1_000;
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -124,7 +124,7 @@
     now: number,
   ): number {
     if (failing < DOUBT) {
-      const idleMs = now - Math.max(target.lastOutcomeAt, target.lastTriedAt);
+      const idleMs = Math.max(0, now - Math.max(target.lastOutcomeAt, target.lastTriedAt));
       return EXPLORATION_VALUE * Math.min(1, idleMs / EXPLORATION_MS);
     }
     const isDue = now - Math.max(target.lastTriedAt, target.lastOutcomeAt) >= LOOK_INTERVAL_MS;
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -13,8 +13,10 @@
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 
 const filters = process.argv.slice(2);
-const sources = readdirSync('packages', { recursive: true })
-  .map((file) => path.join('packages', file.toString()))
+const sources = ['packages', 'platform']
+  .flatMap((dir) =>
+    readdirSync(dir, { recursive: true }).map((file) => path.join(dir, file.toString())),
+  )
   .filter((file) => /\/src\/.*\.test\.ts$/.test(file) && !file.includes('node_modules'))
   .sort();
 const selected = sources.filter(
