--- a/eslint.config.js
+++ b/eslint.config.js
@@ -63,7 +63,16 @@
 );
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**', 'journal/**', 'packages/protocol/src/gen/**'] },
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      'out/**',
+      'target/**',
+      'journal/**',
+      'packages/protocol/src/gen/**',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -111,7 +120,13 @@
   },
   {
     // Tools and command lines print, end with an exit code and read files synchronously.
-    files: ['scripts/**', 'packages/*/src/bin/**', 'platform/src/bin/**', 'packages/cli/**', 'packages/bench/**'],
+    files: [
+      'scripts/**',
+      'packages/*/src/bin/**',
+      'platform/src/bin/**',
+      'packages/cli/**',
+      'packages/bench/**',
+    ],
     rules: {
       'no-console': 'off',
       'n/no-process-exit': 'off',
@@ -129,5 +144,14 @@
     },
   },
   ...dependencyRules,
+  {
+    files: ['platform/**/*.test.ts', 'scripts/**'],
+    rules: {
+      'import-x/no-extraneous-dependencies': [
+        'error',
+        { devDependencies: true, packageDir: [rootDir, path.join(rootDir, 'platform')] },
+      ],
+    },
+  },
   ...layerRules,
 );
--- a/packages/cli/src/docs.test.ts
+++ b/packages/cli/src/docs.test.ts
@@ -9,7 +9,7 @@
 import { runCli } from './run-cli.js';
 
 const ROOT = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../../..');
-const PAGES = ['README.md', 'docs/operations.md', 'docs/configuration.md', 'docs/glossary.md'];
+const PAGES = ['README.md', 'docs/OPERATIONS.md', 'docs/configuration.md', 'docs/glossary.md'];
 const DEPLOYMENTS = ['barid-al-khaleej', 'stoepkrijt'];
 
 const read = (file: string): string => readFileSync(path.join(ROOT, file), 'utf8');
--- a/packages/daemon/src/entry/UpstreamExchange.ts
+++ b/packages/daemon/src/entry/UpstreamExchange.ts
@@ -135,12 +135,7 @@
       this.abort('wrongRequestId', 'the response carries the id of another request');
       return;
     }
-    const fault = findFramingFault(
-      this.method,
-      status,
-      headers,
-      this.rules.allowsCloseDelimited,
-    );
+    const fault = findFramingFault(this.method, status, headers, this.rules.allowsCloseDelimited);
     if (fault !== undefined) {
       this.abort('brokenResponse', fault);
       return;
--- a/packages/gateway/src/control/BudgetBroker.ts
+++ b/packages/gateway/src/control/BudgetBroker.ts
@@ -1,7 +1,7 @@
 /** Team budgets and retry budgets as one hub sees them. */
 import type { Team } from '@marigoldbank/routing/plan';
 import { RetryWindow, type RetryBounds } from '@marigoldbank/routing/RetryWindow';
-import { TeamBuckets, type TokenDecision } from '@marigoldbank/routing/TeamBuckets';
+import { TeamBuckets, type TeamMode, type TokenDecision } from '@marigoldbank/routing/TeamBuckets';
 
 /** Smallest change of a used part that is told to entries. */
 const RETRY_STEP_PERMILLE = 40;
@@ -17,11 +17,6 @@
   toldAt: number;
 }
 
-export interface ModeChange {
-  readonly team: string;
-  readonly isTight: boolean;
-}
-
 /** The leader holds the buckets of all teams; every hub counts requests and repeats of all services. */
 export class BudgetBroker {
   private readonly buckets = new TeamBuckets();
@@ -59,11 +54,11 @@
     return this.buckets.take(team, now);
   }
 
-  public takeModeChanges(now: number): ModeChange[] {
+  public takeModeChanges(now: number): TeamMode[] {
     return this.isHolder ? this.buckets.takeModeChanges(now) : [];
   }
 
-  public modes(): ModeChange[] {
+  public modes(): TeamMode[] {
     return this.isHolder ? this.buckets.modes() : [];
   }
 
--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -1,5 +1,5 @@
 /** HTTP interface of a control VM to operators, targets and callers who ask for addresses. */
-import { H3, toNodeHandler, type H3Event } from 'h3';
+import { H3, HTTPResponse, toNodeHandler, type H3Event } from 'h3';
 import { createServer, type Server } from 'node:http';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
@@ -31,11 +31,11 @@
   readonly maxTtlMs: number;
 }
 
-function answer(status: number, body: string, headers: Record<string, string> = {}): Response {
-  return new Response(body, { status, headers: { ...JSON_HEADERS, ...headers } });
+function answer(status: number, body: string, headers: Record<string, string> = {}): HTTPResponse {
+  return new HTTPResponse(body, { status, headers: { ...JSON_HEADERS, ...headers } });
 }
 
-function problem(status: number, detail: string): Response {
+function problem(status: number, detail: string): HTTPResponse {
   return answer(status, JSON.stringify({ error: detail }));
 }
 
@@ -57,7 +57,7 @@
     });
   }
 
-  private serve(address: string, handle: (event: H3Event) => Promise<Response>): Promise<void> {
+  private serve(address: string, handle: (event: H3Event) => Promise<HTTPResponse>): Promise<void> {
     const app = new H3().use((event) => handle(event));
     const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, toNodeHandler(app));
     this.servers.push(server);
@@ -71,7 +71,7 @@
     });
   }
 
-  private async handleDirectory({ req, url }: H3Event): Promise<Response> {
+  private async handleDirectory({ req, url }: H3Event): Promise<HTTPResponse> {
     const { dialect, hub, maxTtlMs } = this.ctx;
     const question = dialect.parseAddressQuestion(req.method, url.pathname + url.search);
     if (question === undefined) return problem(404, 'not found');
@@ -80,7 +80,7 @@
     return answer(200, dialect.formatAddresses(addresses, Math.min(ADDRESS_TTL_MS, maxTtlMs)));
   }
 
-  private async handleControl(event: H3Event): Promise<Response> {
+  private async handleControl(event: H3Event): Promise<HTTPResponse> {
     const { req, url } = event;
     const target = url.pathname + url.search;
     const call = this.ctx.dialect.parseCall(req.method, target);
@@ -91,7 +91,7 @@
     return this.run(call, target, body);
   }
 
-  private run(call: ControlCall, target: string, body: string): Promise<Response> {
+  private run(call: ControlCall, target: string, body: string): Promise<HTTPResponse> {
     switch (call.kind) {
       case 'announce':
         return this.announce(call.id, target, body);
@@ -106,7 +106,7 @@
     }
   }
 
-  private async announce(id: string, target: string, body: string): Promise<Response> {
+  private async announce(id: string, target: string, body: string): Promise<HTTPResponse> {
     const announcement = this.ctx.dialect.parseAnnouncement(id, body);
     if (announcement === undefined) {
       this.ctx.logger.warn('unreadable announcement', { target: id });
@@ -123,7 +123,7 @@
     born: number,
     isGone: boolean,
     target: string,
-  ): Promise<Response> {
+  ): Promise<HTTPResponse> {
     const mark = this.ctx.machine.markOf(id, born);
     if (mark !== undefined && (mark.isGone || !isGone)) return answer(200, '{}');
     const start = born === 0 ? (this.ctx.hub.registry.get(id)?.announcement.born ?? 0) : born;
@@ -131,7 +131,7 @@
     return this.propose(command, target);
   }
 
-  private async putPlan(target: string, document: string): Promise<Response> {
+  private async putPlan(target: string, document: string): Promise<HTTPResponse> {
     const { dialect, logger, machine } = this.ctx;
     const parsed = dialect.parsePlan(document);
     if (parsed.kind === 'invalid') {
@@ -145,21 +145,21 @@
     return res;
   }
 
-  private async propose(command: Command, target: string): Promise<Response> {
+  private async propose(command: Command, target: string): Promise<HTTPResponse> {
     const outcome: ProposeOutcome = await this.ctx.log.propose(encodeCommand(command));
     if (outcome.kind === 'committed') return answer(200, '{}');
     if (outcome.kind === 'notLeader') return this.redirect(outcome.leader?.vm, target);
     return problem(503, 'the outcome is not known');
   }
 
-  private async getPlan(target: string): Promise<Response> {
+  private async getPlan(target: string): Promise<HTTPResponse> {
     const read = await this.ctx.log.confirmRead();
     if (read.kind === 'notLeader') return this.redirect(read.leader?.vm, target);
     const held = this.ctx.machine.current;
     return held === undefined ? problem(503, 'no configuration yet') : answer(200, held.document);
   }
 
-  private redirect(leaderIp: string | undefined, target: string): Response {
+  private redirect(leaderIp: string | undefined, target: string): HTTPResponse {
     if (leaderIp === undefined) return problem(503, 'no leader is known');
     const location = `http://${leaderIp}:${this.ctx.controlPort}${target}`;
     return answer(307, '{}', { location });
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -20,7 +20,7 @@
 import { ControlApi } from './ControlApi.js';
 import { Hub } from './Hub.js';
 import { PlanMachine } from './PlanMachine.js';
-import { registerSync } from './sync-routes.js';
+import { registerStreams } from './sync-routes.js';
 import { VoterKeeper } from './VoterKeeper.js';
 
 /** Control VMs are few and share a core with nothing else; an election must outlast a slow disk sync. */
@@ -164,7 +164,7 @@
   private serveStreams(hub: Hub, keeper: VoterKeeper, log: ReplicatedLog): Promise<void> {
     const server = http2.createServer(
       connectNodeAdapter({
-        routes: (router) => registerSync(router, hub, keeper, log, this.logger),
+        routes: (router) => registerStreams(router, hub, keeper, log, this.logger),
       }),
     );
     server.on('sessionError', (err) =>
--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -35,8 +35,7 @@
 export class EntrySession implements IDisposable {
   public readonly queue = new MessageQueue<HubUpdateInit>();
 
-  /** Monotonic ms of the last report. */
-  public heardAt: number;
+  private lastHeardAt: number;
 
   private readonly evidence = new EvidenceBuffer();
 
@@ -60,10 +59,19 @@
     public readonly identity: EntryIdentity,
     private readonly source: SessionSource,
   ) {
-    this.heardAt = source.clock.now();
+    this.lastHeardAt = source.clock.now();
     this.batcher = new Batcher(source.clock, () => this.flush());
   }
 
+  /** Monotonic ms of the last report. */
+  public get heardAt(): number {
+    return this.lastHeardAt;
+  }
+
+  public noteHeard(now: number): void {
+    this.lastHeardAt = now;
+  }
+
   /** Sends a message now, as a whole. */
   public send(update: HubUpdateInit): void {
     this.queue.push(update);
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -26,7 +26,7 @@
 import type { PlanMachine } from './PlanMachine.js';
 import { RelayLink, type HubRelayInit } from './RelayLink.js';
 import { TargetRegistry } from './TargetRegistry.js';
-import { fromRegistered, toAnnouncement, type TargetInit } from './targets-codec.js';
+import { fromRegistered, toAnnouncement, toInfo, type TargetInit } from './targets-codec.js';
 
 const TICK_MS = 200;
 
@@ -170,7 +170,7 @@
   public report(session: EntrySession, report: EntryReport): void {
     const { identity } = session;
     const now = this.ctx.clock.now();
-    session.heardAt = now;
+    session.noteHeard(now);
     if (this.sessions.get(identity.vm) !== session) return;
     this.noteReadiness(identity, report.isReady);
     report.evidence.forEach((item) => {
@@ -282,7 +282,7 @@
       this.dropTarget(id, mark.born);
       return;
     }
-    this.board.upsert(this.toInfo(target), this.ctx.clock.now());
+    this.board.upsert(toInfo(target), this.ctx.clock.now());
     this.sessions.forEach((session) => session.setTarget(target));
   }
 
@@ -309,12 +309,6 @@
     return mark === undefined ? target : { ...target, isDraining: true };
   }
 
-  private toInfo(target: TargetInit): Parameters<TargetBoard['upsert']>[0] {
-    const { id, address = '', service = '', dataCentre = '', slots = 1 } = target;
-    const { isDraining = false, coldMs = 0 } = target;
-    return { id, address, service, dataCentre, slots, isDraining, coldMs };
-  }
-
   private observe(item: TargetEvidence, now: number): void {
     const repeat = (count: number): undefined[] => Array.from({ length: count }, () => undefined);
     repeat(item.succeeded).forEach(() => this.board.observe(item.id, 'succeeded', now));
@@ -440,9 +434,7 @@
         this.isConfirming = false;
         if (read.kind !== 'confirmed') return;
         this.confirmation.note(read.index, askedAt, this.ctx.log.status().commitIndex);
-        this.links.forEach((link) =>
-          link.send({ confirmedIndex: BigInt(read.index) }),
-        );
+        this.links.forEach((link) => link.send({ confirmedIndex: BigInt(read.index) }));
       })
       .catch((err: unknown) => {
         this.isConfirming = false;
@@ -480,7 +472,11 @@
       });
   }
 
-  private status(now: number): { status: HubUpdateInit['status']; hubs: HubUpdateInit['hubs']; isLeaving: boolean } {
+  private status(now: number): {
+    status: HubUpdateInit['status'];
+    hubs: HubUpdateInit['hubs'];
+    isLeaving: boolean;
+  } {
     const budgetAge = this.budgets.holdsBuckets
       ? this.confirmation.ageMs(now)
       : now - (this.leaderPeer()?.heardAt ?? -Infinity);
--- a/packages/gateway/src/control/planVoterChange.ts
+++ b/packages/gateway/src/control/planVoterChange.ts
@@ -27,8 +27,9 @@
   const { membership, progress, self } = status;
   const { now, leaderSince } = needs;
   const heardAt = (member: Member): number =>
-    progress.find((item) => item.member.vm === member.vm && item.member.incarnation === member.incarnation)
-      ?.lastContactAt ?? leaderSince;
+    progress.find(
+      (item) => item.member.vm === member.vm && item.member.incarnation === member.incarnation,
+    )?.lastContactAt ?? leaderSince;
   const isSilent = (member: Member): boolean =>
     member.vm !== self.vm && now - Math.max(heardAt(member), leaderSince) > SILENT_MS;
   const isCaughtUp = (member: Member): boolean => {
@@ -36,7 +37,9 @@
     return found !== undefined && found.matchIndex >= status.commitIndex && !isSilent(member);
   };
   const hasNewDisk = (voter: Member): boolean =>
-    needs.joined.some(({ vm, incarnation }) => vm === voter.vm && incarnation !== voter.incarnation);
+    needs.joined.some(
+      ({ vm, incarnation }) => vm === voter.vm && incarnation !== voter.incarnation,
+    );
   const ready = membership.learners.filter(isCaughtUp);
   const wiped = membership.voters.find(
     (voter) => hasNewDisk(voter) && ready.some(({ vm }) => vm === voter.vm),
--- a/packages/gateway/src/control/sync-routes.ts
+++ b/packages/gateway/src/control/sync-routes.ts
@@ -22,7 +22,7 @@
 }
 
 /** Registers the state streams. */
-export function registerSync(
+export function registerStreams(
   router: ConnectRouter,
   hub: Hub,
   keeper: VoterKeeper,
--- a/packages/gateway/src/control/targets-codec.ts
+++ b/packages/gateway/src/control/targets-codec.ts
@@ -1,6 +1,7 @@
 /** Targets on the wire between own processes. */
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import type { Target, TargetSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { TargetInfo } from '@marigoldbank/routing/TargetBoard';
 import type { Announcement } from '../Dialect.js';
 import type { RegisteredTarget } from './TargetRegistry.js';
 
@@ -39,3 +40,9 @@
     seq: Number(target.seq),
   };
 }
+
+export function toInfo(target: TargetInit): TargetInfo {
+  const { id, address = '', service = '', dataCentre = '', slots = 1 } = target;
+  const { isDraining = false, coldMs = 0 } = target;
+  return { id, address, service, dataCentre, slots, isDraining, coldMs };
+}
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { delay, type Clock } from '@marigoldbank/base/clock';
+import { delay } from '@marigoldbank/base/clock';
 import { CallerConnection } from '@marigoldbank/daemon/entry/CallerConnection';
 import { HOP_BY_HOP, connectionTokens } from '@marigoldbank/daemon/entry/headers';
 import { readBody } from '@marigoldbank/daemon/entry/readBody';
@@ -48,6 +48,8 @@
 
 export interface ServerContext extends RunContext {
   readonly log: RequestLog;
+  /** Requests with a key are refused when the plan was not confirmed for so long; undefined for never. */
+  readonly refuseKeysAfterMs: number | undefined;
 }
 
 interface Transaction {
@@ -190,7 +192,11 @@
     if (parsed.kind === 'invalid') {
       tx.connection.markClosing();
       const { detail } = parsed;
-      await this.refuse(tx, undefined, undefined, { kind: 'badRequest', verdict: 'notRun', detail });
+      await this.refuse(tx, undefined, undefined, {
+        kind: 'badRequest',
+        verdict: 'notRun',
+        detail,
+      });
       return;
     }
     const { head } = parsed;
@@ -221,7 +227,8 @@
     const { table } = board;
     if (table === undefined) return refused({ kind: 'notCurrent', verdict: 'notRun' });
     if (this.isRefusing) return refused({ kind: 'stopping', verdict: 'notRun' });
-    const isConfirmed = board.confirmedAgeMs(clock.now()) < MAX_CONFIRMED_AGE_MS;
+    const confirmedAgeMs = board.confirmedAgeMs(clock.now());
+    const isConfirmed = confirmedAgeMs < MAX_CONFIRMED_AGE_MS;
     const unknown = (kind: 'noRoute' | 'unknownKey'): Admission =>
       refused({ kind: isConfirmed ? kind : 'notCurrent', verdict: 'notRun' });
     const route = table.findRoute(head.host, head.path);
@@ -229,6 +236,10 @@
     const owner = table.findTeam(route, head.key);
     if (owner.kind === 'unknown') return unknown('unknownKey');
     const team = owner.kind === 'team' ? owner.team : undefined;
+    const mayBeRevoked = confirmedAgeMs > (this.ctx.refuseKeysAfterMs ?? Infinity);
+    if (team !== undefined && mayBeRevoked) {
+      return refused({ kind: 'notCurrent', verdict: 'notRun' });
+    }
     return { kind: 'admitted', admitted: { route, team } };
   }
 
@@ -342,7 +353,11 @@
   }
 
   /** Passes on the rest of a large answer. One that breaks off must not look complete. */
-  private static stream(res: ServerResponse, answer: Answered, attempt: SendAttempt): Promise<void> {
+  private static stream(
+    res: ServerResponse,
+    answer: Answered,
+    attempt: SendAttempt,
+  ): Promise<void> {
     const exchange = answer.rest!;
     return new Promise((resolve) => {
       res.on('drain', () => exchange.resume());
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -75,6 +75,7 @@
       names,
       dataCentre: settings.dataCentre,
       log: new RequestLog(clock, logger),
+      refuseKeysAfterMs: settings.refuseKeysAfter,
     });
     this.follower = this.add(
       new HubFollower({
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -22,8 +22,12 @@
 /** A hub that a majority has not confirmed for this long may hold old state. */
 const UNCONFIRMED_MS = 1_500;
 
-/** Time at one hub before an unconfirmed one, or one in another data centre, is left. */
+/** Time at one hub before an unconfirmed one is left; doubled while the next one is not confirmed either. */
 const MIN_STAY_MS = 2_000;
+const MAX_STAY_MS = 16_000;
+
+/** Time at a hub in another data centre before a nearer one is followed. */
+const FAR_STAY_MS = 5_000;
 
 const RECONNECT_MS = 100;
 
@@ -62,6 +66,9 @@
 export class HubFollower extends DisposableStore {
   private stream: Stream | undefined;
 
+  /** Without a leader all hubs are unconfirmed, and going from one to the next only costs load. */
+  private stayMs = MIN_STAY_MS;
+
   public constructor(private readonly ctx: FollowerContext) {
     super();
     this.add(setPeriodic(ctx.clock, () => this.check(), CHECK_MS));
@@ -120,9 +127,12 @@
     hubConfirmedAge.set(confirmedAgeMs / MS_PER_SECOND);
     if (stream === undefined || stream.abort.signal.aborted) return;
     const isSilent = now - stream.heardAt > SILENCE_MS;
-    const hasStayed = now - stream.startedAt > MIN_STAY_MS;
-    const isOutdated = hasStayed && confirmedAgeMs > UNCONFIRMED_MS;
-    const isFar = hasStayed && choice.hasNearer(stream.address, now);
+    const stayedMs = now - stream.startedAt;
+    const isConfirmed = confirmedAgeMs <= UNCONFIRMED_MS;
+    if (isConfirmed) this.stayMs = MIN_STAY_MS;
+    const isOutdated = !isConfirmed && stayedMs > this.stayMs;
+    const isFar = stayedMs > FAR_STAY_MS && choice.hasNearer(stream.address, now);
+    if (isOutdated) this.stayMs = Math.min(MAX_STAY_MS, this.stayMs * 2);
     if (!isSilent && !isOutdated && !isFar) return;
     logger.info('hub is left', {
       hub: stream.address,
@@ -158,10 +168,7 @@
     update.evidence.forEach((item) => this.adoptEvidence(item, now));
     update.teams.forEach(({ team, isTight }) => board.teams.setTight(team, isTight));
     update.tokens.forEach(({ id, isGranted, retryAfterMs }) =>
-      reporter.settleToken(
-        id,
-        isGranted ? { kind: 'granted' } : { kind: 'refused', retryAfterMs },
-      ),
+      reporter.settleToken(id, isGranted ? { kind: 'granted' } : { kind: 'refused', retryAfterMs }),
     );
     update.retries.forEach(({ service, usedPermille }) =>
       board.retries.setFleetUse(service, usedPermille / PERMILLE, now),
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -62,6 +62,10 @@
   | { readonly kind: 'due' }
   | { readonly kind: 'gone' };
 
+const NEVER = new Promise<Step>(() => {
+  // Stands for an event that does not come.
+});
+
 /** What became of the attempts that failed, for the final reply. */
 interface Failures {
   mayHaveRun: string | undefined;
@@ -182,7 +186,7 @@
   private waitForStall(): { step: Promise<Step>; timer: IDisposable | undefined } {
     const [attempt] = [...this.pending.keys()];
     if (this.sends > 1 || attempt === undefined || this.hasStalled) {
-      return { step: new Promise(() => undefined), timer: undefined };
+      return { step: NEVER, timer: undefined };
     }
     const { expectedMs } = this.ctx.board.durationOf(this.req.route);
     const afterMs = Math.max(
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -56,8 +56,8 @@
     private readonly slowMs: () => number,
   ) {
     this.startedAt = ctx.clock.now();
-    target.ownInFlight += 1;
-    target.lastTriedAt = this.startedAt;
+    this.target.ownInFlight += 1;
+    this.target.lastTriedAt = this.startedAt;
     ctx.reporter.loadChanged(target.info.id);
     this.exchange = ctx.upstream.send(request);
     this.result = this.receive();
--- /dev/null
+++ b/packages/routing/src/RateBucket.ts
@@ -0,0 +1,52 @@
+/** A bucket of tokens that refills at a constant rate. The level may be driven below 0. */
+
+const MS_PER_SECOND = 1_000;
+
+export class RateBucket {
+  public constructor(
+    private ratePerSecond: number,
+    private burst: number,
+    private level: number,
+    private updatedAt: number,
+  ) {}
+
+  /** Changes rate and burst; the level is kept, at most up to the new burst. */
+  public configure(ratePerSecond: number, burst: number, now: number): void {
+    this.refill(now);
+    this.ratePerSecond = ratePerSecond;
+    this.burst = burst;
+    this.level = Math.min(this.level, burst);
+  }
+
+  /** Takes one token if there is one. */
+  public tryTake(now: number): boolean {
+    this.refill(now);
+    if (this.level < 1) return false;
+    this.level -= 1;
+    return true;
+  }
+
+  /** Takes tokens that were used already, whether there are any or not. */
+  public charge(tokens: number, now: number): void {
+    this.refill(now);
+    this.level -= tokens;
+  }
+
+  /** Milliseconds until there is a token. */
+  public waitMs(now: number): number {
+    this.refill(now);
+    return Math.max(0, Math.ceil(((1 - this.level) / this.ratePerSecond) * MS_PER_SECOND));
+  }
+
+  /** Level as a share of the burst. */
+  public fullness(now: number): number {
+    this.refill(now);
+    return this.level / this.burst;
+  }
+
+  private refill(now: number): void {
+    const gained = (this.ratePerSecond * Math.max(0, now - this.updatedAt)) / MS_PER_SECOND;
+    this.level = Math.min(this.burst, this.level + gained);
+    this.updatedAt = now;
+  }
+}
--- a/packages/routing/src/RouteTable.test.ts
+++ b/packages/routing/src/RouteTable.test.ts
@@ -13,8 +13,12 @@
 }
 
 const segment = fc.constantFrom('a', 'b', 'ab');
-const prefix = fc.array(segment, { maxLength: 3 }).map((parts) => `/${parts.map((part) => `${part}/`).join('')}`);
-const path = fc.array(fc.constantFrom('a', 'b', 'ab', ''), { maxLength: 4 }).map((parts) => `/${parts.join('/')}`);
+const prefix = fc
+  .array(segment, { maxLength: 3 })
+  .map((parts) => `/${parts.map((part) => `${part}/`).join('')}`);
+const path = fc
+  .array(fc.constantFrom('a', 'b', 'ab', ''), { maxLength: 4 })
+  .map((parts) => `/${parts.join('/')}`);
 
 describe('RouteTable', () => {
   it('finds the same route as a scan over all prefixes', () => {
@@ -37,7 +41,10 @@
   it('knows a key only by the plan in force, and lets open routes do without', () => {
     const open = makeRoute({ name: 'open', prefix: '/open/', isOpen: true });
     const table = new RouteTable(makePlan({ routes: [makeRoute(), open] }));
-    expect(table.findTeam(makeRoute(), 'key-north')).toLooseEqual({ kind: 'team', team: makeTeam() });
+    expect(table.findTeam(makeRoute(), 'key-north')).toLooseEqual({
+      kind: 'team',
+      team: makeTeam(),
+    });
     expect(table.findTeam(makeRoute(), 'withdrawn')).toEqual({ kind: 'unknown' });
     expect(table.findTeam(makeRoute(), undefined)).toEqual({ kind: 'unknown' });
     expect(table.findTeam(open, undefined)).toEqual({ kind: 'open' });
--- a/packages/routing/src/TargetBelief.test.ts
+++ b/packages/routing/src/TargetBelief.test.ts
@@ -42,7 +42,9 @@
     const bad = makeProvenBelief();
     bad.observe('failed', 300);
     const later = 60_000;
-    expect(Math.abs(good.failingProbability(later) - bad.failingProbability(later))).toBeLessThan(0.01);
+    expect(Math.abs(good.failingProbability(later) - bad.failingProbability(later))).toBeLessThan(
+      0.01,
+    );
     expect(good.failingProbability(later)).toBeGreaterThan(good.failingProbability(300));
   });
 });
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -76,6 +76,40 @@
   return (Math.max(0, inFlight + 1 - slots) / slots) * expectedMs * factor;
 }
 
+/** Value of learning about a target by sending a request that may be repeated. */
+function lookValue(
+  target: TargetState,
+  failing: number,
+  req: SelectionRequest,
+  now: number,
+): number {
+  if (failing < DOUBT) {
+    const idleMs = Math.max(0, now - Math.max(target.lastOutcomeAt, target.lastTriedAt));
+    return EXPLORATION_VALUE * Math.min(1, idleMs / EXPLORATION_MS);
+  }
+  const isDue = now - Math.max(target.lastTriedAt, target.lastOutcomeAt) >= LOOK_INTERVAL_MS;
+  const isFree = target.ownInFlight + target.othersInFlight === 0;
+  const hasTime = req.remainingMs > LOOK_NEEDS_DURATIONS * req.expectedMs;
+  return isDue && isFree && hasTime ? LOOK_VALUE : 0;
+}
+
+/** Expected cost of a choice, in units of the request's credit. */
+function expectedCost(target: TargetState, req: SelectionRequest, now: number): number {
+  const { info } = target;
+  const failing = target.belief.failingProbability(now);
+  const inFlight = target.ownInFlight + target.othersInFlight;
+  const factor = now < target.coldUntil ? COLD_FACTOR : 1;
+  const waitMs = expectedWaitMs(target, req.expectedMs, now);
+  const placeCost = info.dataCentre === req.dataCentre ? 0 : OTHER_DATA_CENTRE_COST;
+  const loadCost =
+    FULLNESS_COST * Math.min(1, (inFlight * factor) / info.slots) +
+    WAIT_COST * (waitMs / req.expectedMs);
+  const failureCost = failing * (req.canRepeat ? REPEAT_COST : LOSS_COST);
+  const value = req.canRepeat ? lookValue(target, failing, req, now) : 0;
+  const reachCost = now < target.unreachableUntil ? UNREACHABLE_COST : 0;
+  return failureCost + placeCost + loadCost + reachCost - value;
+}
+
 /** Picks the target with the least expected cost. */
 export class TargetSelector {
   public constructor(
@@ -90,7 +124,7 @@
       .filter(({ info }) => !req.excluded.has(info.id));
     const scored = candidates.map((target) => ({
       target,
-      cost: this.cost(target, req, now) + JITTER * this.random.float(),
+      cost: expectedCost(target, req, now) + JITTER * this.random.float(),
     }));
     const best = scored.reduce<(typeof scored)[number] | undefined>(
       (least, item) => (least === undefined || item.cost < least.cost ? item : least),
@@ -100,36 +134,4 @@
     const waitMs = expectedWaitMs(best.target, req.expectedMs, now);
     return { ...best, waitMs, candidates: candidates.length };
   }
-
-  private cost(target: TargetState, req: SelectionRequest, now: number): number {
-    const { info } = target;
-    const failing = target.belief.failingProbability(now);
-    const inFlight = target.ownInFlight + target.othersInFlight;
-    const factor = now < target.coldUntil ? COLD_FACTOR : 1;
-    const waitMs = expectedWaitMs(target, req.expectedMs, now);
-    const placeCost = info.dataCentre === req.dataCentre ? 0 : OTHER_DATA_CENTRE_COST;
-    const loadCost =
-      FULLNESS_COST * Math.min(1, (inFlight * factor) / info.slots) +
-      WAIT_COST * (waitMs / req.expectedMs);
-    const failureCost = failing * (req.canRepeat ? REPEAT_COST : LOSS_COST);
-    const value = req.canRepeat ? this.lookValue(target, failing, req, now) : 0;
-    const reachCost = now < target.unreachableUntil ? UNREACHABLE_COST : 0;
-    return failureCost + placeCost + loadCost + reachCost - value;
-  }
-
-  private lookValue(
-    target: TargetState,
-    failing: number,
-    req: SelectionRequest,
-    now: number,
-  ): number {
-    if (failing < DOUBT) {
-      const idleMs = Math.max(0, now - Math.max(target.lastOutcomeAt, target.lastTriedAt));
-      return EXPLORATION_VALUE * Math.min(1, idleMs / EXPLORATION_MS);
-    }
-    const isDue = now - Math.max(target.lastTriedAt, target.lastOutcomeAt) >= LOOK_INTERVAL_MS;
-    const isFree = target.ownInFlight + target.othersInFlight === 0;
-    const hasTime = req.remainingMs > LOOK_NEEDS_DURATIONS * req.expectedMs;
-    return isDue && isFree && hasTime ? LOOK_VALUE : 0;
-  }
 }
--- a/packages/routing/src/TeamGate.ts
+++ b/packages/routing/src/TeamGate.ts
@@ -1,5 +1,6 @@
 /** Admission of a team's requests at one entry. */
 import type { Team } from './plan.js';
+import { RateBucket } from './RateBucket.js';
 
 export type TeamDecision =
   /** Admitted; the use is reported afterwards. */
@@ -8,16 +9,9 @@
   | { readonly kind: 'ask' }
   | { readonly kind: 'refused'; readonly retryAfterMs: number };
 
-interface LocalBucket {
-  level: number;
-  updatedAt: number;
-}
-
 /** After a refusal the entry refuses the team itself for as long as the holder says, at most this long. */
 const MAX_LOCAL_REFUSAL_MS = 150;
 
-const MS_PER_SECOND = 1_000;
-
 /** Part of its even share that an entry without contact to the holder uses, since others may still be lent to. */
 const ISOLATED_SHARE = 0.7;
 
@@ -30,7 +24,7 @@
 
   private readonly refusedUntil = new Map<string, number>();
 
-  private readonly local = new Map<string, LocalBucket>();
+  private readonly local = new Map<string, RateBucket>();
 
   /** Learns whether a team is short of tokens. */
   public setTight(team: string, isTight: boolean): void {
@@ -57,12 +51,10 @@
     const share = ISOLATED_SHARE / Math.max(1, entries);
     const rate = team.ratePerSecond * share;
     const burst = Math.max(1, team.burst * share);
-    const bucket = this.local.get(team.name) ?? { level: burst, updatedAt: now };
-    const gained = (rate * (now - bucket.updatedAt)) / MS_PER_SECOND;
-    const level = Math.min(burst, bucket.level + gained);
-    const isAdmitted = level >= 1;
-    this.local.set(team.name, { level: isAdmitted ? level - 1 : level, updatedAt: now });
-    if (isAdmitted) return { kind: 'admitted' };
-    return { kind: 'refused', retryAfterMs: Math.ceil(((1 - level) / rate) * MS_PER_SECOND) };
+    const bucket = this.local.get(team.name) ?? new RateBucket(rate, burst, burst, now);
+    this.local.set(team.name, bucket);
+    bucket.configure(rate, burst, now);
+    if (bucket.tryTake(now)) return { kind: 'admitted' };
+    return { kind: 'refused', retryAfterMs: bucket.waitMs(now) };
   }
 }
--- a/packages/routing/src/budgets.test.ts
+++ b/packages/routing/src/budgets.test.ts
@@ -35,7 +35,7 @@
   const times: number[] = [];
   let refusedUsual = 0;
   const arrivals: number[] = [];
-  for (let at = 1_000; at < 20_000; ) {
+  for (let at = 1_000; at < 20_000;) {
     const isHot = at > 8_000 && at < 14_000;
     at += random.exponential(1_000 / (isHot ? hotPerS : usualPerS));
     arrivals.push(at);
@@ -65,7 +65,9 @@
 }
 
 function mostInWindow(times: readonly number[]): number {
-  return Math.max(...times.map((start) => times.filter((at) => at >= start && at <= start + WINDOW_MS).length));
+  return Math.max(
+    ...times.map((start) => times.filter((at) => at >= start && at <= start + WINDOW_MS).length),
+  );
 }
 
 describe('team budgets over the fleet', () => {
@@ -120,8 +122,14 @@
         const repeats = recent.filter((event) => event.isRepeat).length;
         return repeats / (BOUNDS.ratio * (recent.length - repeats) + BOUNDS.slack);
       };
-      const low = Math.min(usedSince(now - BOUNDS.windowMs), usedSince(now - BOUNDS.windowMs + partMs));
-      const high = Math.max(usedSince(now - BOUNDS.windowMs), usedSince(now - BOUNDS.windowMs + partMs));
+      const low = Math.min(
+        usedSince(now - BOUNDS.windowMs),
+        usedSince(now - BOUNDS.windowMs + partMs),
+      );
+      const high = Math.max(
+        usedSince(now - BOUNDS.windowMs),
+        usedSince(now - BOUNDS.windowMs + partMs),
+      );
       const used = window.used(now);
       expect(used >= low - 0.05 && used <= high + 0.05).toEqual(true);
     }
--- a/packages/routing/src/plan-items.ts
+++ b/packages/routing/src/plan-items.ts
@@ -18,13 +18,15 @@
 
 /** Splits a plan into items. */
 export function toPlanItems(plan: RoutingPlan): PlanItems {
-  return new Map<string, string>([
-    ...plan.routes.map((route) => [`${ROUTE}${route.host}${route.prefix}`, route] as const),
-    ...plan.services.map((service) => [`${SERVICE}${service.name}`, service] as const),
-    ...plan.teams.map((team) => [`${TEAM}${team.name}`, team] as const),
-    [LIMITS, plan.limits] as const,
-    [HAS_TEAMS, plan.hasTeams] as const,
-  ].map(([key, value]) => [key, JSON.stringify(value)]));
+  return new Map<string, string>(
+    [
+      ...plan.routes.map((route) => [`${ROUTE}${route.host}${route.prefix}`, route] as const),
+      ...plan.services.map((service) => [`${SERVICE}${service.name}`, service] as const),
+      ...plan.teams.map((team) => [`${TEAM}${team.name}`, team] as const),
+      [LIMITS, plan.limits] as const,
+      [HAS_TEAMS, plan.hasTeams] as const,
+    ].map(([key, value]) => [key, JSON.stringify(value)]),
+  );
 }
 
 /** Changes that turn one plan into another. */
