Repeats depend on the hub that is followed, not on the leader

Ruled out: the hub's counts, which do not need the leader. Change: repeats follow the hub's counts, with its share of the slack while it does not hear all hubs; questions for tokens without a stream are decided at once; a stalled target is left out by its entry; refusals say why.

--- a/packages/gateway/src/control/BudgetBroker.ts
+++ b/packages/gateway/src/control/BudgetBroker.ts
@@ -69,10 +69,13 @@
     use.window.add(requests, repeats, now);
   }
 
-  /** Used parts of the retry budgets that changed, or were told too long ago. */
-  public takeRetryUses(now: number): { service: string; usedPermille: number }[] {
+  /**
+   * Used parts of the retry budgets that changed, or were told too long ago. A hub that hears only some of the hubs may
+   * give away only that share of the slack.
+   */
+  public takeRetryUses(now: number, share: number): { service: string; usedPermille: number }[] {
     return [...this.retries].flatMap(([service, use]) => {
-      const usedPermille = Math.round(use.window.used(now) * PERMILLE);
+      const usedPermille = Math.round(use.window.used(now, share) * PERMILLE);
       const isSteady = Math.abs(usedPermille - use.toldPermille) < RETRY_STEP_PERMILLE;
       if (isSteady && now - use.toldAt < RETRY_REPEAT_MS) return [];
       Object.assign(use, { toldPermille: usedPermille, toldAt: now });
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -450,8 +450,9 @@
   }
 
   private spreadRetryUses(now: number): void {
+    const share = this.hubAddresses().length / (this.peers.size + 1);
     this.budgets
-      .takeRetryUses(now)
+      .takeRetryUses(now, share)
       .forEach(({ service, usedPermille }) =>
         this.sessions.forEach((session) => session.setRetryUse(service, usedPermille)),
       );
--- a/packages/gateway/src/entry/CallerReply.ts
+++ b/packages/gateway/src/entry/CallerReply.ts
@@ -14,7 +14,7 @@
   | { readonly kind: 'overloaded'; readonly verdict: 'notRun'; readonly retryAfterMs: number }
   | { readonly kind: 'stopping'; readonly verdict: 'notRun' }
   /** No target ran the request, and there is no time or allowance for another one. */
-  | { readonly kind: 'notSent'; readonly verdict: 'notRun' }
+  | { readonly kind: 'notSent'; readonly verdict: 'notRun'; readonly detail: string }
   | { readonly kind: 'upstreamFailed'; readonly verdict: 'mayHaveRun'; readonly detail: string }
   | { readonly kind: 'timedOut'; readonly verdict: 'mayHaveRun' };
 
--- a/packages/gateway/src/entry/EntryBoard.ts
+++ b/packages/gateway/src/entry/EntryBoard.ts
@@ -19,6 +19,9 @@
 /** Without news of the holder of the team budgets for this long, an entry keeps to its even share. */
 const HOLDER_SILENCE_MS = 1_500;
 
+/** A hub says something every 400 ms. */
+const HUB_SILENCE_MS = 1_500;
+
 const MAX_SEED = 0x7fffffff;
 
 /** Ages are as received; the time since then is added when they are read. */
@@ -93,6 +96,11 @@
     return this.status.confirmedAgeMs + now - this.status.receivedAt;
   }
 
+  /** Whether a hub is followed that counts the repeats of the fleet. */
+  public isFollowing(now: number): boolean {
+    return this.status !== undefined && now - this.status.receivedAt < HUB_SILENCE_MS;
+  }
+
   /** Whether the holder of the team budgets is in reach. */
   public hasBudgetHolder(now: number): boolean {
     if (this.status === undefined) return false;
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -29,6 +29,9 @@
 
 const DRAIN_CHECK_MS = 25;
 
+/** The last answers leave the socket buffers before the process ends. */
+const FLUSH_MS = 100;
+
 export class EntryProcess extends DisposableStore implements GatewayProcess {
   private readonly board: EntryBoard;
 
@@ -124,6 +127,7 @@
     while (this.server.running > 0 && clock.now() - startedAt < graceMs * END_AT_SHARE) {
       await delay(clock, DRAIN_CHECK_MS);
     }
+    await delay(clock, FLUSH_MS);
     this.server.close();
     this.listeners.forEach((server) => server.close());
     this.dispose();
--- a/packages/gateway/src/entry/Reporter.ts
+++ b/packages/gateway/src/entry/Reporter.ts
@@ -102,6 +102,12 @@
     this.outcome(id, 'suspect');
   }
 
+  /** A target is silent for much longer than expected: perhaps only its answers to this entry are lost. */
+  public stalled(id: string): void {
+    this.board.targets.noteUnreachable(id, this.clock.now());
+    this.outcome(id, 'suspect');
+  }
+
   /** A target has answered on a connection. */
   public reached(id: string): void {
     this.board.targets.noteReached(id);
@@ -125,6 +131,7 @@
 
   /** Asks the holder of the budgets for one token. */
   public askToken(team: string): Promise<TokenResult> {
+    if (this.send === undefined) return Promise.resolve({ kind: 'unanswered' });
     this.lastId += 1;
     const id = this.lastId;
     this.questions.push({ id, team });
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -68,6 +68,7 @@
 
 /** What became of the attempts that failed, for the final reply. */
 interface Failures {
+  notRun: string;
   mayHaveRun: string | undefined;
   /** A target's own error response, the best there is if no other target answers. */
   error: { readonly answer: Answered; readonly attempt: SendAttempt } | undefined;
@@ -78,7 +79,7 @@
 
   private readonly pending = new Map<SendAttempt, Promise<Step>>();
 
-  private readonly failures: Failures = { mayHaveRun: undefined, error: undefined };
+  private readonly failures: Failures = { notRun: '', mayHaveRun: undefined, error: undefined };
 
   private readonly service: string;
 
@@ -102,6 +103,7 @@
   }
 
   public async run(): Promise<RunOutcome> {
+    if (this.req.signal.aborted) return { kind: 'callerGone' };
     const first = this.select();
     if (first === undefined) return RequestRun.refused({ kind: 'noTarget', verdict: 'notRun' });
     const hopeless = this.findOverload(first);
@@ -143,7 +145,10 @@
     }
     if (result.kind === 'answered') this.failures.error = { answer: result, attempt };
     if (result.kind === 'mayHaveRun') this.failures.mayHaveRun = result.detail;
-    if (result.kind === 'notRun') this.runs -= 1;
+    if (result.kind === 'notRun') {
+      this.runs -= 1;
+      this.failures.notRun = result.detail;
+    }
     if (this.pending.size > 0) return undefined;
     const mayRepeat = result.kind === 'notRun' || this.isWorthRepeating(result);
     const next = mayRepeat ? this.selectFurther() : undefined;
@@ -165,7 +170,11 @@
       const reply = { kind: 'upstreamFailed', verdict: 'mayHaveRun', detail: mayHaveRun } as const;
       return RequestRun.refused(reply);
     }
-    return RequestRun.refused({ kind: 'notSent', verdict: 'notRun' });
+    return RequestRun.refused({
+      kind: 'notSent',
+      verdict: 'notRun',
+      detail: this.failures.notRun,
+    });
   }
 
   private late(): RunOutcome {
@@ -254,7 +263,7 @@
     if (this.runs >= route.maxTargets || this.sends >= MAX_SENDS) return undefined;
     if (dueAt - now < MIN_SEND_MS) return undefined;
     const isUrgent = priority <= URGENT_PRIORITY;
-    const isConnected = board.hasBudgetHolder(now);
+    const isConnected = board.isFollowing(now);
     if (!board.retries.mayRepeat(this.service, isUrgent, board.entries, isConnected, now)) {
       return undefined;
     }
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -70,7 +70,7 @@
 
   /** Reports that the target is slow while the answer is still awaited. */
   public noteStalled(): void {
-    if (!this.hasEnded) this.ctx.reporter.outcome(this.target.info.id, 'suspect');
+    if (!this.hasEnded) this.ctx.reporter.stalled(this.target.info.id);
   }
 
   /** Ends the attempt without a judgement of the target. */
--- a/packages/routing/src/TeamGate.ts
+++ b/packages/routing/src/TeamGate.ts
@@ -13,7 +13,10 @@
 const MAX_LOCAL_REFUSAL_MS = 150;
 
 /** Part of its even share that an entry without contact to the holder uses, since others may still be lent to. */
-const ISOLATED_SHARE = 0.7;
+const ISOLATED_SHARE = 0.8;
+
+/** Requests of a team reach an entry unevenly, so that an entry alone may save up more than its share of the burst. */
+const ISOLATED_BURST_FACTOR = 1.5;
 
 /**
  * With contact to the holder of the budgets, a team with enough tokens is admitted at once and a team short of tokens
@@ -48,9 +51,8 @@
 
   /** Decides without the holder. */
   public decideAlone(team: Team, entries: number, now: number): TeamDecision {
-    const share = ISOLATED_SHARE / Math.max(1, entries);
-    const rate = team.ratePerSecond * share;
-    const burst = Math.max(1, team.burst * share);
+    const rate = (team.ratePerSecond * ISOLATED_SHARE) / Math.max(1, entries);
+    const burst = Math.max(1, (team.burst * ISOLATED_BURST_FACTOR) / Math.max(1, entries));
     const bucket = this.local.get(team.name) ?? new RateBucket(rate, burst, burst, now);
     this.local.set(team.name, bucket);
     bucket.configure(rate, burst, now);
