--- /dev/null
+++ b/packages/daemon/src/entry/UpstreamClient.test.ts
@@ -0,0 +1,90 @@
+import { after, describe, it } from 'node:test';
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { SystemClock } from '@marigoldbank/base/clock';
+import { expect } from 'earl';
+import { UpstreamClient } from './UpstreamClient.js';
+
+const KEEP_ALIVE_MS = 100;
+const LONG_ANSWER_MS = 600;
+
+const clock = new SystemClock();
+
+function makeClient(): UpstreamClient {
+  return new UpstreamClient(clock, {
+    requestIdHeader: 'x-request-id',
+    timeoutHeader: 'x-timeout-ms',
+    allowsCloseDelimited: true,
+    connectTimeoutMs: 500,
+    keepAliveTimeoutMs: KEEP_ALIVE_MS,
+  });
+}
+
+function startServer(answer: (url: string, res: ServerResponse) => void): Promise<Server> {
+  const server = createServer((req, res) => answer(req.url ?? '', res));
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => resolve(server));
+  });
+}
+
+/** Sends one request and tells how its answer ends. */
+async function fetchBody(client: UpstreamClient, server: Server, target: string): Promise<string> {
+  const exchange = client.send({
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    maxConnections: 4,
+    method: 'GET',
+    target,
+    headers: [],
+    body: Buffer.alloc(0),
+    requestId: target,
+    deadlineAt: clock.now() + 5_000,
+    signal: new AbortController().signal,
+    checkDispatch: () => undefined,
+  });
+  const head = await exchange.head;
+  if (head.kind === 'failed') return head.detail;
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    exchange.consume({
+      onData: (chunk) => chunks.push(chunk) > 0,
+      onEnd: () => resolve(Buffer.concat(chunks).toString()),
+      onFail: ({ detail }) => resolve(detail),
+    });
+  });
+}
+
+describe('UpstreamClient', () => {
+  const closers: (() => void)[] = [];
+  after(() => closers.forEach((close) => close()));
+
+  it('completes a chunked answer while an idle connection to the same target times out', async () => {
+    const server = await startServer((url, res) => {
+      res.write('begin ');
+      setTimeout(() => res.end('end'), url === '/long' ? LONG_ANSWER_MS : 0);
+    });
+    const client = makeClient();
+    closers.push(
+      () => client.dispose(),
+      () => server.close(),
+    );
+    const [short, long] = await Promise.all([
+      fetchBody(client, server, '/short'),
+      fetchBody(client, server, '/long'),
+    ]);
+    expect([short, long]).toEqual(['begin end', 'begin end']);
+  });
+
+  it('fails a chunked answer of a closing connection that is reset', async () => {
+    const server = await startServer((_url, res) => {
+      res.setHeader('connection', 'close');
+      res.write('begin');
+      setTimeout(() => res.socket?.resetAndDestroy(), KEEP_ALIVE_MS / 2);
+    });
+    const client = makeClient();
+    closers.push(
+      () => client.dispose(),
+      () => server.close(),
+    );
+    expect(await fetchBody(client, server, '/torn')).not.toEqual('begin');
+  });
+});
--- a/packages/daemon/src/entry/UpstreamClient.ts
+++ b/packages/daemon/src/entry/UpstreamClient.ts
@@ -49,13 +49,16 @@
 interface TargetPool {
   readonly pool: Pool;
   readonly maxConnections: number;
-  /** Errors on the connections of the pool. */
+  /** Connections of the pool that the target or the network broke. */
   readonly resets: { count: number };
   lastUsedAt: number;
   running: number;
 }
 
-/** Opens connections and counts the errors on them. */
+/** Errors of a connection that was broken. Errors of undici itself, such as the end of an idle connection, are others. */
+const BROKEN_CODES = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
+
+/** Opens connections and counts those that are broken. */
 function countingConnector(resets: { count: number }, timeout: number): buildConnector.connector {
   const connect = buildConnector({ timeout });
   return (options, callback) =>
@@ -64,8 +67,8 @@
         callback(err, null);
         return;
       }
-      socket.once('error', () => {
-        Object.assign(resets, { count: resets.count + 1 });
+      socket.once('error', ({ code }: NodeJS.ErrnoException) => {
+        if (BROKEN_CODES.has(code ?? '')) Object.assign(resets, { count: resets.count + 1 });
       });
       callback(null, socket);
     });
--- a/scripts/docs.mjs
+++ b/scripts/docs.mjs
@@ -12,6 +12,7 @@
 const { z } = createRequire(path.resolve('packages/lists/package.json'))('zod');
 
 const { settingsSchema } = await dist('daemon/dist/settings.js');
+const { gatewaySettingsSchema } = await dist('gateway/dist/settings.js');
 const { cliSettingsSchema } = await dist('cli/dist/cli-settings.js');
 const { EXIT_CODES, OUTCOME_TEXTS } = await dist('cli/dist/exit-codes.js');
 const { commandNames } = await dist('cli/dist/program.js');
@@ -103,6 +104,11 @@
     lists.serviceSchema,
   ),
   ...section('Settings of the daemon', 'The file given with `--settings`.', settingsSchema),
+  ...section(
+    'Settings of a gateway process',
+    'The file that the platform writes from `deploy/settings.toml`. Durations are text: `1500ms`, `2.5s`.',
+    gatewaySettingsSchema,
+  ),
   ...section(
     'Settings of the command line',
     'The file given with `--settings`, by `MARIGOLDBANK_SETTINGS`, or `./marigoldbank.toml`. Exactly one of `secret` and `secretFile` is needed.',
