--- /dev/null
+++ b/packages/gateway/src/sync/sync.test.ts
@@ -0,0 +1,56 @@
+import { describe, it } from 'node:test';
+import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { expect } from 'earl';
+import { Batcher } from './Batcher.js';
+import { EvidenceBuffer } from './EvidenceBuffer.js';
+import { MessageQueue } from './MessageQueue.js';
+
+describe('Batcher', () => {
+  it('flushes once for several changes, and earlier when one is urgent', () => {
+    const clock = new VirtualClock();
+    const flushes: number[] = [];
+    const batcher = new Batcher(clock, () => flushes.push(clock.now()));
+    batcher.request(200);
+    batcher.request(500);
+    clock.advance(50);
+    batcher.request(1);
+    clock.advance(1_000);
+    expect(flushes).toEqual([51]);
+    batcher.request(10);
+    clock.advance(10);
+    expect(flushes).toEqual([51, 1_060]);
+  });
+});
+
+describe('EvidenceBuffer', () => {
+  it('sums outcomes and reads the load when it is sent', () => {
+    const buffer = new EvidenceBuffer();
+    buffer.add('t1', 1, 0, 0);
+    buffer.add('t1', 1, 2, 1);
+    expect(buffer.take(() => 4)).toEqual([
+      { id: 't1', succeeded: 2, failed: 2, suspect: 1, inFlight: 4 },
+    ]);
+    expect(buffer.isEmpty).toEqual(true);
+  });
+});
+
+describe('MessageQueue', () => {
+  it('delivers in order and ends after what waits', async () => {
+    const queue = new MessageQueue<number>();
+    [1, 2].forEach((message) => queue.push(message));
+    queue.end();
+    queue.push(3);
+    const received: number[] = [];
+    const iterator = queue[Symbol.asyncIterator]();
+    for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
+      received.push(next.value);
+    }
+    expect(received).toEqual([1, 2]);
+  });
+
+  it('ends a stream whose reader does not keep up', () => {
+    const queue = new MessageQueue<number>();
+    Array.from({ length: 3_000 }, (_, i) => i).forEach((message) => queue.push(message));
+    expect(queue.isEnded).toEqual(true);
+  });
+});
