The end of a connection is judged at the event that reports it

Ruled out, by tests on loopback: torn answers with a length, in chunks and without a length, on kept and on closing connections, reset or closed, at once or later; all fail as they should. Change: the connector notes end and error of a connection before undici hears of them, instead of counting errors.

--- a/packages/daemon/src/entry/UpstreamClient.test.ts
+++ b/packages/daemon/src/entry/UpstreamClient.test.ts
@@ -74,17 +74,50 @@
     expect([short, long]).toEqual(['begin end', 'begin end']);
   });
 
-  it('fails a chunked answer of a closing connection that is reset', async () => {
+  const framings: readonly [string, string][] = [
+    ['a length', 'content-length: 100\r\n'],
+    ['a length on a closing connection', 'content-length: 100\r\nconnection: close\r\n'],
+    ['chunks', 'transfer-encoding: chunked\r\n'],
+    ['chunks on a closing connection', 'transfer-encoding: chunked\r\nconnection: close\r\n'],
+    ['no length', 'connection: close\r\n'],
+  ];
+  const bodyOf = (head: string): string => (head.includes('chunked') ? '5\r\nbegin\r\n' : 'begin');
+  const ends: readonly [string, (res: ServerResponse) => void][] = [
+    ['is reset', (res) => res.socket?.resetAndDestroy()],
+    ['closes', (res) => res.socket?.end()],
+  ];
+  const cases = framings.flatMap(([framing, head]) =>
+    ends.flatMap(([end, act]) =>
+      [0, KEEP_ALIVE_MS / 2].map((delayMs) => ({ framing, head, end, act, delayMs })),
+    ),
+  );
+  cases
+    .filter(({ framing, end }) => framing !== 'no length' || end === 'is reset')
+    .forEach(({ framing, head, end, act, delayMs }) => {
+      it(`fails an answer with ${framing} whose connection ${end} ${delayMs} ms into it`, async () => {
+        const server = await startServer((_url, res) => {
+          res.socket?.write(`HTTP/1.1 200 OK\r\n${head}\r\n${bodyOf(head)}`, () =>
+            setTimeout(() => act(res), delayMs),
+          );
+        });
+        const client = makeClient();
+        closers.push(
+          () => client.dispose(),
+          () => server.close(),
+        );
+        expect(await fetchBody(client, server, '/torn')).not.toEqual('begin');
+      });
+    });
+
+  it('completes an answer without a length when its connection closes', async () => {
     const server = await startServer((_url, res) => {
-      res.setHeader('connection', 'close');
-      res.write('begin');
-      setTimeout(() => res.socket?.resetAndDestroy(), KEEP_ALIVE_MS / 2);
+      res.socket?.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole');
     });
     const client = makeClient();
     closers.push(
       () => client.dispose(),
       () => server.close(),
     );
-    expect(await fetchBody(client, server, '/torn')).not.toEqual('begin');
+    expect(await fetchBody(client, server, '/whole')).toEqual('whole');
   });
 });
--- a/packages/daemon/src/entry/UpstreamClient.ts
+++ b/packages/daemon/src/entry/UpstreamClient.ts
@@ -3,7 +3,12 @@
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { buildConnector, Pool } from 'undici';
 import { HEADER_REQUEST_ID, HEADER_TIMEOUT } from './constants.js';
-import { UpstreamExchange, type GateFailure, type ResponseRules } from './UpstreamExchange.js';
+import {
+  UpstreamExchange,
+  type ConnectionEnd,
+  type GateFailure,
+  type ResponseRules,
+} from './UpstreamExchange.js';
 
 /** How requests are sent to upstreams. */
 export interface UpstreamProtocol extends ResponseRules {
@@ -49,27 +54,31 @@
 interface TargetPool {
   readonly pool: Pool;
   readonly maxConnections: number;
-  /** Connections of the pool that the target or the network broke. */
-  readonly resets: { count: number };
+  readonly ending: EndingConnection;
   lastUsedAt: number;
   running: number;
 }
 
-/** Errors of a connection that was broken. Errors of undici itself, such as the end of an idle connection, are others. */
-const BROKEN_CODES = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
+/** The end of a connection, while its events are reported. */
+interface EndingConnection {
+  end: ConnectionEnd | undefined;
+}
 
-/** Opens connections and counts those that are broken. */
-function countingConnector(resets: { count: number }, timeout: number): buildConnector.connector {
+/** Opens connections and notes the end of each before undici hears of it. */
+function watchingConnector(ending: EndingConnection, timeout: number): buildConnector.connector {
   const connect = buildConnector({ timeout });
+  const note = (end: ConnectionEnd): void => {
+    Object.assign(ending, { end });
+    queueMicrotask(() => Object.assign(ending, { end: undefined }));
+  };
   return (options, callback) =>
     connect(options, (...[err, socket]: buildConnector.CallbackArgs) => {
       if (err !== null) {
         callback(err, null);
         return;
       }
-      socket.once('error', ({ code }: NodeJS.ErrnoException) => {
-        if (BROKEN_CODES.has(code ?? '')) Object.assign(resets, { count: resets.count + 1 });
-      });
+      socket.once('end', () => note('closed'));
+      socket.once('error', () => note('broken'));
       callback(null, socket);
     });
 }
@@ -95,7 +104,7 @@
       req.method,
       req.requestId,
       this.protocol,
-      () => entry.resets.count,
+      () => entry.ending.end,
       req.checkDispatch,
       () => {
         entry.running -= 1;
@@ -159,11 +168,11 @@
       return known;
     }
     if (known !== undefined) UpstreamClient.retire(known);
-    const resets = { count: 0 };
+    const ending: EndingConnection = { end: undefined };
     const pool = new Pool(`http://${address}`, {
       connections: maxConnections,
       pipelining: 1,
-      connect: countingConnector(resets, this.protocol.connectTimeoutMs),
+      connect: watchingConnector(ending, this.protocol.connectTimeoutMs),
       keepAliveTimeout: this.protocol.keepAliveTimeoutMs,
       keepAliveMaxTimeout: this.protocol.keepAliveTimeoutMs,
       // Each exchange has its own deadline.
@@ -171,7 +180,7 @@
       bodyTimeout: 0,
       strictContentLength: true,
     });
-    const created = { pool, maxConnections, resets, lastUsedAt: this.clock.now(), running: 0 };
+    const created = { pool, maxConnections, ending, lastUsedAt: this.clock.now(), running: 0 };
     this.pools.set(address, created);
     return created;
   }
--- a/packages/daemon/src/entry/UpstreamExchange.ts
+++ b/packages/daemon/src/entry/UpstreamExchange.ts
@@ -10,6 +10,9 @@
   readonly refusal?: Refusal;
 }
 
+/** `closed` by the target in order, or `broken` by it or the network. */
+export type ConnectionEnd = 'closed' | 'broken';
+
 export interface ResponseHead {
   readonly kind: 'head';
   readonly status: number;
@@ -77,9 +80,7 @@
 
   private hasHead = false;
 
-  private hasLength = false;
-
-  private resetsAtStart = 0;
+  private isChunked = false;
 
   private sink: BodySink | undefined;
 
@@ -95,8 +96,8 @@
     private readonly method: string,
     private readonly requestId: string,
     private readonly rules: ResponseRules,
-    /** Resets seen so far on connections to the target. */
-    private readonly resetCount: () => number,
+    /** How the connection that reports an event at this moment ends, if it does. */
+    private readonly connectionEnd: () => ConnectionEnd | undefined,
     private readonly checkDispatch: () => GateFailure | undefined,
     private readonly onDone: () => void,
   ) {
@@ -120,7 +121,6 @@
       throw new ExchangeError('gate', gate.kind);
     }
     this.hasBeenSent = true;
-    this.resetsAtStart = this.resetCount();
     this.controller = controller;
   }
 
@@ -141,7 +141,7 @@
       return;
     }
     this.hasHead = true;
-    this.hasLength = headers['content-length'] !== undefined;
+    this.isChunked = headers['transfer-encoding'] !== undefined;
     this.settleHead({ kind: 'head', status, headers });
   }
 
@@ -158,9 +158,10 @@
 
   public onResponseEnd(): void {
     if (this.failure !== undefined) return;
-    // undici ends a response that may end with its connection also when the connection is reset.
-    if (!this.hasLength && this.resetCount() !== this.resetsAtStart) {
-      this.fail('connectionLost', 'reset before the end of the response');
+    // undici takes the end of a connection, and even its reset, for the end of a response that announced it.
+    const end = this.connectionEnd();
+    if (end === 'broken' || (end === 'closed' && this.isChunked)) {
+      this.fail('connectionLost', `connection ${end} before the end of the response`);
       return;
     }
     this.hasEnded = true;
