Hubs withhold plans until a leader has confirmed them

Ruled out: the log itself (version 51 was held by the leader at 35.05 s). Change: no plan before the first confirmation, or 10 s; hubs that failed are tried in the order of their failures; the stay at an unconfirmed hub begins with 1 s.

--- /dev/null
+++ b/packages/gateway/src/control/EntrySession.test.ts
@@ -0,0 +1,88 @@
+import { describe, it } from 'node:test';
+import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { toPlanItems } from '@marigoldbank/routing/plan-items';
+import type { RoutingPlan } from '@marigoldbank/routing/plan';
+import { expect } from 'earl';
+import { EntrySession, type HubUpdateInit } from './EntrySession.js';
+import type { HeldPlan } from './PlanMachine.js';
+
+function makeHeld(version: number): HeldPlan {
+  const limits = {
+    maxHeaderBytes: 1,
+    maxBodyBytes: version,
+    headersTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  };
+  const plan: RoutingPlan = {
+    version,
+    routes: [],
+    services: [],
+    teams: [],
+    hasTeams: true,
+    limits,
+  };
+  return { plan, items: toPlanItems(plan), document: '' };
+}
+
+function makeSession(): {
+  clock: VirtualClock;
+  session: EntrySession;
+  hold: (plan: HeldPlan | undefined) => void;
+  sent: HubUpdateInit[];
+} {
+  const clock = new VirtualClock();
+  let held: HeldPlan | undefined;
+  const identity = { vm: 'e1', address: 'e1:80', dataCentre: 'dc-1' };
+  const session = new EntrySession(identity, {
+    clock,
+    currentPlan: () => held,
+    othersInFlight: () => 0,
+  });
+  const sent: HubUpdateInit[] = [];
+  session.queue.push = (update) => sent.push(update);
+  const hold = (plan: HeldPlan | undefined): void => {
+    held = plan;
+    session.planChanged();
+  };
+  return { clock, session, hold, sent };
+}
+
+function versionsOf(sent: readonly HubUpdateInit[]): [bigint, bigint][] {
+  return sent.flatMap(({ plan }) =>
+    plan === undefined ? [] : [[plan.fromVersion ?? 0n, plan.version ?? 0n] as [bigint, bigint]],
+  );
+}
+
+describe('EntrySession', () => {
+  it('sends nothing while the hub withholds its plan', () => {
+    const { clock, hold, sent } = makeSession();
+    hold(undefined);
+    clock.advance(1_000);
+    expect(sent).toEqual([]);
+  });
+
+  it('sends a series of plans as one difference to the first', () => {
+    const { clock, hold, sent } = makeSession();
+    hold(makeHeld(3));
+    clock.advance(10);
+    [4, 5, 6].forEach((version) => {
+      hold(makeHeld(version));
+      clock.advance(10);
+    });
+    clock.advance(1_000);
+    expect(versionsOf(sent)).toEqual([
+      [0n, 3n],
+      [3n, 6n],
+    ]);
+  });
+
+  it('sends a failure at once and successes together', () => {
+    const { clock, session, sent } = makeSession();
+    session.addEvidence('t1', 1, 0, 0);
+    clock.advance(50);
+    expect(sent.length).toEqual(0);
+    session.addEvidence('t2', 0, 1, 0);
+    clock.advance(2);
+    expect(sent[0]?.evidence?.length).toEqual(2);
+  });
+});
--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -109,7 +109,10 @@
     this.batcher.request(FLUSH_MS);
   }
 
+  /** Sends the plan if the entry does not have it. */
   public planChanged(): void {
+    const current = this.source.currentPlan();
+    if (current === undefined || current === this.sentPlan) return;
     const wait = this.planSentAt + PLAN_INTERVAL_MS - this.source.clock.now();
     this.batcher.request(Math.max(URGENT_FLUSH_MS, wait));
   }
@@ -142,7 +145,7 @@
     if (current === undefined || current === this.sentPlan) return undefined;
     const now = this.source.clock.now();
     if (now < this.planSentAt + PLAN_INTERVAL_MS) {
-      this.planChanged();
+      this.batcher.request(this.planSentAt + PLAN_INTERVAL_MS - now);
       return undefined;
     }
     const from = this.sentPlan;
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -36,6 +36,9 @@
 /** An entry that reports nothing for this long is gone. */
 const ENTRY_SILENCE_MS = 3_000;
 
+/** Without a leader for this long, a plan that may be old is better for callers than none. */
+const WITHHOLD_PLAN_MS = 10_000;
+
 /** Name of this hub among the sources of entries. */
 const OWN = '';
 
@@ -83,6 +86,10 @@
 
   private ticks = 0;
 
+  private hasBeenConfirmed = false;
+
+  private readonly startedAt: number;
+
   private isLeaving = false;
 
   public constructor(private readonly ctx: HubContext) {
@@ -95,6 +102,7 @@
       windowMs: retryWindow,
     });
     this.ownAddress = syncAddress(settings, settings.ip);
+    this.startedAt = clock.now();
     this.add(machine.onDidChangePlan(() => this.planChanged()));
     this.add(machine.onDidMarkLeaving((id) => this.leavingMarked(id)));
     this.add(setPeriodic(clock, () => this.tick(), TICK_MS));
@@ -142,7 +150,7 @@
     this.sessions.get(identity.vm)?.dispose();
     const session = new EntrySession(identity, {
       clock,
-      currentPlan: () => machine.current,
+      currentPlan: () => (this.mayTellPlan() ? machine.current : undefined),
       othersInFlight: (vm, target) => this.load.total(target) - this.load.of(vm, target),
     });
     this.sessions.set(identity.vm, session);
@@ -389,6 +397,15 @@
     this.links.forEach((link) => link.send({ teamStates }));
   }
 
+  /**
+   * A member that has just started replays its log, and one with a new disk begins without it. Until a leader has
+   * confirmed it, its plan may be an old one.
+   */
+  private mayTellPlan(): boolean {
+    if (!this.hasBeenConfirmed && this.confirmedAgeMs() < Infinity) this.hasBeenConfirmed = true;
+    return this.hasBeenConfirmed || this.ctx.clock.now() - this.startedAt > WITHHOLD_PLAN_MS;
+  }
+
   private setMode(team: string, isTight: boolean): void {
     this.modes.set(team, isTight);
     this.sessions.forEach((session) => session.setTeam(team, isTight));
@@ -418,6 +435,7 @@
     this.spreadRetryUses(now);
     this.ticks += 1;
     if (this.ticks % TICKS_PER_STATUS !== 0) return;
+    if (this.mayTellPlan()) this.sessions.forEach((session) => session.planChanged());
     const update = this.status(now);
     this.sessions.forEach((session) => session.send(update));
     this.links.forEach((link) => link.send({ hubs: this.hubAddresses() }));
--- a/packages/gateway/src/entry/HubChoice.test.ts
+++ b/packages/gateway/src/entry/HubChoice.test.ts
@@ -32,9 +32,11 @@
     expect(choice.hasNearer('far:1', 5_000)).toEqual(true);
   });
 
-  it('tries again when all have failed', () => {
+  it('tries the hub whose failure is the oldest when all have failed', () => {
     const choice = makeChoice();
-    ['near:1', 'far:1', ...SEEDS].forEach((address) => choice.noteFailure(address, 0));
-    expect(choice.next(10, 0)).toEqual('near:1');
+    ['far:1', 's2:1', 'near:1', 's1:1'].forEach((address, at) => choice.noteFailure(address, at));
+    expect(choice.next(10, 0.9)).toEqual('far:1');
+    choice.noteFailure('far:1', 11);
+    expect(choice.next(12, 0.9)).toEqual('s2:1');
   });
 });
--- a/packages/gateway/src/entry/HubChoice.ts
+++ b/packages/gateway/src/entry/HubChoice.ts
@@ -32,14 +32,15 @@
     this.failedAt.set(address, now);
   }
 
-  /** A hub of the own data centre before others; those that failed lately come last. */
+  /** A hub of the own data centre before others; if all failed lately, the one whose failure is the oldest. */
   public next(now: number, point: number): string | undefined {
-    const isUsable = ({ address }: HubCandidate): boolean =>
-      now - (this.failedAt.get(address) ?? -Infinity) > FAILED_MS;
-    const usable = this.hubs.filter(isUsable);
+    const failureOf = ({ address }: HubCandidate): number =>
+      this.failedAt.get(address) ?? -Infinity;
+    const usable = this.hubs.filter((hub) => now - failureOf(hub) > FAILED_MS);
     const near = usable.filter(({ dataCentre }) => dataCentre === this.dataCentre);
-    const pool = [near, usable, this.hubs].find((list) => list.length > 0) ?? [];
-    return pool[Math.floor(point * pool.length)]?.address;
+    const pool = near.length > 0 ? near : usable;
+    if (pool.length > 0) return pool[Math.floor(point * pool.length)]?.address;
+    return [...this.hubs].sort((a, b) => failureOf(a) - failureOf(b))[0]?.address;
   }
 
   /** Whether another hub in the own data centre can be used instead. */
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -23,7 +23,7 @@
 const UNCONFIRMED_MS = 1_500;
 
 /** Time at one hub before an unconfirmed one is left; doubled while the next one is not confirmed either. */
-const MIN_STAY_MS = 2_000;
+const MIN_STAY_MS = 1_000;
 const MAX_STAY_MS = 16_000;
 
 /** Time at a hub in another data centre before a nearer one is followed. */
