An answer without a sign of its end is a failure

Ruled out: a crash of the target (it accepts connections); a reset (the connector saw only the end). The watch on connections and the check of the address go. A spoilt answer is weak evidence against its target. The writer of answers is a class of its own.

--- a/packages/daemon/src/entry/UpstreamClient.ts
+++ b/packages/daemon/src/entry/UpstreamClient.ts
@@ -1,14 +1,9 @@
 /** Connections to upstream targets. */
 import { DisposableStore, type IDisposable } from '@marigoldbank/base/lifecycle';
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
-import { buildConnector, Pool } from 'undici';
+import { Pool } from 'undici';
 import { HEADER_REQUEST_ID, HEADER_TIMEOUT } from './constants.js';
-import {
-  UpstreamExchange,
-  type ConnectionEnd,
-  type GateFailure,
-  type ResponseRules,
-} from './UpstreamExchange.js';
+import { UpstreamExchange, type GateFailure, type ResponseRules } from './UpstreamExchange.js';
 
 /** How requests are sent to upstreams. */
 export interface UpstreamProtocol extends ResponseRules {
@@ -22,7 +17,6 @@
 
 const DEFAULT_PROTOCOL: UpstreamProtocol = {
   requestIdHeader: HEADER_REQUEST_ID,
-  allowsCloseDelimited: false,
   timeoutHeader: HEADER_TIMEOUT,
   connectTimeoutMs: 1_000,
   // Below the 5 s after which many servers close idle connections, so that few requests meet a closing one.
@@ -54,35 +48,10 @@
 interface TargetPool {
   readonly pool: Pool;
   readonly maxConnections: number;
-  readonly ending: EndingConnection;
   lastUsedAt: number;
   running: number;
 }
 
-/** The end of a connection, while its events are reported. */
-interface EndingConnection {
-  end: ConnectionEnd | undefined;
-}
-
-/** Opens connections and notes the end of each before undici hears of it. */
-function watchingConnector(ending: EndingConnection, timeout: number): buildConnector.connector {
-  const connect = buildConnector({ timeout });
-  const note = (end: ConnectionEnd): void => {
-    Object.assign(ending, { end });
-    queueMicrotask(() => Object.assign(ending, { end: undefined }));
-  };
-  return (options, callback) =>
-    connect(options, (...[err, socket]: buildConnector.CallbackArgs) => {
-      if (err !== null) {
-        callback(err, null);
-        return;
-      }
-      socket.once('end', () => note('closed'));
-      socket.once('error', () => note('broken'));
-      callback(null, socket);
-    });
-}
-
 /** Keeps one pool per target; no pipelining, no retries. */
 export class UpstreamClient implements IDisposable {
   private readonly pools = new Map<string, TargetPool>();
@@ -104,7 +73,6 @@
       req.method,
       req.requestId,
       this.protocol,
-      () => entry.ending.end,
       req.checkDispatch,
       () => {
         entry.running -= 1;
@@ -168,11 +136,10 @@
       return known;
     }
     if (known !== undefined) UpstreamClient.retire(known);
-    const ending: EndingConnection = { end: undefined };
     const pool = new Pool(`http://${address}`, {
       connections: maxConnections,
       pipelining: 1,
-      connect: watchingConnector(ending, this.protocol.connectTimeoutMs),
+      connectTimeout: this.protocol.connectTimeoutMs,
       keepAliveTimeout: this.protocol.keepAliveTimeoutMs,
       keepAliveMaxTimeout: this.protocol.keepAliveTimeoutMs,
       // Each exchange has its own deadline.
@@ -180,7 +147,7 @@
       bodyTimeout: 0,
       strictContentLength: true,
     });
-    const created = { pool, maxConnections, ending, lastUsedAt: this.clock.now(), running: 0 };
+    const created = { pool, maxConnections, lastUsedAt: this.clock.now(), running: 0 };
     this.pools.set(address, created);
     return created;
   }
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -2,19 +2,17 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { delay } from '@marigoldbank/base/clock';
 import { CallerConnection } from '@marigoldbank/daemon/entry/CallerConnection';
-import { HOP_BY_HOP, connectionTokens } from '@marigoldbank/daemon/entry/headers';
 import { readBody } from '@marigoldbank/daemon/entry/readBody';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
 import type { PlanLimits, Route, Team } from '@marigoldbank/routing/plan';
 import type { RouteTable } from '@marigoldbank/routing/RouteTable';
 import { requestSeconds, requestsTotal } from '../metrics.js';
+import { AnswerWriter, type Transaction } from './AnswerWriter.js';
 import { formatReply, type Reply } from './CallerReply.js';
 import type { RequestLog } from './RequestLog.js';
-import { RequestRun, type Answered, type RunContext, type RunOutcome } from './RequestRun.js';
+import { RequestRun, type RunContext, type RunOutcome } from './RequestRun.js';
 import { readRequestHead, type RequestHead } from './requestHead.js';
-import type { SendAttempt } from './SendAttempt.js';
 
 /** Limits until a plan is known. */
 const INITIAL_LIMITS: PlanLimits = {
@@ -35,9 +33,6 @@
 /** Longest time for a whole body. */
 const BODY_TIMEOUT_MS = 30_000;
 
-/** Time that the rest of a refused body is read, so that the caller can read the answer. */
-const LINGER_MS = 1_000;
-
 /** Without a confirmation for this long, an unknown route or key may only be unknown here. */
 const MAX_CONFIRMED_AGE_MS = 1_200;
 
@@ -52,14 +47,6 @@
   readonly refuseKeysAfterMs: number | undefined;
 }
 
-interface Transaction {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  readonly connection: CallerConnection;
-  readonly receivedAt: number;
-  readonly gone: AbortController;
-}
-
 /** A request whose route and team are known. */
 interface Admitted {
   readonly route: Route;
@@ -70,13 +57,6 @@
   | { readonly kind: 'admitted'; readonly admitted: Admitted }
   | { readonly kind: 'refused'; readonly reply: Reply };
 
-function hasUnreadBody(req: IncomingMessage): boolean {
-  const hasBody =
-    req.headers['transfer-encoding'] !== undefined ||
-    Number(req.headers['content-length'] ?? 0) > 0;
-  return hasBody && !req.complete;
-}
-
 function refused(reply: Reply): Admission {
   return { kind: 'refused', reply };
 }
@@ -86,6 +66,8 @@
 
   private readonly connections = new WeakMap<Duplex, CallerConnection>();
 
+  private readonly writer: AnswerWriter;
+
   private limits = INITIAL_LIMITS;
 
   /** Answers end their connections. */
@@ -98,6 +80,8 @@
 
   public constructor(private readonly ctx: ServerContext) {
     this.server = this.createServer();
+    const { clock, names } = ctx;
+    this.writer = new AnswerWriter({ clock, names, isLeaving: () => this.isLeaving });
     ctx.board.onDidChangePlan((table) => this.adoptLimits(table));
   }
 
@@ -333,64 +317,7 @@
       return;
     }
     this.record(tx, head, route, 'answered', outcome.answer.status, trace);
-    await this.answer(tx, outcome.answer, outcome.attempt);
-  }
-
-  private async answer(tx: Transaction, answer: Answered, attempt: SendAttempt): Promise<void> {
-    const { res } = tx;
-    if (res.destroyed) {
-      answer.rest?.abort('cancelled', 'the caller went away');
-      attempt.cancel();
-      return;
-    }
-    res.writeHead(answer.status, this.answerHeaders(answer));
-    answer.body.forEach((chunk) => res.write(chunk));
-    if (answer.rest === undefined) {
-      res.end();
-      return;
-    }
-    await CallerServer.stream(res, answer, attempt);
-  }
-
-  /** Passes on the rest of a large answer. One that breaks off must not look complete. */
-  private static stream(
-    res: ServerResponse,
-    answer: Answered,
-    attempt: SendAttempt,
-  ): Promise<void> {
-    const exchange = answer.rest!;
-    return new Promise((resolve) => {
-      res.on('drain', () => exchange.resume());
-      res.once('close', () => {
-        exchange.abort('cancelled', 'the caller went away');
-        attempt.cancel();
-        resolve();
-      });
-      exchange.consume({
-        onData: (chunk) => res.write(chunk),
-        onEnd: () => {
-          attempt.judge(answer.status);
-          res.end(() => resolve());
-        },
-        onFail: () => res.destroy(),
-      });
-    });
-  }
-
-  private answerHeaders({ headers, body, rest }: Answered): Record<string, string | string[]> {
-    const tokens = connectionTokens([headers.connection ?? []].flat());
-    const dropped = new Set([...HOP_BY_HOP, ...tokens]);
-    const kept = Object.entries(headers).flatMap(([name, value]) =>
-      value === undefined || dropped.has(name) ? [] : [[name, value] as const],
-    );
-    const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
-    // A response that ended with its connection gets the length that was received.
-    const needsLength = rest === undefined && headers['content-length'] === undefined && length > 0;
-    return {
-      ...Object.fromEntries(kept),
-      ...(needsLength ? { 'content-length': String(length) } : {}),
-      ...(this.isLeaving ? { connection: 'close' } : {}),
-    };
+    await this.writer.answer(tx, outcome.answer, outcome.attempt);
   }
 
   private async refuse(
@@ -400,29 +327,9 @@
     reply: Reply,
     trace?: RequestRun['trace'],
   ): Promise<void> {
-    const { req, res } = tx;
     const message = formatReply(reply);
     this.record(tx, head, route, reply.kind, message.status, trace, reply);
-    if (res.headersSent || res.destroyed) return;
-    const isUnread = hasUnreadBody(req);
-    const isLast = isUnread || tx.connection.isClosing || this.isLeaving;
-    const { names } = this.ctx;
-    res.writeHead(message.status, {
-      ...message.headers,
-      ...(head === undefined ? {} : { [names.requestId]: head.requestId }),
-      ...(isLast ? { connection: 'close' } : {}),
-    });
-    res.write(message.body);
-    if (isUnread) {
-      req.resume();
-      await Promise.race([
-        new Promise((resolve) => {
-          req.once('close', resolve);
-        }),
-        delay(this.ctx.clock, LINGER_MS),
-      ]);
-    }
-    res.end();
+    await this.writer.refuse(tx, head?.requestId, message);
   }
 
   private record(
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -65,7 +65,6 @@
       new UpstreamClient(clock, {
         requestIdHeader: names.requestId,
         timeoutHeader: names.deadlineMs,
-        allowsCloseDelimited: true,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         keepAliveTimeoutMs: UPSTREAM_KEEP_ALIVE_MS,
       }),
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -10,7 +10,6 @@
 import type { TargetState } from '@marigoldbank/routing/TargetBoard';
 import type { HeaderNames } from '../Dialect.js';
 import { attemptsTotal } from '../metrics.js';
-import { canConnect } from './canConnect.js';
 import type { Reporter } from './Reporter.js';
 
 /** Answers up to this size are received as a whole before any of it is passed on. */
@@ -18,11 +17,6 @@
 
 const FIRST_ERROR_STATUS = 500;
 
-const STATUS_WITHOUT_BODY = new Set([204, 304]);
-
-/** Time for a connection that shows that a target is alive; within a region it takes milliseconds. */
-const LIVENESS_TIMEOUT_MS = 150;
-
 /** What came of an attempt. */
 export type AttemptResult =
   /** A target's answer to a request that it ran. `rest` delivers what follows the buffered part. */
@@ -120,7 +114,7 @@
     const { target, exchange } = this;
     const body: Buffer[] = [];
     let size = 0;
-    return new Promise((resolve, reject) => {
+    return new Promise((resolve) => {
       const sink: BodySink = {
         onData: (chunk) => {
           body.push(chunk);
@@ -130,15 +124,8 @@
           return false;
         },
         onEnd: () => {
-          const answer = {
-            kind: 'answered',
-            status,
-            headers,
-            body,
-            rest: undefined,
-            target,
-          } as const;
-          this.conclude(answer).then(resolve, reject);
+          this.judge(status);
+          resolve({ kind: 'answered', status, headers, body, rest: undefined, target });
         },
         onFail: (failure) => resolve(this.failed(failure)),
       };
@@ -146,28 +133,6 @@
     });
   }
 
-  /**
-   * A crashed process closes its connections like one that has finished. An answer that shows its end only by that is
-   * taken for complete if the target still accepts connections.
-   */
-  private async conclude(answer: AttemptResult & { kind: 'answered' }): Promise<AttemptResult> {
-    const { target, ctx } = this;
-    const { headers, status } = answer;
-    const showsItsEnd =
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    const isComplete =
-      showsItsEnd ||
-      STATUS_WITHOUT_BODY.has(status) ||
-      (await canConnect(target.info.address, LIVENESS_TIMEOUT_MS));
-    if (isComplete) {
-      this.judge(status);
-      return answer;
-    }
-    this.end('failed');
-    ctx.reporter.outcome(target.info.id, 'failed');
-    return { kind: 'mayHaveRun', detail: 'the target ended within its answer', target };
-  }
-
   /** Judges the target by a complete answer. */
   public judge(status: number): void {
     if (this.hasEnded) return;
@@ -183,7 +148,10 @@
       this.end(failure.cause);
       if (failure.cause === 'connectFailed') this.ctx.reporter.unreachable(target.info.id);
       else if (failure.cause === 'timedOut') this.ctx.reporter.stalled(target.info.id);
-      else if (!wasOurs) this.ctx.reporter.outcome(target.info.id, 'failed');
+      else if (failure.cause === 'connectionLost')
+        this.ctx.reporter.outcome(target.info.id, 'failed');
+      // Single spoilt answers come from targets that serve the others.
+      else if (!wasOurs) this.ctx.reporter.outcome(target.info.id, 'suspect');
     }
     return { kind: failure.verdict, detail: `${failure.cause}: ${failure.detail}`, target };
   }
