--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -3,7 +3,7 @@
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
 import type { Route } from '@marigoldbank/routing/plan';
 import { pickShare } from '@marigoldbank/routing/RouteTable';
-import { DOUBT, type Selection } from '@marigoldbank/routing/TargetSelector';
+import { FAILING_THRESHOLD, type Selection } from '@marigoldbank/routing/TargetSelector';
 import type { EntryBoard } from './EntryBoard.js';
 import type { Reply } from './CallerReply.js';
 import type { RequestHead } from './requestHead.js';
@@ -163,7 +163,7 @@
   private isWorthRepeating(result: AttemptResult): boolean {
     if (!this.req.route.isIdempotent) return false;
     if (result.kind !== 'answered') return true;
-    return result.target.belief.failingProbability(this.ctx.clock.now()) > DOUBT;
+    return result.target.belief.failingProbability(this.ctx.clock.now()) > FAILING_THRESHOLD;
   }
 
   private exhausted(): RunOutcome {
--- a/packages/routing/src/TargetSelector.test.ts
+++ b/packages/routing/src/TargetSelector.test.ts
@@ -42,7 +42,7 @@
     expect(chooseOften(selector, makeRequest(), 1_000)).toEqual(new Set(['t2']));
   });
 
-  it('looks at a failing target with requests that may be repeated, once an interval', () => {
+  it('probes a failing target with requests that may be repeated, once an interval', () => {
     const { board, selector } = makeSelector(['t1', 't2']);
     [0, 50, 100].forEach((at) => board.observe('t2', 'succeeded', at));
     board.observe('t1', 'failed', 100);
@@ -54,7 +54,7 @@
     expect(chooseOften(selector, req, 2_100).has('t1')).toEqual(false);
   });
 
-  it('does not look at a failing target when the time left is short', () => {
+  it('does not probe a failing target when the time left is short', () => {
     const { board, selector } = makeSelector(['t1', 't2']);
     board.observe('t1', 'failed', 0);
     board.get('t2')!.lastTriedAt = 2_990;
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -47,17 +47,17 @@
 /** After this time without an outcome a target is worth the whole exploration value. */
 const EXPLORATION_MS = 1_500;
 
-/** Above this probability a target counts as failing and is only looked at, one request at a time. */
-export const DOUBT = 0.4;
+/** Above this probability a target counts as failing and is only probed, one request at a time. */
+export const FAILING_THRESHOLD = 0.4;
 
-/** Time between two looks of the whole fleet at a failing target. */
-const LOOK_INTERVAL_MS = 1_200;
+/** Time between two probes of a failing target by the whole fleet. */
+const PROBE_INTERVAL_MS = 1_200;
 
-/** Value of a look at a failing target that is due; above the loss it risks. */
-const LOOK_VALUE = 0.2;
+/** Value of a due probe of a failing target; above the loss it risks. */
+const PROBE_VALUE = 0.2;
 
-/** A look leaves time for a second target: so many expected durations. */
-const LOOK_NEEDS_DURATIONS = 2.5;
+/** A probe leaves time for a second target: so many expected durations. */
+const PROBE_NEEDS_DURATIONS = 2.5;
 
 /** A target that has just started serves at half speed. */
 const COLD_FACTOR = 2;
@@ -77,20 +77,20 @@
 }
 
 /** Value of learning about a target by sending a request that may be repeated. */
-function lookValue(
+function probeValue(
   target: TargetState,
   failing: number,
   req: SelectionRequest,
   now: number,
 ): number {
-  if (failing < DOUBT) {
+  if (failing < FAILING_THRESHOLD) {
     const idleMs = Math.max(0, now - Math.max(target.lastOutcomeAt, target.lastTriedAt));
     return EXPLORATION_VALUE * Math.min(1, idleMs / EXPLORATION_MS);
   }
-  const isDue = now - Math.max(target.lastTriedAt, target.lastOutcomeAt) >= LOOK_INTERVAL_MS;
+  const isDue = now - Math.max(target.lastTriedAt, target.lastOutcomeAt) >= PROBE_INTERVAL_MS;
   const isFree = target.ownInFlight + target.othersInFlight === 0;
-  const hasTime = req.remainingMs > LOOK_NEEDS_DURATIONS * req.expectedMs;
-  return isDue && isFree && hasTime ? LOOK_VALUE : 0;
+  const hasTime = req.remainingMs > PROBE_NEEDS_DURATIONS * req.expectedMs;
+  return isDue && isFree && hasTime ? PROBE_VALUE : 0;
 }
 
 /** Expected cost of a choice, in units of the request's credit. */
@@ -105,7 +105,7 @@
     FULLNESS_COST * Math.min(1, (inFlight * factor) / info.slots) +
     WAIT_COST * (waitMs / req.expectedMs);
   const failureCost = failing * (req.canRepeat ? REPEAT_COST : LOSS_COST);
-  const value = req.canRepeat ? lookValue(target, failing, req, now) : 0;
+  const value = req.canRepeat ? probeValue(target, failing, req, now) : 0;
   const reachCost = now < target.unreachableUntil ? UNREACHABLE_COST : 0;
   return failureCost + placeCost + loadCost + reachCost - value;
 }
