--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -148,8 +148,9 @@
       this.end(failure.cause);
       if (failure.cause === 'connectFailed') this.ctx.reporter.unreachable(target.info.id);
       else if (failure.cause === 'timedOut') this.ctx.reporter.stalled(target.info.id);
-      else if (failure.cause === 'connectionLost')
+      else if (failure.cause === 'connectionLost') {
         this.ctx.reporter.outcome(target.info.id, 'failed');
+      }
       // Single spoilt answers come from targets that serve the others.
       else if (!wasOurs) this.ctx.reporter.outcome(target.info.id, 'suspect');
     }
