Test ports: allocate each port once, below the ephemeral range

Cause: findFreePort listened on port 0 and closed the port again. Until a daemon binds it, the kernel may give the same port to the next call or to an outgoing connection. The daemon then ends with EADDRINUSE, and the fixture waits 20 s for an entry that is not there.

Ruled out: a daemon that binds a port twice; the settings of the failed run name one port for two addresses.

Change: PortAllocator gives out ports below the ephemeral range and remembers them. A fleet whose start fails is stopped, since its daemons loaded later tests.

--- a/packages/bench/src/process/Fleet.ts
+++ b/packages/bench/src/process/Fleet.ts
@@ -2,10 +2,10 @@
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
+import { testPorts } from '@marigoldbank/daemon/testing/PortAllocator';
 import { stringify } from 'smol-toml';
 import { fetch } from 'undici';
 import { DaemonProcess } from './DaemonProcess.js';
-import { findFreePort } from './ports.js';
 import { Relay } from './Relay.js';
 
 export const PEER_SECRET = 'peer-secret-of-the-test-fleet';
@@ -186,9 +186,9 @@
     const isControl = name.startsWith('control');
     const ip = `127.0.0.${i + 10}`;
     const relayIp = `127.0.1.${i + 10}`;
-    const listenInternal = `${ip}:${await findFreePort(ip)}`;
+    const listenInternal = `${ip}:${await testPorts.allocate(ip)}`;
     const internalAddress = this.options.hasRelays
-      ? `${relayIp}:${await findFreePort(relayIp)}`
+      ? `${relayIp}:${await testPorts.allocate(relayIp)}`
       : listenInternal;
     const folder = path.join(this.folder, name);
     mkdirSync(folder, { recursive: true });
@@ -199,7 +199,7 @@
       ip,
       internalAddress,
       listenInternal,
-      callerAddress: isControl ? undefined : `${ip}:${await findFreePort(ip)}`,
+      callerAddress: isControl ? undefined : `${ip}:${await testPorts.allocate(ip)}`,
       process: new DaemonProcess({
         vm: name,
         settingsFile: path.join(folder, 'settings.toml'),
--- a/packages/bench/src/process/FleetFixture.ts
+++ b/packages/bench/src/process/FleetFixture.ts
@@ -61,20 +61,26 @@
     public readonly key: IssuedKey,
   ) {}
 
-  /** Starts a fleet and waits until every entry serves the team. */
+  /** Starts a fleet and waits until every entry serves the team. Stops all processes if that fails. */
   public static async start(
     options: FleetOptions,
     upstreams: readonly Partial<FakeUpstreamOptions>[] = [{}, {}, {}],
     lists = createLists(),
   ): Promise<FleetFixture> {
     const fleet = await Fleet.start(options);
-    await fleet.waitReady(START_TIMEOUT_MS);
-    const operator = new OperatorClient(fleet.controlAddresses);
-    await operator.applyLists(lists);
-    const fixture = new FleetFixture(fleet, operator, await operator.issueKey(TEAM));
-    await fixture.startUpstreams(upstreams);
-    await Promise.all(fleet.entries.map((entry) => fixture.waitServing(entry)));
-    return fixture;
+    let fixture: FleetFixture | undefined;
+    try {
+      await fleet.waitReady(START_TIMEOUT_MS);
+      const operator = new OperatorClient(fleet.controlAddresses);
+      await operator.applyLists(lists);
+      fixture = new FleetFixture(fleet, operator, await operator.issueKey(TEAM));
+      await fixture.startUpstreams(upstreams);
+      await fixture.waitAllServing();
+      return fixture;
+    } catch (err) {
+      await (fixture ?? fleet).stop();
+      throw err;
+    }
   }
 
   public async stop(): Promise<void> {
@@ -109,6 +115,10 @@
     );
   }
 
+  private async waitAllServing(): Promise<void> {
+    await Promise.all(this.fleet.entries.map((entry) => this.waitServing(entry)));
+  }
+
   private async startUpstreams(upstreams: readonly Partial<FakeUpstreamOptions>[]): Promise<void> {
     const internal = this.fleet.entries.map((entry) => this.fleet.listenAddress(entry));
     await Promise.all(
