Date confirmations by when they were true, not by when they arrive

Cause: a hub dated the leader's confirmation, and an entry the status of its hub, by the arrival of the message. Behind a backlog an old confirmation looks new. The entries of core-hw-dc4-1 logged confirmations younger than 1.3 s while the hub applied commits 3 s late, so they stayed there. The class of fault: the age of information is counted from its receipt.

Ruled out: the interval between plans, the links and the replication, since the six other hubs and their entries had each version within 0.3 s.

Change: reports and relayed messages carry the monotonic time of their sender, and statuses and confirmations return it. The receiver dates them on its own clock, and any time that a message waits counts. No clocks are compared. The contact to the holder of the team budgets is dated in the same way. A peer of an older release sends no time and is dated by arrival. A hub logs when its state is no longer confirmed and when it is again, and exports the age.

busyHub.test.ts runs 7 hubs and 111 entries in virtual time; the messages of one hub wait up to 2.5 s longer.

--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@marigoldbank/base/clock';
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
 import type {
+  HubStatusSchema,
   HubUpdateSchema,
   RetryStateSchema,
   TargetSchema,
@@ -12,6 +13,7 @@
 import { Batcher } from '../sync/Batcher.js';
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import { echoOf, type PeerTime } from '../sync/timeEcho.js';
 import type { EntryIdentity } from './EntryRegistry.js';
 import type { CommittedPlan } from './CommittedPlan.js';
 
@@ -22,7 +24,12 @@
 /** Minimum interval between two plans for one entry, so that a series of changes is sent as one update. */
 const PLAN_INTERVAL_MS = 150;
 
-export type HubUpdateInit = MessageInitShape<typeof HubUpdateSchema>;
+/** Messages as plain objects, which can be extended by a copy. */
+type Plain<T> = Exclude<T, { readonly $typeName: string }>;
+
+export type HubUpdateInit = Plain<MessageInitShape<typeof HubUpdateSchema>>;
+
+export type HubStatusInit = Plain<MessageInitShape<typeof HubStatusSchema>>;
 
 /** State of the hub that a session reads when it flushes. */
 export interface SessionSource {
@@ -40,6 +47,8 @@
 
   private reportedAt: number;
 
+  private entryTime: PeerTime | undefined;
+
   private readonly evidence = new EvidenceBuffer();
 
   private readonly targets = new Map<string, MessageInitShape<typeof TargetSchema>>();
@@ -76,8 +85,17 @@
     return this.reportedAt;
   }
 
-  public noteReport(now: number): void {
+  /** Notes a report, which the entry sent at `sentAtMs` of its own clock; 0 if it is of an older release. */
+  public noteReport(now: number, sentAtMs: number): void {
     this.reportedAt = now;
+    if (sentAtMs > 0) this.entryTime = { sentAtMs, handledAt: now };
+  }
+
+  /** Sends a status, whose ages refer to now, with the rest of its message. */
+  public sendStatus(status: HubStatusInit, rest: HubUpdateInit): void {
+    const { entryTime } = this;
+    const echo = entryTime === undefined ? undefined : echoOf(entryTime, this.source.clock.now());
+    this.send({ ...rest, status: { ...status, echo } });
   }
 
   /** Sends a message at once, bypassing the batch. */
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -17,7 +17,7 @@
 import type { Announcement } from '../ProtocolAdapter.js';
 import { ipOf, syncAddress, type GatewaySettings } from '../settings.js';
 import { RetryBudgets } from './RetryBudgets.js';
-import { EntrySession, type HubUpdateInit } from './EntrySession.js';
+import { EntrySession, type HubStatusInit, type HubUpdateInit } from './EntrySession.js';
 import { EvidenceDistributor } from './EvidenceDistributor.js';
 import { EntryRegistry, type EntryIdentity } from './EntryRegistry.js';
 import type { CommittedPlan } from './CommittedPlan.js';
@@ -28,6 +28,7 @@
 import { PlanEncoder } from './PlanEncoder.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import type { HubRelayInit } from './RelayLink.js';
+import { trueSince } from '../sync/timeEcho.js';
 import { TeamBudgets } from './TeamBudgets.js';
 import { TokenRequestHandler } from './TokenRequestHandler.js';
 import { toAnnouncement } from './targets-codec.js';
@@ -109,7 +110,7 @@
     this.freshness = new HubFreshness({
       ...ctx,
       reachesMajority: (now) => this.peers.reachesMajority(now),
-      broadcastConfirmed: (index) => this.peers.send({ confirmedIndex: BigInt(index) }),
+      broadcastConfirmed: (index, askedAt) => this.peers.sendConfirmed(index, askedAt),
     });
     this.teamBudgets = this.createTeamBudgets();
     this.tokenRequests = new TokenRequestHandler({
@@ -172,7 +173,7 @@
   }
 
   /** Opens the stream of an entry, which starts with a snapshot. */
-  public openSession(identity: EntryIdentity, planVersion: number): EntrySession {
+  public openSession(identity: EntryIdentity, planVersion: number, sentAtMs = 0): EntrySession {
     const { clock, stateMachine } = this.ctx;
     this.sessions.get(identity.vm)?.dispose();
     const source = {
@@ -185,7 +186,8 @@
     };
     const session = new EntrySession(identity, source, planVersion);
     this.sessions.set(identity.vm, session);
-    session.send(this.snapshotForEntry(identity.vm));
+    session.noteReport(clock.now(), sentAtMs);
+    session.sendStatus(this.status(clock.now()), this.snapshotForEntry(identity.vm));
     session.planChanged();
     this.ctx.logger.info('entry connected', { entry: identity.vm });
     return session;
@@ -207,7 +209,7 @@
   public handleReport(session: EntrySession, report: EntryReport): void {
     const { identity } = session;
     const now = this.ctx.clock.now();
-    session.noteReport(now);
+    session.noteReport(now, report.sentAtMs);
     if (this.sessions.get(identity.vm) !== session) return;
     this.updateReadiness(identity, report.isReady);
     this.evidence.addFromEntry(identity.vm, report.evidence, now);
@@ -223,8 +225,11 @@
   public handleRelay(relay: HubRelay, peer: PeerHub): void {
     const now = this.ctx.clock.now();
     Object.assign(peer, { lastMessageAt: now });
+    if (relay.sentAtMs > 0) {
+      Object.assign(peer, { time: { sentAtMs: relay.sentAtMs, handledAt: now } });
+    }
     this.peers.linkTo(peer)?.notePeerMessage();
-    if (relay.confirmedIndex > 0n) this.freshness.noteConfirmed(Number(relay.confirmedIndex));
+    if (relay.confirmedIndex > 0n) this.noteConfirmed(relay, peer, now);
     relay.hubs.forEach(({ address, dataCentre }) => this.peers.connect(address, dataCentre));
     relay.entries.forEach(({ identity, isReady, isGone }) => {
       if (identity === undefined) return;
@@ -245,6 +250,12 @@
     if (relay.teams.length > 0) this.teamBudgets.publishModeChanges(now);
   }
 
+  private noteConfirmed(relay: HubRelay, peer: PeerHub, now: number): void {
+    const at = trueSince(relay.confirmedEcho, now);
+    Object.assign(peer, { confirmedAt: at });
+    this.freshness.noteConfirmed(Number(relay.confirmedIndex), at);
+  }
+
   /** Returns the state of another hub that has opened a stream to this one. */
   public openPeer(address: string, dataCentre: string): PeerHub {
     return this.peers.open(address, dataCentre);
@@ -309,9 +320,8 @@
     this.ticks += 1;
     if (this.ticks % TICKS_PER_STATUS !== 0) return;
     if (this.freshness.maySendPlan) this.sessions.forEach((session) => session.planChanged());
-    const update = this.status(now);
-    this.sessions.forEach((session) => session.send(update));
-    this.peers.send({ hubs: this.peers.addresses(this.ctx.clock.now()) });
+    this.sendStatus(now);
+    this.peers.send({ hubs: this.peers.addresses(now) });
   }
 
   /** Sends the plan to the entries as soon as it is confirmed for the first time. */
@@ -319,11 +329,14 @@
     this.freshness.update();
     if (this.confirmedAgeMs() === Infinity) return;
     startup.dispose();
-    const update = this.status(this.ctx.clock.now());
-    this.sessions.forEach((session) => {
-      session.send(update);
-      session.planChanged();
-    });
+    this.sendStatus(this.ctx.clock.now());
+    this.sessions.forEach((session) => session.planChanged());
+  }
+
+  private sendStatus(now: number): void {
+    const status = this.status(now);
+    const rest = { hubs: this.peers.addresses(now), isLeaving: this.isLeaving };
+    this.sessions.forEach((session) => session.sendStatus(status, rest));
   }
 
   /** Notifies the sessions if the advertised entries have changed. */
@@ -360,22 +373,13 @@
       });
   }
 
-  private status(now: number): {
-    status: HubUpdateInit['status'];
-    hubs: HubUpdateInit['hubs'];
-    isLeaving: boolean;
-  } {
-    const budgetAge = this.budgetAgeMs(now);
+  private status(now: number): HubStatusInit {
     return {
-      status: {
-        confirmedAgeMs: Math.round(Math.min(MAX_AGE_MS, this.confirmedAgeMs())),
-        budgetAgeMs: Math.round(Math.min(MAX_AGE_MS, budgetAge)),
-        entries: this.entries.expectedSize(now),
-        isLeaderless: this.freshness.isLeaderless(now),
-        planVersion: BigInt(this.ctx.stateMachine.current?.plan.version ?? 0),
-      },
-      hubs: this.peers.addresses(this.ctx.clock.now()),
-      isLeaving: this.isLeaving,
+      confirmedAgeMs: Math.round(Math.min(MAX_AGE_MS, this.confirmedAgeMs())),
+      budgetAgeMs: Math.round(Math.min(MAX_AGE_MS, this.budgetAgeMs(now))),
+      entries: this.entries.expectedSize(now),
+      isLeaderless: this.freshness.isLeaderless(now),
+      planVersion: BigInt(this.ctx.stateMachine.current?.plan.version ?? 0),
     };
   }
 
@@ -383,13 +387,15 @@
   private budgetAgeMs(now: number): number {
     // A leader that has lost its majority steps down within an election timeout.
     if (this.teamBudgets.isGranting) return 0;
-    return now - (this.peers.leader?.lastMessageAt ?? -Infinity);
+    const { leader } = this.peers;
+    return now - (leader?.confirmedAt ?? leader?.lastMessageAt ?? -Infinity);
   }
 
   private snapshotForEntry(vm: string): HubUpdateInit {
     const now = this.ctx.clock.now();
     return {
-      ...this.status(now),
+      hubs: this.peers.addresses(now),
+      isLeaving: this.isLeaving,
       targets: this.targets.describeAll(),
       beliefs: this.targets.beliefs(now),
       evidence: this.evidence.loadForEntry(vm),
--- a/packages/gateway/src/control/HubFreshness.test.ts
+++ b/packages/gateway/src/control/HubFreshness.test.ts
@@ -49,7 +49,7 @@
 describe('HubFreshness', () => {
   it('withholds the plan until a leader has confirmed it, but only for a limited time', () => {
     const { clock, freshness, set } = makeFreshness();
-    freshness.noteConfirmed(5);
+    freshness.noteConfirmed(5, 0);
     expect(freshness.maySendPlan).toEqual(false);
     set({ commitIndex: 5 });
     freshness.update();
@@ -72,7 +72,7 @@
 
   it('is leaderless if it reaches a majority without a leader, but not if it is partitioned', () => {
     const { clock, freshness, set } = makeFreshness();
-    freshness.noteConfirmed(0);
+    freshness.noteConfirmed(0, clock.now());
     expect(freshness.isLeaderless(clock.now())).toEqual(false);
     clock.advance(2_000);
     expect(freshness.isLeaderless(clock.now())).toEqual(true);
@@ -84,7 +84,7 @@
     const { clock, freshness, set } = makeFreshness();
     set({ reachesMajority: false });
     expect(freshness.isLeaderless(clock.now())).toEqual(true);
-    freshness.noteConfirmed(9);
+    freshness.noteConfirmed(9, 0);
     expect(freshness.isLeaderless(clock.now())).toEqual(false);
     const longRunning = makeFreshness();
     longRunning.set({ reachesMajority: false });
--- a/packages/gateway/src/control/HubFreshness.ts
+++ b/packages/gateway/src/control/HubFreshness.ts
@@ -1,7 +1,8 @@
 /** Tracks whether the replicated state of a hub is confirmed as current by a leader. */
 import type { Clock } from '@marigoldbank/base/clock';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import type { IReplicatedLog } from '@marigoldbank/replicated-log';
+import type { IReplicatedLog, LogStatus } from '@marigoldbank/replicated-log';
+import { hubConfirmedAge } from '../metrics.js';
 import { ConfirmationTracker } from './ConfirmationTracker.js';
 
 /** Control VMs that start together elect a leader within this time, and the leader confirms the state of the others. */
@@ -10,14 +11,19 @@
 /** Without a confirmation this long after the start, entries are sent the plan: an outdated one is better than none. */
 const WITHHOLD_PLAN_MS = 10_000;
 
+/** Age of the confirmation from which entries consider leaving the hub. */
+const STALE_MS = 1_300;
+
+const MS_PER_SECOND = 1_000;
+
 export interface FreshnessContext {
   readonly clock: Clock;
   readonly log: Pick<IReplicatedLog, 'status' | 'confirmRead'>;
   readonly logger: Logger;
   /** Whether messages of a majority of the voters arrive. */
   readonly reachesMajority: (now: number) => boolean;
-  /** Sends a confirmed index to the other hubs. */
-  readonly broadcastConfirmed: (index: number) => void;
+  /** Sends a confirmed index to the other hubs, with the time (monotonic ms) at which the majority was asked. */
+  readonly broadcastConfirmed: (index: number, askedAt: number) => void;
 }
 
 export class HubFreshness {
@@ -27,6 +33,8 @@
 
   private isConfirming = false;
 
+  private isStale = false;
+
   public constructor(private readonly ctx: FreshnessContext) {
     this.startedAt = ctx.clock.now();
   }
@@ -55,10 +63,14 @@
     return this.ctx.reachesMajority(now);
   }
 
-  /** Records a confirmation that another hub sent as leader: `index` is the last committed index. */
-  public noteConfirmed(index: number): void {
+  /**
+   * Records a confirmation that another hub sent as leader: `index` was the last committed index at `at` (monotonic
+   * ms). A confirmation dated by its arrival would hide that messages of the leader wait behind others.
+   */
+  public noteConfirmed(index: number, at: number | undefined): void {
     const { clock, log } = this.ctx;
-    this.confirmation.record(index, clock.now(), log.status().commitIndex);
+    if (at === undefined) this.confirmation.noteArrival(clock.now());
+    else this.confirmation.record(index, at, log.status().commitIndex, clock.now());
   }
 
   /** Takes new commits into account; a leader also requests a confirmation. */
@@ -66,6 +78,20 @@
     const status = this.ctx.log.status();
     this.confirmation.advance(status.commitIndex);
     if (status.role === 'leader') this.confirm();
+    this.logChange(status);
+  }
+
+  /** Logs when the state of this hub is no longer confirmed, and when it is again. */
+  private logChange({ role, leader }: LogStatus): void {
+    const ageMs = this.confirmedAgeMs();
+    hubConfirmedAge.set(ageMs / MS_PER_SECOND);
+    const isStale = ageMs > STALE_MS;
+    if (isStale === this.isStale || !this.hasBeenConfirmed) return;
+    this.isStale = isStale;
+    const isLeaderless = this.isLeaderless(this.ctx.clock.now());
+    const context = { ageMs: Math.round(ageMs), role, leader: leader?.vm ?? '', isLeaderless };
+    if (isStale) this.ctx.logger.warn('state of the hub is not confirmed', context);
+    else this.ctx.logger.info('state of the hub is confirmed again', context);
   }
 
   private get hasBeenConfirmed(): boolean {
@@ -88,7 +114,7 @@
         this.isConfirming = false;
         if (read.kind !== 'confirmed') return;
         this.confirmation.record(read.index, askedAt, log.status().commitIndex);
-        broadcastConfirmed(read.index);
+        broadcastConfirmed(read.index, askedAt);
       })
       .catch((err: unknown) => {
         this.isConfirming = false;
--- a/packages/gateway/src/control/HubPeers.ts
+++ b/packages/gateway/src/control/HubPeers.ts
@@ -6,6 +6,7 @@
 import type { SyncService } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { IReplicatedLog } from '@marigoldbank/replicated-log';
 import { syncAddress, type GatewaySettings } from '../settings.js';
+import { echoOf } from '../sync/timeEcho.js';
 import { isAlive, type PeerHub } from './PeerHub.js';
 import { RelayLink, type HubRelayInit } from './RelayLink.js';
 
@@ -105,10 +106,26 @@
     this.links.forEach((link) => link.send(message));
   }
 
+  /** Sends an index that a majority confirmed, asked at `askedAt` (monotonic ms), to all other hubs. */
+  public sendConfirmed(index: number, askedAt: number): void {
+    this.all.forEach((peer) =>
+      this.linkTo(peer)?.send({
+        confirmedIndex: BigInt(index),
+        confirmedEcho: echoOf(peer.time, askedAt),
+      }),
+    );
+  }
+
   /** Connects to a hub that is not known yet. */
   public connect(address: string, dataCentre: string): void {
     if (address === this.ownAddress || this.peers.has(address) || address === '') return;
-    this.peers.set(address, { address, dataCentre, lastMessageAt: -Infinity });
+    this.peers.set(address, {
+      address,
+      dataCentre,
+      lastMessageAt: -Infinity,
+      time: undefined,
+      confirmedAt: undefined,
+    });
     const { clock, logger, clientOf, snapshot, ownInFlight } = this.ctx;
     const source = { clock, logger, snapshot, ownInFlight };
     const link = new RelayLink(address, clientOf(address), source);
@@ -122,8 +139,7 @@
   public open(address: string, dataCentre: string): PeerHub {
     this.connect(address, dataCentre);
     const peer = this.peers.get(address)!;
-    peer.dataCentre = dataCentre;
-    return peer;
+    return Object.assign(peer, { dataCentre, time: undefined, confirmedAt: undefined });
   }
 
   public dispose(): void {
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -72,7 +72,7 @@
 
   /** Sends a message at once. Drops it if there is no stream; the next stream starts with a snapshot. */
   public send(message: HubRelayInit): void {
-    this.queue?.push(message);
+    this.queue?.push({ ...message, sentAtMs: this.source.clock.now() });
   }
 
   public addEvidence(id: string, succeeded: number, failed: number, suspect: number): void {
@@ -109,7 +109,7 @@
     const queue = new MessageQueue<HubRelayInit>();
     this.dropPending();
     this.queue = queue;
-    queue.push(this.source.snapshot());
+    queue.push({ ...this.source.snapshot(), sentAtMs: this.source.clock.now() });
     try {
       await this.client.relay(queue, { signal: this.abort.signal });
     } catch (err) {
@@ -136,7 +136,7 @@
       this.dropPending();
       return;
     }
-    this.queue.push({
+    this.send({
       targets: [...this.targets.values()],
       evidence: this.evidence.take(this.source.ownInFlight),
       uses: [...this.usesByService].map(([service, counted]) => ({ service, ...counted })),
--- /dev/null
+++ b/packages/gateway/src/control/busyHub.test.ts
@@ -0,0 +1,70 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { RoutingPlan } from '@marigoldbank/routing/plan';
+import { FakeFleet, type FakeHub } from '../testing/FakeFleet.js';
+
+const CONFIG_APPLY_MS = 2_000;
+
+function makePlan(version: number): RoutingPlan {
+  return {
+    version,
+    routes: [],
+    services: [],
+    teams: [],
+    hasTeams: true,
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+/** The grown deployment with 11 control VMs of which 7 run: one hub in dc-4 for 30 of the 111 entries. */
+function makeFleet(): FakeFleet {
+  const sizes = { 'dc-1': 28, 'dc-2': 27, 'dc-3': 26, 'dc-4': 30 };
+  return new FakeFleet({
+    hubs: ['dc-1', 'dc-2', 'dc-3', 'dc-1', 'dc-2', 'dc-3', 'dc-4'],
+    entries: Object.entries(sizes).flatMap(([dataCentre, size]) =>
+      Array.from({ length: size }, () => dataCentre),
+    ),
+  });
+}
+
+/** Lets the messages of a hub wait longer by a quarter of a second each second, for 10 s. */
+async function overload(fleet: FakeFleet, hub: FakeHub): Promise<void> {
+  for (let i = 0; i < 100; i += 1) {
+    hub.delayMs += 25;
+    await fleet.advance(100);
+  }
+}
+
+describe('a hub whose messages wait behind others', () => {
+  // The hub dated confirmations by their arrival, and entries the status of the hub. Both looked fresh while plans were
+  // late by several seconds, so that entries neither left the hub nor knew that their plan was outdated.
+  it('does not keep its entries on a plan that was replaced two seconds ago', async () => {
+    const fleet = makeFleet();
+    fleet.commit(makePlan(1));
+    await fleet.advance(15_000);
+    const busy = fleet.hubs.at(-1)!;
+    await overload(fleet, busy);
+    fleet.commit(makePlan(2));
+    await fleet.advance(CONFIG_APPLY_MS);
+    const outdated = fleet.entries.filter(({ state }) => state.planVersion < 2);
+    expect(outdated.length).toEqual(0);
+  });
+
+  it('is not confirmed itself, nor does it count as without a leader, for which entries would stay', async () => {
+    const fleet = makeFleet();
+    fleet.commit(makePlan(1));
+    await fleet.advance(15_000);
+    const busy = fleet.hubs.at(-1)!;
+    await overload(fleet, busy);
+    expect(busy.hub.confirmedAgeMs()).toBeGreaterThan(2_000);
+    expect(fleet.entries.filter(({ state }) => state.isLeaderless).length).toEqual(0);
+  });
+
+  it('is confirmed all the time while it is not busy', async () => {
+    const fleet = makeFleet();
+    fleet.commit(makePlan(1));
+    await fleet.advance(15_000);
+    const ages = fleet.hubs.map(({ hub }) => hub.confirmedAgeMs());
+    expect(Math.max(...ages)).toBeLessThan(500);
+  });
+});
--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -65,7 +65,7 @@
     const state = new EntryState(BOUNDS);
     state.applyPlan(0, 5, wholePlan(makePlan(5, 1_000)));
     const status = { confirmedAgeMs: 0, budgetAgeMs: 0, entries: 1, isLeaderless: false };
-    state.setStatus({ ...status, planVersion: 7, receivedAt: 0 });
+    state.setStatus({ ...status, planVersion: 7, trueAt: 0 });
     expect(state.hasConfirmedPlan).toEqual(false);
     state.applyPlan(0, 7, wholePlan(makePlan(7, 1_000)));
     expect(state.hasConfirmedPlan).toEqual(true);
@@ -80,7 +80,7 @@
       entries: 4,
       isLeaderless: false,
       planVersion: 0,
-      receivedAt: 1_000,
+      trueAt: 1_000,
     });
     expect(state.confirmedAgeMs(1_500)).toEqual(600);
     expect([state.hasBudgetHolder(1_100), state.hasBudgetHolder(1_400)]).toEqual([true, false]);
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -25,7 +25,7 @@
 
 const MAX_SEED = 0x7fffffff;
 
-/** Status of the hub. Ages are those at `receivedAt`; the time since then is added when they are read. */
+/** Status of the hub. Ages are those at `trueAt`; the time since then is added when they are read. */
 interface HubStatus {
   /** Time since a majority of the voters confirmed the plan, as known to the hub. */
   readonly confirmedAgeMs: number;
@@ -37,7 +37,8 @@
   readonly isLeaderless: boolean;
   /** Version of the plan that was confirmed. */
   readonly planVersion: number;
-  readonly receivedAt: number;
+  /** Monotonic ms. Much earlier than the arrival of the status if messages wait at the hub or on the way. */
+  readonly trueAt: number;
 }
 
 export class EntryState {
@@ -103,7 +104,7 @@
   /** Milliseconds since a majority of the voters confirmed the plan. Infinity without a status. */
   public confirmedAgeMs(now: number): number {
     if (this.status === undefined) return Infinity;
-    return this.status.confirmedAgeMs + now - this.status.receivedAt;
+    return this.status.confirmedAgeMs + now - this.status.trueAt;
   }
 
   /** Whether the plan in effect is at least as new as the confirmed one. A status may arrive before its plan. */
@@ -118,13 +119,13 @@
 
   /** Whether the entry follows a hub, which counts the retries of the fleet. */
   public isFollowingHub(now: number): boolean {
-    return this.status !== undefined && now - this.status.receivedAt < HUB_TIMEOUT_MS;
+    return this.status !== undefined && now - this.status.trueAt < HUB_TIMEOUT_MS;
   }
 
   /** Whether the hub has had contact to the holder of the team budgets recently. */
   public hasBudgetHolder(now: number): boolean {
     if (this.status === undefined) return false;
-    return this.status.budgetAgeMs + now - this.status.receivedAt < BUDGET_HOLDER_TIMEOUT_MS;
+    return this.status.budgetAgeMs + now - this.status.trueAt < BUDGET_HOLDER_TIMEOUT_MS;
   }
 
   /** The duration estimate of a route, which is created on first use. */
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -13,6 +13,7 @@
 import type { TargetOutcome } from '@marigoldbank/routing/TargetBelief';
 import { hubConfirmedAge } from '../metrics.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import { trueSince } from '../sync/timeEcho.js';
 import type { EntryState } from './EntryState.js';
 import type { HubSelector } from './HubSelector.js';
 import { HubSwitchPolicy } from './HubSwitchPolicy.js';
@@ -88,7 +89,7 @@
     this.stream = stream;
     this.switchPolicy.startFollowing();
     const planVersion = BigInt(state.planVersion);
-    queue.push({ hello: identity, isReady: reporter.isReady, planVersion });
+    queue.push({ hello: identity, isReady: reporter.isReady, planVersion, sentAtMs: now });
     try {
       const updates = clientOf(address).follow(queue, { signal: abort.signal });
       const iterator = updates[Symbol.asyncIterator]();
@@ -149,7 +150,8 @@
     Object.assign(stream, { lastMessageAt: now });
     if (update.status !== undefined) {
       const planVersion = Number(update.status.planVersion);
-      state.setStatus({ ...update.status, planVersion, receivedAt: now });
+      const trueAt = trueSince(update.status.echo, now);
+      if (trueAt !== undefined) state.setStatus({ ...update.status, planVersion, trueAt });
     }
     if (update.hubs.length > 0) hubs.setHubs(update.hubs, seeds());
     if (update.plan !== undefined) {
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -159,6 +159,7 @@
     if (this.send === undefined) return;
     const inFlightOf = (id: string): number => this.state.targets.get(id)?.ownInFlight ?? 0;
     this.send({
+      sentAtMs: this.clock.now(),
       isReady: this.ready,
       evidence: this.evidence.take(inFlightOf),
       uses: [...this.uses].map(([service, use]) => ({ service, ...use })),
--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -40,7 +40,7 @@
     entries: 1,
     isLeaderless: false,
     planVersion: 0,
-    receivedAt: clock.now(),
+    trueAt: clock.now(),
   });
   state.retryLimiter.setFleetUse('orders', 1, clock.now());
   const reporter = new HubReporter(clock, state);
--- a/packages/gateway/src/entry/TeamAdmission.test.ts
+++ b/packages/gateway/src/entry/TeamAdmission.test.ts
@@ -32,7 +32,7 @@
     entries: ENTRIES,
     isLeaderless: false,
     planVersion: 0,
-    receivedAt: clock.now(),
+    trueAt: clock.now(),
   });
   return {
     clock,
--- /dev/null
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -0,0 +1,311 @@
+/** Hubs and entries in virtual time, connected by a network that delays the messages of busy hubs. */
+import { create } from '@bufbuild/protobuf';
+import type { Client } from '@connectrpc/connect';
+import type { Clock } from '@marigoldbank/base/clock';
+import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import { Random } from '@marigoldbank/base/random';
+import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import {
+  EntryReportSchema,
+  HubRelaySchema,
+  HubUpdateSchema,
+  type HubUpdate,
+  type SyncService,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { IReplicatedLog, LogStatus, Member } from '@marigoldbank/replicated-log';
+import type { RoutingPlan } from '@marigoldbank/routing/plan';
+import { encodeCommand } from '../control/commands.js';
+import type { EntrySession } from '../control/EntrySession.js';
+import { Hub } from '../control/Hub.js';
+import type { PeerHub } from '../control/PeerHub.js';
+import { PlanStateMachine } from '../control/PlanStateMachine.js';
+import { EntryState } from '../entry/EntryState.js';
+import { HubFollower } from '../entry/HubFollower.js';
+import { HubReporter, type EntryReportInit } from '../entry/HubReporter.js';
+import { HubSelector } from '../entry/HubSelector.js';
+import { gatewaySettingsSchema, syncAddress, type GatewaySettings } from '../settings.js';
+import { MessageQueue } from '../sync/MessageQueue.js';
+
+const LINK_MS = 1;
+const REPLICATION_MS = 5;
+const FIRST_PORT = 7_600;
+
+const BOUNDS = {
+  grace: '6s',
+  maxTtl: '5s',
+  retryRatio: 0.2,
+  retrySlack: 188,
+  retryWindow: '10s',
+};
+
+export interface FakeFleetOptions {
+  /** Data centre of each hub; the first one leads. */
+  readonly hubs: readonly string[];
+  /** Data centre of each entry. */
+  readonly entries: readonly string[];
+  readonly seed?: number;
+}
+
+export interface FakeHub {
+  readonly ip: string;
+  readonly address: string;
+  readonly hub: Hub;
+  readonly stateMachine: PlanStateMachine;
+  /** Time that each message waits at this hub, in either direction. */
+  delayMs: number;
+}
+
+export interface FakeEntry {
+  readonly vm: string;
+  readonly dataCentre: string;
+  readonly state: EntryState;
+  readonly reporter: HubReporter;
+  /** Address of the hub that the entry follows. */
+  followed: string | undefined;
+  /** Updates and their encoded bytes that arrived at the entry. */
+  updates: HubUpdate[];
+}
+
+/** A clock with another origin, as that of another process. */
+class OffsetClock implements Clock {
+  public constructor(
+    private readonly inner: Clock,
+    private readonly offsetMs: number,
+  ) {}
+
+  public now(): number {
+    return this.inner.now() + this.offsetMs;
+  }
+
+  public setTimeout(fn: () => void, delayMs: number): IDisposable {
+    return this.inner.setTimeout(fn, delayMs);
+  }
+}
+
+async function readAll<T>(messages: AsyncIterable<T>, fn: (message: T) => void): Promise<void> {
+  const iterator = messages[Symbol.asyncIterator]();
+  let next = await iterator.next();
+  while (next.done !== true) {
+    fn(next.value);
+    next = await iterator.next();
+  }
+}
+
+/** Rejects when the signal is aborted. */
+function aborted(signal: AbortSignal | undefined): Promise<never> {
+  return new Promise((_, reject) => {
+    signal?.addEventListener('abort', () => reject(new Error('aborted')), { once: true });
+  });
+}
+
+export class FakeFleet {
+  public readonly clock = new VirtualClock();
+
+  public readonly hubs: FakeHub[];
+
+  public readonly entries: FakeEntry[];
+
+  private readonly random: Random;
+
+  private commitIndex = 0;
+
+  public constructor(options: FakeFleetOptions) {
+    this.random = new Random(options.seed ?? 1);
+    this.hubs = options.hubs.map((dataCentre, i) => this.createHub(`10.0.0.${i + 1}`, dataCentre));
+    this.hubs.forEach(({ hub }) => hub.setSeeds(this.hubs.map(({ ip }) => `${ip}:1`)));
+    this.entries = options.entries.map((dataCentre, i) => this.createEntry(`e${i}`, dataCentre));
+  }
+
+  /** Commits a plan at the leader; the other hubs apply it when its message has passed their delay. */
+  public commit(plan: RoutingPlan): void {
+    this.commitIndex += 1;
+    const index = this.commitIndex;
+    const command = encodeCommand({ kind: 'putPlan', document: '', plan });
+    this.hubs.forEach(({ stateMachine, delayMs }, i) => {
+      const apply = (): unknown => stateMachine.apply(index, command);
+      if (i === 0) apply();
+      else this.clock.setTimeout(apply, REPLICATION_MS + delayMs);
+    });
+  }
+
+  public advance(durationMs: number): Promise<void> {
+    return this.clock.advanceAsync(durationMs);
+  }
+
+  /** Number of entries that follow each hub. */
+  public followersByHub(): number[] {
+    return this.hubs.map(
+      ({ address }) => this.entries.filter(({ followed }) => followed === address).length,
+    );
+  }
+
+  private processClock(): Clock {
+    return new OffsetClock(this.clock, this.random.int(100_000));
+  }
+
+  private settings(vm: string, ip: string, dataCentre: string): GatewaySettings {
+    return gatewaySettingsSchema.parse({
+      vm,
+      ip,
+      dataCentre,
+      role: 'control',
+      listen: {},
+      internalPorts: [FIRST_PORT, FIRST_PORT + 2],
+      seeds: [],
+      bootstrap: true,
+      toleratedLosses: 1,
+      bounds: BOUNDS,
+    });
+  }
+
+  private createHub(ip: string, dataCentre: string): FakeHub {
+    const settings = this.settings(`control-${ip}`, ip, dataCentre);
+    const stateMachine = new PlanStateMachine();
+    const hub = new Hub({
+      clock: this.processClock(),
+      settings,
+      stateMachine,
+      logger: new NullLogger(),
+      log: this.createLog(ip, stateMachine),
+      clientOf: (address) => this.client(address, ip),
+    });
+    return { ip, address: syncAddress(settings, ip), hub, stateMachine, delayMs: 0 };
+  }
+
+  /** A log whose leader is the first hub. */
+  private createLog(ip: string, stateMachine: PlanStateMachine): IReplicatedLog {
+    const member = (vm: string): Member => ({ vm, incarnation: '', address: '' });
+    const voters = (): Member[] => this.hubs.map((other) => member(other.ip));
+    const isLeader = ip === '10.0.0.1';
+    const log: Pick<IReplicatedLog, 'status' | 'confirmRead'> = {
+      status: (): LogStatus => ({
+        self: member(ip),
+        role: isLeader ? 'leader' : 'follower',
+        term: 1,
+        commitIndex: stateMachine.appliedIndex,
+        lastIndex: stateMachine.appliedIndex,
+        leader: member('10.0.0.1'),
+        membership: { voters: voters(), learners: [] },
+        progress: [],
+      }),
+      confirmRead: () => Promise.resolve({ kind: 'confirmed', index: this.commitIndex }),
+    };
+    return log as IReplicatedLog;
+  }
+
+  private createEntry(vm: string, dataCentre: string): FakeEntry {
+    const clock = this.processClock();
+    const state = new EntryState({ ratio: 0.2, slack: 188, windowMs: 10_000 });
+    const reporter = new HubReporter(clock, state);
+    const seeds = this.hubs.slice(0, 3).map(({ address }) => address);
+    const entry: FakeEntry = {
+      vm,
+      dataCentre,
+      state,
+      reporter,
+      followed: undefined,
+      updates: [],
+    };
+    const follower = new HubFollower({
+      clock,
+      state,
+      reporter,
+      hubs: new HubSelector(dataCentre, seeds, clock.now(), state.random.float()),
+      logger: new NullLogger(),
+      identity: { vm, address: `${vm}:80`, dataCentre },
+      seeds: () => seeds,
+      clientOf: (address) => this.client(address, vm),
+    });
+    reporter.setReady(true);
+    follower.run().catch(() => undefined);
+    return entry;
+  }
+
+  /** Client of the process `from` for the hub at `address`. */
+  private client(address: string, from: string): Client<typeof SyncService> {
+    return {
+      relay: (
+        messages: AsyncIterable<Parameters<typeof create<typeof HubRelaySchema>>[1]>,
+        { signal }: { signal: AbortSignal },
+      ) => this.relay(address, from, messages, signal),
+      follow: (
+        reports: AsyncIterable<EntryReportInit>,
+        { signal }: { signal: AbortSignal },
+      ): AsyncIterable<HubUpdate> => this.follow(address, from, reports, signal),
+    } as unknown as Client<typeof SyncService>;
+  }
+
+  /** Delivers a message after the delay of a hub, in the order of the calls with the same `order`. */
+  private deliver(delayMs: number, order: { at: number }, fn: () => void): void {
+    order.at = Math.max(order.at, this.clock.now() + LINK_MS + delayMs);
+    this.clock.setTimeout(fn, order.at - this.clock.now());
+  }
+
+  private hubAt(address: string): FakeHub {
+    return this.hubs.find((hub) => hub.address === address)!;
+  }
+
+  private async relay(
+    address: string,
+    from: string,
+    messages: AsyncIterable<Parameters<typeof create<typeof HubRelaySchema>>[1]>,
+    signal: AbortSignal,
+  ): Promise<object> {
+    const order = { at: 0 };
+    let peer: PeerHub | undefined;
+    const reading = readAll(messages, (message) => {
+      const target = this.hubAt(address);
+      const sender = this.hubs.find(({ ip }) => ip === from)!;
+      this.deliver(target.delayMs + sender.delayMs, order, () => {
+        const relay = create(HubRelaySchema, message);
+        const { hello } = relay;
+        if (hello !== undefined) peer = target.hub.openPeer(hello.address, hello.dataCentre);
+        target.hub.handleRelay(relay, peer!);
+      });
+    });
+    await Promise.race([reading, aborted(signal)]);
+    return {};
+  }
+
+  private follow(
+    address: string,
+    vm: string,
+    reports: AsyncIterable<EntryReportInit>,
+    signal: AbortSignal,
+  ): AsyncIterable<HubUpdate> {
+    const target = this.hubAt(address);
+    const entry = this.entries.find((other) => other.vm === vm)!;
+    const [up, down] = [{ at: 0 }, { at: 0 }];
+    const received = new MessageQueue<HubUpdate>();
+    let session: EntrySession | undefined;
+    const open = (report: ReturnType<typeof create<typeof EntryReportSchema>>): void => {
+      session = target.hub.openSession(report.hello!, Number(report.planVersion), report.sentAtMs);
+      readAll(session.queue, (update) =>
+        this.deliver(target.delayMs, down, () => received.push(create(HubUpdateSchema, update))),
+      ).catch(() => undefined);
+    };
+    readAll(reports, (init) =>
+      this.deliver(target.delayMs, up, () => {
+        const report = create(EntryReportSchema, init);
+        if (report.hello !== undefined) open(report);
+        target.hub.handleReport(session!, report);
+      }),
+    ).catch(() => undefined);
+    signal.addEventListener('abort', () =>
+      this.deliver(target.delayMs, up, () => {
+        if (session !== undefined) target.hub.closeSession(session);
+      }),
+    );
+    const abort = aborted(signal);
+    abort.catch(() => undefined);
+    const inner = received[Symbol.asyncIterator]();
+    const next = async (): Promise<IteratorResult<HubUpdate>> => {
+      const result = await Promise.race([inner.next(), abort]);
+      Object.assign(entry, { followed: address });
+      if (result.done !== true) entry.updates.push(result.value);
+      return result;
+    };
+    return { [Symbol.asyncIterator]: () => ({ next }) };
+  }
+}
