Log and export the utilisation of the event loop

A saturated process whose turns are short is not seen by the delay of its event loop: core-hw-dc4-1 was seconds behind and never logged a delay of 250 ms. A line is logged when the utilisation of a second passes 0.9, and when it is back.

--- a/packages/gateway/src/EventLoopMonitor.ts
+++ b/packages/gateway/src/EventLoopMonitor.ts
@@ -2,7 +2,8 @@
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import { loopDelaySeconds } from './metrics.js';
+import { performance, type EventLoopUtilization } from 'node:perf_hooks';
+import { loopDelaySeconds, loopUtilization } from './metrics.js';
 
 const CHECK_MS = 100;
 
@@ -12,6 +13,12 @@
 /** Minimum time between two log lines. */
 const LOG_INTERVAL_MS = 1_000;
 
+/**
+ * Utilisation from which the loop counts as saturated. Each turn may still be short: messages then wait in the sockets,
+ * where the delay of the loop does not show them.
+ */
+const SATURATED_UTILIZATION = 0.9;
+
 const MS_PER_SECOND = 1_000;
 
 export class EventLoopMonitor extends DisposableStore {
@@ -21,13 +28,34 @@
 
   private maxLateMs = 0;
 
+  private measured: EventLoopUtilization;
+
+  private isSaturated = false;
+
   public constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly measure: (since?: EventLoopUtilization) => EventLoopUtilization = (since) =>
+      performance.eventLoopUtilization(since),
   ) {
     super();
+    this.measured = measure();
     this.checkedAt = clock.now();
     this.add(setPeriodic(clock, () => this.check(), CHECK_MS));
+    this.add(setPeriodic(clock, () => this.checkUtilization(), LOG_INTERVAL_MS));
+  }
+
+  /** Logs when the loop becomes saturated, and when it no longer is. */
+  private checkUtilization(): void {
+    const { utilization } = this.measure(this.measured);
+    this.measured = this.measure();
+    loopUtilization.set(utilization);
+    const isSaturated = utilization >= SATURATED_UTILIZATION;
+    if (isSaturated === this.isSaturated) return;
+    this.isSaturated = isSaturated;
+    const context = { utilization: Number(utilization.toFixed(2)) };
+    if (isSaturated) this.logger.warn('event loop is saturated', context);
+    else this.logger.info('event loop is no longer saturated', context);
   }
 
   private check(): void {
--- a/packages/gateway/src/control/busyHub.test.ts
+++ b/packages/gateway/src/control/busyHub.test.ts
@@ -30,7 +30,7 @@
 /** Lets the messages of a hub wait longer by a quarter of a second each second, for 10 s. */
 async function overload(fleet: FakeFleet, hub: FakeHub): Promise<void> {
   for (let i = 0; i < 100; i += 1) {
-    hub.delayMs += 25;
+    Object.assign(hub, { delayMs: hub.delayMs + 25 });
     await fleet.advance(100);
   }
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -48,6 +48,12 @@
   registers: [registry],
 });
 
+export const loopUtilization = new Gauge({
+  name: 'marigoldbank_event_loop_utilization',
+  help: 'Share of the last second in which the event loop was busy or its process had to wait for a processor',
+  registers: [registry],
+});
+
 export const droppedLogLines = new Counter({
   name: 'marigoldbank_log_lines_dropped_total',
   help: 'Log lines that were not written because of their rate',
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -2,7 +2,6 @@
 import { create } from '@bufbuild/protobuf';
 import type { Client } from '@connectrpc/connect';
 import type { Clock } from '@marigoldbank/base/clock';
-import type { IDisposable } from '@marigoldbank/base/lifecycle';
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
@@ -26,8 +25,9 @@
 import { HubSelector } from '../entry/HubSelector.js';
 import { gatewaySettingsSchema, syncAddress, type GatewaySettings } from '../settings.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import { FakeStream } from './FakeStream.js';
+import { OffsetClock } from './OffsetClock.js';
 
-const LINK_MS = 1;
 const REPLICATION_MS = 5;
 const FIRST_PORT = 7_600;
 
@@ -63,24 +63,23 @@
   readonly reporter: HubReporter;
   /** Address of the hub that the entry follows. */
   followed: string | undefined;
-  /** Updates and their encoded bytes that arrived at the entry. */
+  /** Updates that arrived at the entry. */
   updates: HubUpdate[];
 }
 
-/** A clock with another origin, as that of another process. */
-class OffsetClock implements Clock {
-  public constructor(
-    private readonly inner: Clock,
-    private readonly offsetMs: number,
-  ) {}
-
-  public now(): number {
-    return this.inner.now() + this.offsetMs;
-  }
-
-  public setTimeout(fn: () => void, delayMs: number): IDisposable {
-    return this.inner.setTimeout(fn, delayMs);
-  }
+function makeSettings(ip: string, dataCentre: string): GatewaySettings {
+  return gatewaySettingsSchema.parse({
+    vm: `control-${ip}`,
+    ip,
+    dataCentre,
+    role: 'control',
+    listen: {},
+    internalPorts: [FIRST_PORT, FIRST_PORT + 2],
+    seeds: [],
+    bootstrap: true,
+    toleratedLosses: 1,
+    bounds: BOUNDS,
+  });
 }
 
 async function readAll<T>(messages: AsyncIterable<T>, fn: (message: T) => void): Promise<void> {
@@ -144,23 +143,8 @@
     return new OffsetClock(this.clock, this.random.int(100_000));
   }
 
-  private settings(vm: string, ip: string, dataCentre: string): GatewaySettings {
-    return gatewaySettingsSchema.parse({
-      vm,
-      ip,
-      dataCentre,
-      role: 'control',
-      listen: {},
-      internalPorts: [FIRST_PORT, FIRST_PORT + 2],
-      seeds: [],
-      bootstrap: true,
-      toleratedLosses: 1,
-      bounds: BOUNDS,
-    });
-  }
-
   private createHub(ip: string, dataCentre: string): FakeHub {
-    const settings = this.settings(`control-${ip}`, ip, dataCentre);
+    const settings = makeSettings(ip, dataCentre);
     const stateMachine = new PlanStateMachine();
     const hub = new Hub({
       clock: this.processClock(),
@@ -236,12 +220,6 @@
     } as unknown as Client<typeof SyncService>;
   }
 
-  /** Delivers a message after the delay of a hub, in the order of the calls with the same `order`. */
-  private deliver(delayMs: number, order: { at: number }, fn: () => void): void {
-    order.at = Math.max(order.at, this.clock.now() + LINK_MS + delayMs);
-    this.clock.setTimeout(fn, order.at - this.clock.now());
-  }
-
   private hubAt(address: string): FakeHub {
     return this.hubs.find((hub) => hub.address === address)!;
   }
@@ -252,12 +230,12 @@
     messages: AsyncIterable<Parameters<typeof create<typeof HubRelaySchema>>[1]>,
     signal: AbortSignal,
   ): Promise<object> {
-    const order = { at: 0 };
+    const stream = new FakeStream(this.clock);
     let peer: PeerHub | undefined;
     const reading = readAll(messages, (message) => {
       const target = this.hubAt(address);
       const sender = this.hubs.find(({ ip }) => ip === from)!;
-      this.deliver(target.delayMs + sender.delayMs, order, () => {
+      stream.deliver(target.delayMs + sender.delayMs, () => {
         const relay = create(HubRelaySchema, message);
         const { hello } = relay;
         if (hello !== undefined) peer = target.hub.openPeer(hello.address, hello.dataCentre);
@@ -276,24 +254,24 @@
   ): AsyncIterable<HubUpdate> {
     const target = this.hubAt(address);
     const entry = this.entries.find((other) => other.vm === vm)!;
-    const [up, down] = [{ at: 0 }, { at: 0 }];
+    const [up, down] = [new FakeStream(this.clock), new FakeStream(this.clock)];
     const received = new MessageQueue<HubUpdate>();
     let session: EntrySession | undefined;
     const open = (report: ReturnType<typeof create<typeof EntryReportSchema>>): void => {
       session = target.hub.openSession(report.hello!, Number(report.planVersion), report.sentAtMs);
       readAll(session.queue, (update) =>
-        this.deliver(target.delayMs, down, () => received.push(create(HubUpdateSchema, update))),
+        down.deliver(target.delayMs, () => received.push(create(HubUpdateSchema, update))),
       ).catch(() => undefined);
     };
     readAll(reports, (init) =>
-      this.deliver(target.delayMs, up, () => {
+      up.deliver(target.delayMs, () => {
         const report = create(EntryReportSchema, init);
         if (report.hello !== undefined) open(report);
         target.hub.handleReport(session!, report);
       }),
     ).catch(() => undefined);
     signal.addEventListener('abort', () =>
-      this.deliver(target.delayMs, up, () => {
+      up.deliver(target.delayMs, () => {
         if (session !== undefined) target.hub.closeSession(session);
       }),
     );
