Encode evidence once for all entries of a hub

Cause: each outcome of the fleet was encoded for each entry, and each failure caused a message to each entry at once.

Ruled out: the observation of outcomes at the hub (2%) and the replicated log.

Change: EvidenceFeed collects the evidence of a hub and encodes one batch for all its entries, as a list of numbers; an entry skips the outcomes that it has reported. Batches are at least 40 ms apart, relayed ones 20 ms; a failure is still sent at once if the last batch is older. Token requests are forwarded in these batches. Only messages above 8 KiB are compressed. An entry of an older release gets no evidence from a newer hub until it is upgraded.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -17,7 +17,7 @@
 import type { GatewayProcess } from '../GatewayProcess.js';
 import { metricsHandler } from '../metrics.js';
 import { consensusAddress, ipOf, portOf, syncAddress, type GatewaySettings } from '../settings.js';
-import { SyncClients } from '../sync/SyncClients.js';
+import { COMPRESS_MIN_BYTES, SyncClients } from '../sync/SyncClients.js';
 import { ControlApi } from './ControlApi.js';
 import { Hub } from './Hub.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
@@ -178,6 +178,7 @@
   private serveStreams(hub: Hub, voterManager: VoterManager, log: ReplicatedLog): Promise<void> {
     const server = http2.createServer(
       connectNodeAdapter({
+        compressMinBytes: COMPRESS_MIN_BYTES,
         routes: (router) => registerSyncService(router, hub, voterManager, log, this.logger),
       }),
     );
--- a/packages/gateway/src/control/EntrySession.test.ts
+++ b/packages/gateway/src/control/EntrySession.test.ts
@@ -42,10 +42,9 @@
     clock,
     encodeChanges,
     currentPlan: () => current,
-    othersInFlight: () => 0,
     advertised: () => advertised,
   };
-  const session = new EntrySession(identity, source, initialVersion);
+  const session = new EntrySession(identity, 1, source, initialVersion);
   const sent: HubUpdateInit[] = [];
   session.queue.push = (update) => sent.push(update);
   const commit = (plan: CommittedPlan | undefined): void => {
@@ -130,13 +129,13 @@
     ]);
   });
 
-  it('sends a failure at once and batches successes', () => {
+  it('sends a tight team at once and a relaxed one with the next batch', () => {
     const { clock, session, sent } = makeSession();
-    session.addEvidence('t1', 1, 0, 0);
+    session.setTeamMode('north', false);
     clock.advance(50);
     expect(sent.length).toEqual(0);
-    session.addEvidence('t2', 0, 1, 0);
+    session.setTeamMode('south', true);
     clock.advance(2);
-    expect(sent[0]?.evidence?.length).toEqual(2);
+    expect(sent[0]?.teams?.length).toEqual(2);
   });
 });
--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -11,13 +11,12 @@
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { AdvertisedEntry } from '../AddressBook.js';
 import { Batcher } from '../sync/Batcher.js';
-import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
 import { echoOf, type PeerTime } from '../sync/timeEcho.js';
 import type { EntryIdentity } from './EntryRegistry.js';
 import type { CommittedPlan } from './CommittedPlan.js';
 
-/** Delay of failures, changes of targets and team modes, token answers and plans; `FLUSH_MS` is for all else. */
+/** Delay of changes of targets, token answers, plans and teams that become tight; `FLUSH_MS` is for all else. */
 export const URGENT_FLUSH_MS = 1;
 export const FLUSH_MS = 100;
 
@@ -36,8 +35,6 @@
   readonly clock: Clock;
   readonly currentPlan: () => CommittedPlan | undefined;
   readonly encodeChanges: (from: CommittedPlan | undefined, to: CommittedPlan) => Uint8Array;
-  /** Requests in flight at a target from all entries but this one. */
-  readonly othersInFlight: (vm: string, target: string) => number;
   /** Entries that are advertised to callers, by address. */
   readonly advertised: () => ReadonlyMap<string, AdvertisedEntry>;
 }
@@ -49,8 +46,6 @@
 
   private entryTime: PeerTime | undefined;
 
-  private readonly evidence = new EvidenceBuffer();
-
   private readonly targets = new Map<string, MessageInitShape<typeof TargetSchema>>();
 
   private readonly removedTargets = new Set<string>();
@@ -72,6 +67,8 @@
 
   public constructor(
     public readonly identity: EntryIdentity,
+    /** Number of the entry in evidence batches. */
+    public readonly entryRef: number,
     private readonly source: SessionSource,
     /** Version of the plan that the entry held when it connected, 0 for none. */
     private readonly initialVersion = 0,
@@ -103,11 +100,6 @@
     this.queue.push(update);
   }
 
-  public addEvidence(id: string, succeeded: number, failed: number, suspect: number): void {
-    this.evidence.add(id, succeeded, failed, suspect);
-    this.batcher.request(failed > 0 ? URGENT_FLUSH_MS : FLUSH_MS);
-  }
-
   public setTarget(target: MessageInitShape<typeof TargetSchema> & { readonly id: string }): void {
     this.removedTargets.delete(target.id);
     this.targets.set(target.id, target);
@@ -127,7 +119,7 @@
 
   public setTeamMode(team: string, isTight: boolean): void {
     this.teamModes.set(team, isTight);
-    this.batcher.request(URGENT_FLUSH_MS);
+    this.batcher.request(isTight ? URGENT_FLUSH_MS : FLUSH_MS);
   }
 
   public setRetryUse(service: string, usedPermille: number): void {
@@ -153,12 +145,10 @@
   }
 
   private flush(): void {
-    const { vm } = this.identity;
     const update: HubUpdateInit = {
       plan: this.takePlan(),
       targets: [...this.targets.values()],
       removedTargets: [...this.removedTargets],
-      evidence: this.evidence.take((target) => this.source.othersInFlight(vm, target)),
       teams: [...this.teamModes].map(([team, isTight]) => ({ team, isTight })),
       tokens: this.tokenAnswers.splice(0),
       retries: [...this.retryStates.values()],
--- a/packages/gateway/src/control/EvidenceDistributor.ts
+++ b/packages/gateway/src/control/EvidenceDistributor.ts
@@ -3,14 +3,16 @@
  * to all other hubs, those from another hub only to the entries of this one.
  */
 import type { TargetEvidence } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import type { EntrySession } from './EntrySession.js';
+import type { EvidenceFeed } from './EvidenceFeed.js';
 import type { HubTargets } from './HubTargets.js';
 import { LoadTable } from './LoadTable.js';
 import type { RelayLink } from './RelayLink.js';
 
 export interface DistributorContext {
   readonly targets: HubTargets;
-  readonly sessions: () => readonly EntrySession[];
+  readonly feed: Pick<EvidenceFeed, 'add'>;
+  /** Number of an entry of this hub in the feed, 0 for another hub. */
+  readonly entryRefOf: (source: string) => number;
   readonly links: () => readonly RelayLink[];
   /** Addresses of the other hubs, which are sources of evidence like entries. */
   readonly peerAddresses: () => readonly string[];
@@ -45,14 +47,19 @@
   /** Removes the load of an entry that has disconnected from this hub. */
   public removeEntry(vm: string): void {
     this.load.removeSource(vm).forEach((id) => {
-      this.sendToEntries(vm, id, 0, 0, 0);
+      this.ctx.feed.add(0, id, 0, 0, 0);
       this.ctx.links().forEach((link) => link.addEvidence(id, 0, 0, 0));
     });
   }
 
   /** Removes the load of a hub that has timed out. */
   public removeHub(address: string): void {
-    this.load.removeSource(address).forEach((id) => this.sendToEntries(address, id, 0, 0, 0));
+    this.load.removeSource(address).forEach((id) => this.ctx.feed.add(0, id, 0, 0, 0));
+  }
+
+  /** Requests in flight at a target from all entries. */
+  public inFlight(target: string): number {
+    return this.load.total(target);
   }
 
   /** Requests in flight at a target from all entries but one. */
@@ -82,20 +89,7 @@
   private add(source: string, item: TargetEvidence, now: number): void {
     this.load.set(source, item.id, item.inFlight);
     this.ctx.targets.observe(item, now);
-    this.sendToEntries(source, item.id, item.succeeded, item.failed, item.suspect);
-  }
-
-  /** Sends outcomes to the entries of this hub, except to the one that reported them. */
-  private sendToEntries(
-    source: string,
-    id: string,
-    succeeded: number,
-    failed: number,
-    suspect: number,
-  ): void {
-    this.ctx
-      .sessions()
-      .filter(({ identity }) => identity.vm !== source)
-      .forEach((session) => session.addEvidence(id, succeeded, failed, suspect));
+    const { id, succeeded, failed, suspect } = item;
+    this.ctx.feed.add(this.ctx.entryRefOf(source), id, succeeded, failed, suspect);
   }
 }
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -18,6 +18,7 @@
 import { ipOf, syncAddress, type GatewaySettings } from '../settings.js';
 import { RetryBudgets } from './RetryBudgets.js';
 import { EntrySession, type HubStatusInit, type HubUpdateInit } from './EntrySession.js';
+import { EvidenceFeed } from './EvidenceFeed.js';
 import { EvidenceDistributor } from './EvidenceDistributor.js';
 import { EntryRegistry, type EntryIdentity } from './EntryRegistry.js';
 import type { CommittedPlan } from './CommittedPlan.js';
@@ -87,6 +88,8 @@
   /** Entries that are advertised to callers, by address, as of the last tick. */
   private advertised: ReadonlyMap<string, AdvertisedEntry> = new Map();
 
+  private lastEntryRef = 0;
+
   private ticks = 0;
 
   private isLeaving = false;
@@ -122,9 +125,19 @@
     });
     this.add(stateMachine.onDidChangePlan(() => this.planChanged()));
     this.targets = new HubTargets(ctx);
+    const feed = this.add(
+      new EvidenceFeed({
+        clock,
+        refOf: (target) => this.targets.refs.refOf(target),
+        inFlight: (target) => this.evidence.inFlight(target),
+        send: (evidenceBatch) =>
+          this.sessions.forEach((session) => session.send({ evidenceBatch })),
+      }),
+    );
     this.evidence = new EvidenceDistributor({
       targets: this.targets,
-      sessions: () => [...this.sessions.values()],
+      feed,
+      entryRefOf: (source) => this.sessions.get(source)?.entryRef ?? 0,
       links: () => this.peers.links,
       peerAddresses: () => this.peers.all.map(({ address }) => address),
     });
@@ -179,15 +192,15 @@
     const source = {
       clock,
       currentPlan: () => (this.freshness.maySendPlan ? stateMachine.current : undefined),
-      othersInFlight: (vm: string, target: string) => this.evidence.othersInFlight(vm, target),
       advertised: () => this.advertised,
       encodeChanges: (from: CommittedPlan | undefined, to: CommittedPlan) =>
         this.encoder.encode(from, to),
     };
-    const session = new EntrySession(identity, source, planVersion);
+    this.lastEntryRef += 1;
+    const session = new EntrySession(identity, this.lastEntryRef, source, planVersion);
     this.sessions.set(identity.vm, session);
     session.noteReport(clock.now(), sentAtMs);
-    session.sendStatus(this.status(clock.now()), this.snapshotForEntry(identity.vm));
+    session.sendStatus(this.status(clock.now()), this.snapshotForEntry(session));
     session.planChanged();
     this.ctx.logger.info('entry connected', { entry: identity.vm });
     return session;
@@ -391,11 +404,12 @@
     return now - (leader?.confirmedAt ?? leader?.lastMessageAt ?? -Infinity);
   }
 
-  private snapshotForEntry(vm: string): HubUpdateInit {
+  private snapshotForEntry({ identity: { vm }, entryRef }: EntrySession): HubUpdateInit {
     const now = this.ctx.clock.now();
     return {
       hubs: this.peers.addresses(now),
       isLeaving: this.isLeaving,
+      entryRef,
       targets: this.targets.describeAll(),
       beliefs: this.targets.beliefs(now),
       evidence: this.evidence.loadForEntry(vm),
--- a/packages/gateway/src/control/HubTargets.ts
+++ b/packages/gateway/src/control/HubTargets.ts
@@ -6,6 +6,7 @@
 import { TargetTable } from '@marigoldbank/routing/TargetTable';
 import type { TargetOutcome } from '@marigoldbank/routing/TargetBelief';
 import type { Announcement } from '../ProtocolAdapter.js';
+import { TargetRefs } from '../sync/TargetRefs.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import { TargetRegistry } from './TargetRegistry.js';
 import { toTargetMessage, toTargetInfo, type TargetInit } from './targets-codec.js';
@@ -17,6 +18,9 @@
 }
 
 export class HubTargets {
+  /** Numbers of the targets in the evidence batches of this hub. */
+  public readonly refs = new TargetRefs();
+
   private readonly registry = new TargetRegistry();
 
   private readonly targetTable = new TargetTable();
@@ -67,7 +71,10 @@
   public describe(id: string): TargetInit | undefined {
     const registered = this.registry.get(id);
     if (registered === undefined) return undefined;
-    const target = toTargetMessage(registered, this.ctx.clock.now());
+    const target = {
+      ...toTargetMessage(registered, this.ctx.clock.now()),
+      ref: this.refs.assign(id),
+    };
     const mark = this.ctx.stateMachine.leavingMark(id, registered.announcement.born);
     return mark === undefined ? target : { ...target, isDraining: true };
   }
@@ -110,6 +117,7 @@
   private drop(id: string, born: number): void {
     this.registry.remove(id, born);
     this.targetTable.remove(id);
+    this.refs.remove(id);
     this.removeEmitter.fire(id);
   }
 }
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -6,6 +6,8 @@
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type {
   HubRelaySchema,
+  RelayedTokenAnswerSchema,
+  RelayedTokenSchema,
   SyncService,
   TargetSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
@@ -19,6 +21,9 @@
 /** Reports are batched for this time. It is short because the leader charges team budgets by them. */
 const FLUSH_MS = 40;
 
+/** Minimum time between two batches, also of failures and token requests, which are sent without delay otherwise. */
+const MIN_INTERVAL_MS = 20;
+
 export type HubRelayInit = MessageInitShape<typeof HubRelaySchema>;
 
 /** State of the hub that a link reads. */
@@ -47,6 +52,10 @@
 
   private readonly admittedByTeam = new Map<string, number>();
 
+  private readonly tokens: MessageInitShape<typeof RelayedTokenSchema>[] = [];
+
+  private readonly tokenAnswers: MessageInitShape<typeof RelayedTokenAnswerSchema>[] = [];
+
   private readonly batcher: Batcher;
 
   private readonly abort = new AbortController();
@@ -59,7 +68,7 @@
     private readonly client: Client<typeof SyncService>,
     private readonly source: RelaySource,
   ) {
-    this.batcher = new Batcher(source.clock, () => this.flush());
+    this.batcher = new Batcher(source.clock, () => this.flush(), MIN_INTERVAL_MS);
   }
 
   /** Keeps a stream open and reconnects until disposed. */
@@ -94,6 +103,18 @@
     this.batcher.request(FLUSH_MS);
   }
 
+  /** Forwards a token request of an entry. Dropped without a stream: the entry decides itself after a while. */
+  public addTokenRequest(token: MessageInitShape<typeof RelayedTokenSchema>): void {
+    this.tokens.push(token);
+    this.batcher.request(URGENT_FLUSH_MS);
+  }
+
+  /** Sends the answer to a token request that the peer has forwarded. */
+  public addTokenAnswer(answer: MessageInitShape<typeof RelayedTokenAnswerSchema>): void {
+    this.tokenAnswers.push(answer);
+    this.batcher.request(URGENT_FLUSH_MS);
+  }
+
   public addTeamUse(team: string, admitted: number): void {
     this.admittedByTeam.set(team, (this.admittedByTeam.get(team) ?? 0) + admitted);
     this.batcher.request(FLUSH_MS);
@@ -141,6 +162,8 @@
       evidence: this.evidence.take(this.source.ownInFlight),
       uses: [...this.usesByService].map(([service, counted]) => ({ service, ...counted })),
       teams: [...this.admittedByTeam].map(([team, admitted]) => ({ team, admitted })),
+      tokens: this.tokens.splice(0),
+      answers: this.tokenAnswers.splice(0),
     });
     this.targets.clear();
     this.usesByService.clear();
@@ -155,5 +178,7 @@
     this.evidence.take(() => 0);
     this.targets.clear();
     this.admittedByTeam.clear();
+    this.tokens.length = 0;
+    this.tokenAnswers.length = 0;
   }
 }
--- a/packages/gateway/src/control/TokenRequestHandler.ts
+++ b/packages/gateway/src/control/TokenRequestHandler.ts
@@ -42,7 +42,7 @@
     const { teamBudgets, leaderLink, sessionOf } = this.ctx;
     tokens.forEach(({ id, team }) => {
       if (teamBudgets.isGranting) sessionOf(entry)?.answerToken(this.decide(id, team, now));
-      else leaderLink()?.send({ tokens: [{ id, team, entry }] });
+      else leaderLink()?.addTokenRequest({ id, team, entry });
     });
   }
 
@@ -51,7 +51,7 @@
     const { isLeader, linkTo } = this.ctx;
     if (!isLeader()) return;
     tokens.forEach(({ id, team, entry }) =>
-      linkTo(peer)?.send({ answers: [{ entry, answer: this.decide(id, team, now) }] }),
+      linkTo(peer)?.addTokenAnswer({ entry, answer: this.decide(id, team, now) }),
     );
   }
 
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -12,6 +12,8 @@
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import type { TargetOutcome } from '@marigoldbank/routing/TargetBelief';
 import { hubConfirmedAge } from '../metrics.js';
+import { decodeEvidenceBatch } from '../sync/evidence-batch.js';
+import { TargetRefs } from '../sync/TargetRefs.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
 import { trueSince } from '../sync/timeEcho.js';
 import type { EntryState } from './EntryState.js';
@@ -58,6 +60,12 @@
 
   private readonly switchPolicy: HubSwitchPolicy;
 
+  /** Numbers of the targets in the evidence batches of the hub. */
+  private readonly refs = new TargetRefs();
+
+  /** Number of this entry in the evidence batches of the hub. */
+  private entryRef = 0;
+
   public constructor(private readonly ctx: FollowerContext) {
     super();
     this.switchPolicy = new HubSwitchPolicy(ctx.state.random);
@@ -163,13 +171,19 @@
       state.targets.retainOnly(new Set(update.targets.map(({ id }) => id)));
       state.targets.all().forEach((target) => Object.assign(target, { othersInFlight: 0 }));
       Object.assign(stream, { firstMessageAt: now });
+      this.refs.clear();
+      this.entryRef = update.entryRef;
     }
     update.targets.forEach((target) => this.applyTarget(target, now));
-    update.removedTargets.forEach((id) => state.targets.remove(id));
+    update.removedTargets.forEach((id) => {
+      state.targets.remove(id);
+      this.refs.remove(id);
+    });
     update.beliefs.forEach(({ id, failingProbability }) =>
       state.targets.get(id)?.belief.adopt(failingProbability, now),
     );
     update.evidence.forEach((item) => this.applyEvidence(item, now));
+    if (update.evidenceBatch.length > 0) this.applyEvidenceBatch(update.evidenceBatch, now);
     update.teams.forEach(({ team, isTight }) => state.teamLimiter.setTight(team, isTight));
     update.tokens.forEach(({ id, isGranted, retryAfterMs }) =>
       reporter.resolveToken(
@@ -193,14 +207,27 @@
   }
 
   private applyTarget(target: Target, now: number): void {
-    const { id, address, service, dataCentre, slots, isDraining, coldMs } = target;
+    const { id, address, service, dataCentre, slots, isDraining, coldMs, ref } = target;
+    this.refs.set(id, ref);
     this.ctx.state.targets.upsert(
       { id, address, service, dataCentre, slots, isDraining, coldMs },
       now,
     );
   }
 
-  private applyEvidence(item: TargetEvidence, now: number): void {
+  private applyEvidenceBatch(batch: Uint8Array, now: number): void {
+    const { targets } = this.ctx.state;
+    decodeEvidenceBatch(batch).forEach(({ ref, entryRef, inFlight, ...outcomes }) => {
+      const id = this.refs.idOf(ref);
+      const target = id === undefined ? undefined : targets.get(id);
+      if (id === undefined || target === undefined) return;
+      const othersInFlight = Math.max(0, inFlight - target.ownInFlight);
+      if (entryRef === this.entryRef) target.othersInFlight = othersInFlight;
+      else this.applyEvidence({ id, inFlight: othersInFlight, ...outcomes }, now);
+    });
+  }
+
+  private applyEvidence(item: Omit<TargetEvidence, '$typeName'>, now: number): void {
     const { targets } = this.ctx.state;
     const target = targets.get(item.id);
     if (target === undefined) return;
--- a/packages/gateway/src/sync/Batcher.ts
+++ b/packages/gateway/src/sync/Batcher.ts
@@ -1,4 +1,4 @@
-/** Delays a flush so that several changes are sent in one message. */
+/** Delays a flush so that several changes are sent in one message, and limits the rate of the messages. */
 import type { Clock } from '@marigoldbank/base/clock';
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
 
@@ -7,22 +7,28 @@
 
   private dueAt = Infinity;
 
+  private flushedAt = -Infinity;
+
   public constructor(
     private readonly clock: Clock,
     private readonly flush: () => void,
+    /** Minimum time between two flushes. */
+    private readonly minIntervalMs = 0,
   ) {}
 
-  /** Schedules a flush in `delayMs`, unless one is already due by then. */
+  /** Schedules a flush in `delayMs`, or after the minimum interval, unless one is already due by then. */
   public request(delayMs: number): void {
-    const at = this.clock.now() + delayMs;
+    const now = this.clock.now();
+    const at = Math.max(now + delayMs, this.flushedAt + this.minIntervalMs);
     if (at >= this.dueAt) return;
     this.timer?.dispose();
     this.dueAt = at;
     this.timer = this.clock.setTimeout(() => {
       this.dueAt = Infinity;
       this.timer = undefined;
+      this.flushedAt = this.clock.now();
       this.flush();
-    }, delayMs);
+    }, at - now);
   }
 
   public dispose(): void {
--- a/packages/gateway/src/sync/SyncClients.ts
+++ b/packages/gateway/src/sync/SyncClients.ts
@@ -7,6 +7,9 @@
 const PING_INTERVAL_MS = 1_000;
 const PING_TIMEOUT_MS = 1_000;
 
+/** Larger messages are compressed. Compressing each small one costs more processor time than encoding it. */
+export const COMPRESS_MIN_BYTES = 8_192;
+
 export class SyncClients {
   private readonly clients = new Map<string, Client<typeof SyncService>>();
 
@@ -21,7 +24,12 @@
       pingTimeoutMs: PING_TIMEOUT_MS,
     });
     this.sessions.push(sessionManager);
-    const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager });
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager,
+      compressMinBytes: COMPRESS_MIN_BYTES,
+    });
     const created = createClient(SyncService, transport);
     this.clients.set(address, created);
     return created;
--- a/packages/gateway/src/sync/sync.test.ts
+++ b/packages/gateway/src/sync/sync.test.ts
@@ -22,6 +22,20 @@
   });
 });
 
+describe('Batcher with a minimum interval', () => {
+  it('flushes at once when idle, and no more often than the interval', () => {
+    const clock = new VirtualClock();
+    const flushes: number[] = [];
+    const batcher = new Batcher(clock, () => flushes.push(clock.now()), 40);
+    clock.advance(100);
+    Array.from({ length: 100 }).forEach(() => {
+      batcher.request(1);
+      clock.advance(1);
+    });
+    expect(flushes).toEqual([101, 141, 181]);
+  });
+});
+
 describe('EvidenceBuffer', () => {
   it('sums outcomes and reads the requests in flight at the time of sending', () => {
     const buffer = new EvidenceBuffer();
