Hubs: share the entries evenly, across data centres if one has few hubs

Seen: of 7 control VMs, core-hw-dc4-1 served all 30 entries of its data centre, the others 12 to 14 each.

Cause: an entry followed a hub of its own data centre, whatever its load. It also went back there whenever it could.

Change: hubs announce the number of entries of each hub. An entry selects a hub that has fewer than 1.25 times the mean, in its own data centre if there is one, and leaves a hub that is above it. It leaves 5 to 10 s after it has learnt of a better hub, formerly after its own arrival, so that entries that have been there for long do not all move at once.

With 21 hubs and 333 entries no hub has 1.5 times the mean (busyHub.test.ts).

--- a/packages/gateway/src/control/EntryRegistry.ts
+++ b/packages/gateway/src/control/EntryRegistry.ts
@@ -51,6 +51,11 @@
     return [...(this.byHub.get(hub)?.values() ?? [])];
   }
 
+  /** Number of entries that are connected to one hub. */
+  public countOf(hub: string): number {
+    return this.byHub.get(hub)?.size ?? 0;
+  }
+
   /** Number of entries that are connected to any hub. */
   public get size(): number {
     return this.connectedVms().size;
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -106,6 +106,7 @@
     this.peers = this.add(
       new HubPeers({
         ...ctx,
+        entriesOf: (address) => this.entries.countOf(address ?? OWN_HUB),
         snapshot: () => this.snapshotForPeer(),
         ownInFlight: (target) => this.evidence.ownInFlight(target),
       }),
--- a/packages/gateway/src/control/HubPeers.ts
+++ b/packages/gateway/src/control/HubPeers.ts
@@ -19,6 +19,8 @@
   readonly log: IReplicatedLog;
   readonly logger: Logger;
   readonly clientOf: (address: string) => Client<typeof SyncService>;
+  /** Number of entries that follow a hub, or this one. */
+  readonly entriesOf: (address: string | undefined) => number;
   /** Full state for the start of a stream to a peer. */
   readonly snapshot: () => HubRelayInit;
   /** Requests in flight at a target from the entries connected to this hub. */
@@ -50,11 +52,15 @@
   }
 
   /** Addresses of this hub and of the hubs that are alive. */
-  public addresses(now: number): { address: string; dataCentre: string }[] {
-    const { dataCentre } = this.ctx.settings;
+  public addresses(now: number): { address: string; dataCentre: string; entries: number }[] {
+    const { settings, entriesOf } = this.ctx;
     return [
-      { address: this.ownAddress, dataCentre },
-      ...this.alive(now).map((peer) => ({ address: peer.address, dataCentre: peer.dataCentre })),
+      { address: this.ownAddress, dataCentre: settings.dataCentre, entries: entriesOf(undefined) },
+      ...this.alive(now).map(({ address, dataCentre }) => ({
+        address,
+        dataCentre,
+        entries: entriesOf(address),
+      })),
     ];
   }
 
--- a/packages/gateway/src/control/busyHub.test.ts
+++ b/packages/gateway/src/control/busyHub.test.ts
@@ -16,13 +16,14 @@
   };
 }
 
-/** The grown deployment with 11 control VMs of which 7 run: one hub in dc-4 for 30 of the 111 entries. */
-function makeFleet(): FakeFleet {
+/** Two hubs in each of three data centres and one in the largest, as in the grown deployment times `factor`. */
+function makeFleet(factor = 1): FakeFleet {
   const sizes = { 'dc-1': 28, 'dc-2': 27, 'dc-3': 26, 'dc-4': 30 };
+  const hubs = ['dc-1', 'dc-2', 'dc-3', 'dc-1', 'dc-2', 'dc-3', 'dc-4'];
   return new FakeFleet({
-    hubs: ['dc-1', 'dc-2', 'dc-3', 'dc-1', 'dc-2', 'dc-3', 'dc-4'],
+    hubs: Array.from({ length: factor }, () => hubs).flat(),
     entries: Object.entries(sizes).flatMap(([dataCentre, size]) =>
-      Array.from({ length: size }, () => dataCentre),
+      Array.from({ length: size * factor }, () => dataCentre),
     ),
   });
 }
@@ -68,3 +69,17 @@
     expect(Math.max(...ages)).toBeLessThan(500);
   });
 });
+
+describe('the hubs of a fleet', () => {
+  // The only hub of a data centre with 30 entries had twice as many as the others and ran out of processor time.
+  [1, 3].forEach((factor) => {
+    it(`share ${111 * factor} entries, also where a data centre has fewer hubs`, async () => {
+      const fleet = makeFleet(factor);
+      fleet.commit(makePlan(1));
+      await fleet.advance(25_000);
+      const followers = fleet.followersByHub();
+      const mean = fleet.entries.length / followers.length;
+      expect(Math.max(...followers)).toBeLessThan(mean * 1.5);
+    });
+  });
+});
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -118,7 +118,7 @@
     abort.abort();
   }
 
-  /** Leaves the hub if it is silent, may have stale state, or is in another data centre than an available one. */
+  /** Leaves the hub if it is silent, may have stale state, or if another one is better. */
   private check(): void {
     const { clock, state, hubs, logger } = this.ctx;
     const { stream } = this;
@@ -128,14 +128,14 @@
     if (stream === undefined || stream.abort.signal.aborted) return;
     const { firstMessageAt, lastMessageAt } = stream;
     const { isLeaderless } = state;
-    const hasCloserHub = hubs.hasCloserHub(stream.address, now);
+    const betterHubReason = hubs.reasonForBetterHub(stream.address, now);
     const reason = this.switchPolicy.reasonToLeave(
       {
         firstMessageAt,
         lastMessageAt,
         confirmedAgeMs,
         isLeaderless,
-        hasCloserHub,
+        betterHubReason,
         hasPlan: state.planVersion > 0,
       },
       now,
@@ -148,7 +148,7 @@
       isLeaderless,
       reason,
     });
-    if (reason !== 'far') hubs.recordFailure(stream.address, now);
+    if (reason === 'silent' || reason === 'unconfirmed') hubs.recordFailure(stream.address, now);
     stream.abort.abort();
   }
 
--- a/packages/gateway/src/entry/HubSelector.test.ts
+++ b/packages/gateway/src/entry/HubSelector.test.ts
@@ -8,8 +8,8 @@
   const selector = new HubSelector('dc-1', SEEDS, 0, 0);
   selector.setHubs(
     [
-      { address: 'near:1', dataCentre: 'dc-1' },
-      { address: 'far:1', dataCentre: 'dc-2' },
+      { address: 'near:1', dataCentre: 'dc-1', entries: 2 },
+      { address: 'far:1', dataCentre: 'dc-2', entries: 2 },
     ],
     SEEDS,
   );
@@ -46,8 +46,29 @@
     expect(selector.next(0, 0.5)).toEqual('near:1');
     selector.recordFailure('near:1', 0);
     expect(selector.next(1_000, 0)).toEqual('far:1');
-    expect(selector.hasCloserHub('far:1', 1_000)).toEqual(false);
-    expect(selector.hasCloserHub('far:1', 5_000)).toEqual(true);
+    expect(selector.reasonForBetterHub('far:1', 1_000)).toEqual(undefined);
+    expect(selector.reasonForBetterHub('far:1', 5_000)).toEqual('far');
+  });
+
+  // All entries of a large data centre followed the only hub there, which ran out of processor time.
+  it('selects a hub of another data centre, and leaves a crowded one, while others have room', () => {
+    const selector = new HubSelector('dc-1', SEEDS, 0, 0);
+    const announce = (near: number, far: number): void =>
+      selector.setHubs(
+        [
+          { address: 'near:1', dataCentre: 'dc-1', entries: near },
+          { address: 'far:1', dataCentre: 'dc-2', entries: far },
+        ],
+        SEEDS,
+      );
+    announce(30, 10);
+    expect(selector.next(0, 0.5)).toEqual('far:1');
+    expect(selector.reasonForBetterHub('near:1', 0)).toEqual('crowded');
+    expect(selector.reasonForBetterHub('far:1', 0)).toEqual(undefined);
+    announce(21, 19);
+    expect(selector.next(0, 0.5)).toEqual('near:1');
+    expect(selector.reasonForBetterHub('near:1', 0)).toEqual(undefined);
+    expect(selector.reasonForBetterHub('far:1', 0)).toEqual('far');
   });
 
   it('tries the hub whose failure is the oldest when all have failed', () => {
--- a/packages/gateway/src/entry/HubSwitchPolicy.test.ts
+++ b/packages/gateway/src/entry/HubSwitchPolicy.test.ts
@@ -19,7 +19,7 @@
     confirmedAgeMs: 100,
     isLeaderless: false,
     hasPlan: true,
-    hasCloserHub: false,
+    betterHubReason: undefined,
     ...overrides,
   };
 }
@@ -89,11 +89,26 @@
   it('spreads the switch to closer hubs over seconds', () => {
     const random = new Random(1);
     const times = Array.from({ length: 40 }, () =>
-      timeOfLeaving({ hasCloserHub: true }, 30_000, random),
+      timeOfLeaving({ betterHubReason: 'far' }, 30_000, random),
     );
     expect(Math.max(...times) - Math.min(...times)).toBeGreaterThan(3_000);
   });
 
+  it('stays for a random time after another hub has become better, however long it has been there', () => {
+    const random = new Random(2);
+    const times = Array.from({ length: 40 }, () => {
+      const policy = makePolicy(random);
+      const checks = Array.from({ length: 400 }, (_, i) => i * CHECK_MS);
+      return checks.find((now) => {
+        const betterHubReason = now > 30_000 ? 'crowded' : undefined;
+        return policy.reasonToLeave(makeHub({ lastMessageAt: now, betterHubReason }), now);
+      });
+    });
+    const known = times.map((time) => time ?? Infinity);
+    expect(Math.min(...known)).toBeGreaterThan(34_000);
+    expect(Math.max(...known) - Math.min(...known)).toBeGreaterThan(3_000);
+  });
+
   it('waits longer at each further hub that is not confirmed', () => {
     const policy = makePolicy();
     const stays = [0, 0, 0].map(() => {
--- a/packages/gateway/src/entry/HubSwitchPolicy.ts
+++ b/packages/gateway/src/entry/HubSwitchPolicy.ts
@@ -1,5 +1,6 @@
 /** Decides when an entry leaves the hub that it follows. */
 import type { Random } from '@marigoldbank/base/random';
+import type { BetterHubReason } from './HubSelector.js';
 
 /** A hub sends a message at least every 400 ms. An entry leaves a hub that sends nothing for this long. */
 const SILENCE_TIMEOUT_MS = 900;
@@ -23,8 +24,11 @@
  */
 const LEADERLESS_STAY_MS = 4_000;
 
-/** Time at a hub in another data centre before the entry switches to one in its own. */
-const FAR_STAY_MS = 5_000;
+/**
+ * Time for which an entry stays at a hub after it has learnt of a better one. It is randomised, so that a few entries
+ * move first and the others see that the better hub has filled up.
+ */
+const BETTER_HUB_STAY_MS = 5_000;
 
 /** State of the hub that the entry follows. Times are monotonic ms. */
 export interface FollowedHub {
@@ -35,22 +39,26 @@
   /** Whether the entry has a plan, which can become outdated. */
   readonly hasPlan: boolean;
   readonly isLeaderless: boolean;
-  /** Whether a hub in the data centre of the entry is available instead. */
-  readonly hasCloserHub: boolean;
+  /** Why another hub is better, undefined if none is. */
+  readonly betterHubReason: BetterHubReason | undefined;
 }
 
-export type LeaveReason = 'silent' | 'unconfirmed' | 'far';
+export type LeaveReason = 'silent' | 'unconfirmed' | BetterHubReason;
 
 export class HubSwitchPolicy {
   private stayMs = MIN_STAY_MS;
 
   private jitter = 1;
 
+  /** Time since which a better hub has been known. */
+  private betterSince: number | undefined;
+
   public constructor(private readonly random: Random) {}
 
   /** Starts with a new hub. The jitter keeps entries from leaving a hub all at the same time. */
   public startFollowing(): void {
     this.jitter = 1 + this.random.float();
+    this.betterSince = undefined;
   }
 
   /** Returns why the entry should leave the hub now, or undefined if it should stay. */
@@ -61,7 +69,7 @@
     const stayedMs = now - hub.firstMessageAt;
     if (hub.confirmedAgeMs <= MAX_CONFIRMED_AGE_MS) {
       this.stayMs = MIN_STAY_MS;
-      return hub.hasCloserHub && stayedMs > FAR_STAY_MS * this.jitter ? 'far' : undefined;
+      return this.reasonForBetterHub(hub.betterHubReason, now);
     }
     const unconfirmedMs = Math.min(stayedMs, hub.confirmedAgeMs - MAX_CONFIRMED_AGE_MS);
     // Without a plan the entry serves no requests by an outdated one, and its hub most likely catches up sooner than
@@ -73,4 +81,15 @@
     this.stayMs = Math.min(MAX_STAY_MS, this.stayMs * 2);
     return 'unconfirmed';
   }
+
+  private reasonForBetterHub(
+    reason: BetterHubReason | undefined,
+    now: number,
+  ): LeaveReason | undefined {
+    if (reason === undefined) this.betterSince = undefined;
+    else this.betterSince ??= now;
+    const isDue =
+      this.betterSince !== undefined && now - this.betterSince > BETTER_HUB_STAY_MS * this.jitter;
+    return isDue ? reason : undefined;
+  }
 }
