Close the connection of a target that sends bytes without end

A test target sent them on loopback. An endless reason phrase, blank lines, interim responses and chunk extensions were read until the deadline of the request (57 to 847 MB in 1 s), since the parser accepts them and no limit counts them. Endless headers and trailers, a body without a length and bytes that are no HTTP already ended the exchange within 80 ms.

Change: an exchange compares the bytes read from its connection with those of the body and ends as a broken response above 128 KiB and 16 times the body; the same cases end within 105 ms. undici tells the connection of a request only on its diagnostics channel. The body of a target that did not run the request is discarded up to 64 KiB, formerly without limit. An endless body of an accepted response is passed on until the timeout of the route and then broken off.

endless-responses.test.ts and gateway.test.ts; four and one of the new tests failed before.

--- a/packages/daemon/src/entry/UpstreamClient.ts
+++ b/packages/daemon/src/entry/UpstreamClient.ts
@@ -36,6 +36,9 @@
  */
 const MIN_LIMIT_RATIO = 0.5;
 
+/** Interval of checks for targets that send bytes without end. */
+const OVERHEAD_CHECK_MS = 100;
+
 export interface UpstreamRequest {
   /** `ip:port` of the target. */
   readonly address: string;
@@ -66,6 +69,8 @@
 export class UpstreamClient implements IDisposable {
   private readonly pools = new Map<string, TargetPool>();
 
+  private readonly exchanges = new Set<UpstreamExchange>();
+
   private readonly store = new DisposableStore();
 
   public constructor(
@@ -73,6 +78,8 @@
     private readonly protocol: UpstreamProtocol = DEFAULT_PROTOCOL,
   ) {
     this.store.add(setPeriodic(clock, () => this.closeIdlePools(), POOL_IDLE_TIMEOUT_MS));
+    const check = (): void => this.exchanges.forEach((exchange) => exchange.checkOverhead());
+    this.store.add(setPeriodic(clock, check, OVERHEAD_CHECK_MS));
   }
 
   /** Starts one exchange. It is aborted at the deadline or when the signal aborts. */
@@ -86,10 +93,12 @@
       req.checkDispatch,
       () => {
         targetPool.activeExchanges -= 1;
+        this.exchanges.delete(exchange);
         disposables.dispose();
       },
     );
     targetPool.activeExchanges += 1;
+    this.exchanges.add(exchange);
     this.abortOnDeadlineOrCancel(exchange, req, disposables);
     this.dispatch(targetPool.pool, req, exchange);
     return exchange;
--- a/packages/daemon/src/entry/UpstreamExchange.ts
+++ b/packages/daemon/src/entry/UpstreamExchange.ts
@@ -1,4 +1,5 @@
 /** One request to one target, and its response. */
+import diagnosticsChannel from 'node:diagnostics_channel';
 import type { Dispatcher } from 'undici';
 import { ExchangeError, type FailureCause } from './ExchangeError.js';
 import type { ResponseHeaders } from './headers.js';
@@ -35,6 +36,16 @@
 /** Number of body bytes buffered before a sink is attached; the response is paused beyond it. */
 const MAX_PENDING_BYTES = 65_536;
 
+/**
+ * Bytes on the connection that are not part of the body, such as the head and the framing of chunks. A target may send
+ * more of them without end: blank lines, interim responses, an endless reason phrase or chunk extension. The parser
+ * accepts these, so the exchange would read them until its deadline.
+ */
+const MAX_OVERHEAD_BYTES = 131_072;
+
+/** Framing of a body in chunks of a few bytes, as a multiple of the body. */
+const MAX_OVERHEAD_RATIO = 16;
+
 const STATUS_WITHOUT_BODY = new Set([204, 304]);
 
 /** Rules for validating upstream responses. */
@@ -61,8 +72,27 @@
   return undefined;
 }
 
+interface Connection {
+  readonly bytesRead: number;
+}
+
 /** Handler of one undici dispatch. Nothing is sent unless `checkDispatch` passes in the same event loop turn. */
 export class UpstreamExchange implements Dispatcher.DispatchHandler {
+  /** The exchange whose request is being written in this turn of the event loop. */
+  private static starting: UpstreamExchange | undefined;
+
+  static {
+    // undici passes the connection of a request only to this channel, after `onRequestStart` and in the same turn.
+    diagnosticsChannel.subscribe('undici:client:sendHeaders', (message) => {
+      const { socket } = message as { socket: Connection };
+      const { starting } = UpstreamExchange;
+      if (starting === undefined) return;
+      starting.connection = socket;
+      starting.bytesBefore = socket.bytesRead;
+      UpstreamExchange.starting = undefined;
+    });
+  }
+
   /** Resolves with the response head, or with the failure that occurred before it. */
   public readonly head: Promise<ResponseHead | ExchangeFailure>;
 
@@ -70,6 +100,13 @@
 
   private controller: Dispatcher.DispatchController | undefined;
 
+  private connection: Connection | undefined;
+
+  /** Bytes read from the connection before this exchange. */
+  private bytesBefore = 0;
+
+  private bodyBytes = 0;
+
   private wasSent = false;
 
   private hasHead = false;
@@ -112,6 +149,10 @@
     }
     this.wasSent = true;
     this.controller = controller;
+    UpstreamExchange.starting = this;
+    queueMicrotask(() => {
+      UpstreamExchange.starting = undefined;
+    });
   }
 
   public onResponseStart(
@@ -136,6 +177,7 @@
 
   public onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.failure !== undefined) return;
+    this.bodyBytes += chunk.length;
     if (this.sink !== undefined) {
       if (!this.sink.onData(chunk)) controller.pause();
       return;
@@ -174,6 +216,14 @@
     if (this.failure === undefined && !this.hasEnded) this.controller?.resume();
   }
 
+  /** Aborts the exchange if the target sends bytes without end that are no response. */
+  public checkOverhead(): void {
+    if (this.connection === undefined) return;
+    const overhead = this.connection.bytesRead - this.bytesBefore - this.bodyBytes;
+    if (overhead <= MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * this.bodyBytes) return;
+    this.abort('brokenResponse', 'the target sends bytes without end that are no response');
+  }
+
   /** Ends the exchange and destroys its connection, so that a late response is discarded. */
   public abort(cause: FailureCause, detail: string): void {
     if (this.hasEnded || this.failure !== undefined) return;
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -15,6 +15,9 @@
 /** Responses up to this size are buffered as a whole before any part of them is forwarded. */
 const MAX_BUFFERED_BYTES = 262_144;
 
+/** Largest body that is read only to reuse its connection. */
+const MAX_DISCARDED_BYTES = 65_536;
+
 const FIRST_ERROR_STATUS = 500;
 
 /** Result of an attempt. */
@@ -166,10 +169,15 @@
       : { kind: 'mayHaveRun', detail, target };
   }
 
-  /** Reads and discards the body, so that the connection can be reused. */
+  /** Reads and discards the body, so that the connection can be reused. Closes the connection if it is large. */
   private discardBody(): void {
+    let size = 0;
     this.exchange.consume({
-      onData: () => true,
+      onData: (chunk) => {
+        size += chunk.length;
+        if (size > MAX_DISCARDED_BYTES) this.exchange.abort('cancelled', 'not needed');
+        return true;
+      },
       onEnd: () => undefined,
       onFail: () => undefined,
     });
