--- a/packages/gateway/src/control/EntryRegistry.ts
+++ b/packages/gateway/src/control/EntryRegistry.ts
@@ -14,6 +14,9 @@
   readonly isReady: boolean;
 }
 
+/** Key of this hub in the registry. */
+export const OWN_HUB = '';
+
 /** A lost entry counts as expected for this long: restarts and partitions are shorter. */
 const EXPECTED_RETURN_MS = 20_000;
 
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -17,10 +17,11 @@
 import type { Announcement } from '../ProtocolAdapter.js';
 import { ipOf, syncAddress, type GatewaySettings } from '../settings.js';
 import { RetryBudgets } from './RetryBudgets.js';
-import { EntrySession, type HubStatusInit, type HubUpdateInit } from './EntrySession.js';
+import { EntrySession } from './EntrySession.js';
+import { HubMessages } from './HubMessages.js';
 import { EvidenceFeed } from './EvidenceFeed.js';
 import { EvidenceDistributor } from './EvidenceDistributor.js';
-import { EntryRegistry, type EntryIdentity } from './EntryRegistry.js';
+import { EntryRegistry, OWN_HUB, type EntryIdentity } from './EntryRegistry.js';
 import type { CommittedPlan } from './CommittedPlan.js';
 import { HubPeers } from './HubPeers.js';
 import { HubFreshness } from './HubFreshness.js';
@@ -28,7 +29,6 @@
 import { isAlive, type PeerHub } from './PeerHub.js';
 import { PlanEncoder } from './PlanEncoder.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
-import type { HubRelayInit } from './RelayLink.js';
 import { trueSince } from '../sync/timeEcho.js';
 import { TeamBudgets } from './TeamBudgets.js';
 import { TokenRequestHandler } from './TokenRequestHandler.js';
@@ -45,12 +45,6 @@
 /** An entry that sends no report for this long is disconnected. */
 const ENTRY_TIMEOUT_MS = 3_000;
 
-/** Key of this hub in the entry registry. */
-const OWN_HUB = '';
-
-/** Upper limit of ages on the wire, also used for "never". */
-const MAX_AGE_MS = 1_000_000;
-
 const MAX_SEED = 0x7fffffff;
 
 export interface HubContext {
@@ -83,6 +77,8 @@
 
   private readonly tokenRequests: TokenRequestHandler;
 
+  private readonly messages: HubMessages;
+
   private readonly random = new Random(Math.floor(Math.random() * MAX_SEED));
 
   /** Entries that are advertised to callers, by address, as of the last tick. */
@@ -107,7 +103,7 @@
       new HubPeers({
         ...ctx,
         entriesOf: (address) => this.entries.countOf(address ?? OWN_HUB),
-        snapshot: () => this.snapshotForPeer(),
+        snapshot: () => this.messages.forPeer(),
         ownInFlight: (target) => this.evidence.ownInFlight(target),
       }),
     );
@@ -142,6 +138,17 @@
       links: () => this.peers.links,
       peerAddresses: () => this.peers.all.map(({ address }) => address),
     });
+    this.messages = new HubMessages({
+      clock,
+      settings,
+      stateMachine,
+      entries: this.entries,
+      targets: this.targets,
+      peers: this.peers,
+      freshness: this.freshness,
+      evidence: this.evidence,
+      teamBudgets: this.teamBudgets,
+    });
     this.add(stateMachine.onDidMarkLeaving((id) => this.targets.markLeaving(id)));
     this.add(
       this.targets.onDidChange((target) =>
@@ -201,7 +208,10 @@
     const session = new EntrySession(identity, this.lastEntryRef, source, planVersion);
     this.sessions.set(identity.vm, session);
     session.noteReport(clock.now(), sentAtMs);
-    session.sendStatus(this.status(clock.now()), this.snapshotForEntry(session));
+    session.sendStatus(this.messages.status(clock.now()), {
+      ...this.messages.forEntry(session),
+      isLeaving: this.isLeaving,
+    });
     session.planChanged();
     this.ctx.logger.info('entry connected', { entry: identity.vm });
     return session;
@@ -348,7 +358,7 @@
   }
 
   private sendStatus(now: number): void {
-    const status = this.status(now);
+    const status = this.messages.status(now);
     const rest = { hubs: this.peers.addresses(now), isLeaving: this.isLeaving };
     this.sessions.forEach((session) => session.sendStatus(status, rest));
   }
@@ -386,49 +396,4 @@
         this.evidence.removeHub(peer.address);
       });
   }
-
-  private status(now: number): HubStatusInit {
-    return {
-      confirmedAgeMs: Math.round(Math.min(MAX_AGE_MS, this.confirmedAgeMs())),
-      budgetAgeMs: Math.round(Math.min(MAX_AGE_MS, this.budgetAgeMs(now))),
-      entries: this.entries.expectedSize(now),
-      isLeaderless: this.freshness.isLeaderless(now),
-      planVersion: BigInt(this.ctx.stateMachine.current?.plan.version ?? 0),
-    };
-  }
-
-  /** Time since the last message of the hub that grants the tokens of team budgets, 0 if this hub grants them. */
-  private budgetAgeMs(now: number): number {
-    // A leader that has lost its majority steps down within an election timeout.
-    if (this.teamBudgets.isGranting) return 0;
-    const { leader } = this.peers;
-    return now - (leader?.confirmedAt ?? leader?.lastMessageAt ?? -Infinity);
-  }
-
-  private snapshotForEntry({ identity: { vm }, entryRef }: EntrySession): HubUpdateInit {
-    const now = this.ctx.clock.now();
-    return {
-      hubs: this.peers.addresses(now),
-      isLeaving: this.isLeaving,
-      entryRef,
-      targets: this.targets.describeAll(),
-      beliefs: this.targets.beliefs(now),
-      evidence: this.evidence.loadForEntry(vm),
-      teams: this.teamBudgets.modesForEntry(),
-    };
-  }
-
-  private snapshotForPeer(): HubRelayInit {
-    const { settings } = this.ctx;
-    return {
-      hello: { address: this.peers.ownAddress, dataCentre: settings.dataCentre },
-      entries: this.entries
-        .entriesOf(OWN_HUB)
-        .map(({ identity, isReady }) => ({ identity, isReady })),
-      targets: this.targets.describeAll(),
-      evidence: this.evidence.loadForHub(),
-      teamStates: this.teamBudgets.modesForHub(),
-      hubs: this.peers.addresses(this.ctx.clock.now()),
-    };
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/control/HubMessages.ts
@@ -0,0 +1,80 @@
+/** Makes the messages of a hub about its whole state: its status, and the snapshots at the start of streams. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { GatewaySettings } from '../settings.js';
+import { OWN_HUB, type EntryRegistry } from './EntryRegistry.js';
+import type { EntrySession, HubStatusInit, HubUpdateInit } from './EntrySession.js';
+import type { EvidenceDistributor } from './EvidenceDistributor.js';
+import type { HubFreshness } from './HubFreshness.js';
+import type { HubPeers } from './HubPeers.js';
+import type { HubTargets } from './HubTargets.js';
+import type { PlanStateMachine } from './PlanStateMachine.js';
+import type { HubRelayInit } from './RelayLink.js';
+import type { TeamBudgets } from './TeamBudgets.js';
+
+/** Upper limit of ages on the wire, also used for "never". */
+const MAX_AGE_MS = 1_000_000;
+
+/** Parts of the hub that the messages describe. */
+export interface HubParts {
+  readonly clock: Clock;
+  readonly settings: GatewaySettings;
+  readonly stateMachine: PlanStateMachine;
+  readonly entries: EntryRegistry;
+  readonly targets: HubTargets;
+  readonly peers: HubPeers;
+  readonly freshness: HubFreshness;
+  readonly evidence: EvidenceDistributor;
+  readonly teamBudgets: TeamBudgets;
+}
+
+export class HubMessages {
+  public constructor(private readonly parts: HubParts) {}
+
+  /** Status for entries, whose ages refer to `now` (monotonic ms). */
+  public status(now: number): HubStatusInit {
+    const { entries, freshness, stateMachine } = this.parts;
+    return {
+      confirmedAgeMs: Math.round(Math.min(MAX_AGE_MS, freshness.confirmedAgeMs())),
+      budgetAgeMs: Math.round(Math.min(MAX_AGE_MS, this.budgetAgeMs(now))),
+      entries: entries.expectedSize(now),
+      isLeaderless: freshness.isLeaderless(now),
+      planVersion: BigInt(stateMachine.current?.plan.version ?? 0),
+    };
+  }
+
+  /** State for an entry that has connected, except the plan. */
+  public forEntry({ identity: { vm }, entryRef }: EntrySession): HubUpdateInit {
+    const { clock, peers, targets, evidence, teamBudgets } = this.parts;
+    const now = clock.now();
+    return {
+      entryRef,
+      hubs: peers.addresses(now),
+      targets: targets.describeAll(),
+      beliefs: targets.beliefs(now),
+      evidence: evidence.loadForEntry(vm),
+      teams: teamBudgets.modesForEntry(),
+    };
+  }
+
+  /** State for another hub to which a stream has been opened. */
+  public forPeer(): HubRelayInit {
+    const { clock, settings, entries, peers, targets, evidence, teamBudgets } = this.parts;
+    return {
+      hello: { address: peers.ownAddress, dataCentre: settings.dataCentre },
+      entries: entries.entriesOf(OWN_HUB).map(({ identity, isReady }) => ({ identity, isReady })),
+      targets: targets.describeAll(),
+      evidence: evidence.loadForHub(),
+      teamStates: teamBudgets.modesForHub(),
+      hubs: peers.addresses(clock.now()),
+    };
+  }
+
+  /** Age of the newest state of the hub that grants the tokens of team budgets, 0 if this hub grants them. */
+  private budgetAgeMs(now: number): number {
+    const { teamBudgets, peers } = this.parts;
+    // A leader that has lost its majority steps down within an election timeout.
+    if (teamBudgets.isGranting) return 0;
+    const { leader } = peers;
+    return now - (leader?.confirmedAt ?? leader?.lastMessageAt ?? -Infinity);
+  }
+}
