Retry budget: let the fleet use 0.9 of it, and other than urgent requests 0.8

Cause: 0.8 and 0.65 of the budget were the limits because the fleet's sum is late. Entries keep to their share now, so that the sum need not stop retries that early.

The limit stays below 1 for entries that restart and lose their own counts: RetryBudgets.test.ts restarts 55% of them while targets reject 55% of the sends, without an excess. The fleet uses more than three quarters of the budget there.

--- a/packages/gateway/src/control/RetryBudgets.test.ts
+++ b/packages/gateway/src/control/RetryBudgets.test.ts
@@ -12,6 +12,7 @@
 const REJECTED_AFTER_MS = 10;
 const SHEDDING_FROM_MS = 12_000;
 const SHEDDING_TO_MS = 20_500;
+const RESTART_AT_MS = 16_000;
 const END_MS = 32_000;
 const CHECK_STEP_MS = 50;
 const STATE_INTERVAL_MS = 200;
@@ -25,6 +26,8 @@
   readonly lagMs: number;
   readonly limits: RetryBudgetLimits;
   readonly seed: number;
+  /** Share of the entries that restart while targets shed load, and lose their counts. */
+  readonly restartedShare?: number;
 }
 
 interface FleetSends {
@@ -42,6 +45,11 @@
   const sends: FleetSends = { requests: [], retries: [] };
   const isRejected = (): boolean =>
     clock.now() >= SHEDDING_FROM_MS && clock.now() < SHEDDING_TO_MS && random.chance(rejectedShare);
+  const restart = (): void =>
+    limiters.forEach((_, i) => {
+      if (i < (load.restartedShare ?? 0) * entries) limiters[i] = new RetryLimiter(limits);
+    });
+  clock.setTimeout(restart, RESTART_AT_MS);
   const send = (limiter: RetryLimiter, attempt: number): void => {
     const isRetry = attempt > 1;
     const counts = [isRetry ? 0 : 1, isRetry ? 1 : 0] as const;
@@ -110,6 +118,18 @@
     expect(maxExcess(simulate(load), grown.limits)).toBeLessThanOrEqual(0);
   });
 
+  it('holds when half of the entries restart while targets shed load', () => {
+    const load = { ...grown, lagMs: 300, seed: 4, restartedShare: 0.55 };
+    expect(maxExcess(simulate(load), grown.limits)).toBeLessThanOrEqual(0);
+  });
+
+  it('is used by more than three quarters while targets shed load', () => {
+    const { requests, retries } = simulate({ ...grown, lagMs: 300, seed: 5 });
+    const isShedding = (at: number): boolean => at >= SHEDDING_FROM_MS && at < SHEDDING_TO_MS;
+    const allowed = grown.limits.ratio * requests.filter(isShedding).length + grown.limits.slack;
+    expect(retries.length).toBeGreaterThan(allowed * 0.75);
+  });
+
   it('lets requests retry that fail at a rate well below the budget', () => {
     const load = { ...grown, rejectedShare: 0.1, lagMs: 300, seed: 3 };
     const { requests, retries } = simulate(load);
--- a/packages/routing/src/RetryLimiter.ts
+++ b/packages/routing/src/RetryLimiter.ts
@@ -1,11 +1,11 @@
 /** Limits retries to the budget of a service, which all entries share. */
 import { RetryWindow, type RetryBudgetLimits } from './RetryWindow.js';
 
-/** Used fraction at which all retries stop. It is below 1 because the latest retries are not counted yet. */
-const URGENT_MAX_USE = 0.8;
+/** Used fraction at which all retries stop. It covers retries of entries that have lost their own counts by a restart. */
+const URGENT_MAX_USE = 0.9;
 
 /** Used fraction at which retries of other requests stop, so that some of the budget is left for urgent ones. */
-const NON_URGENT_MAX_USE = 0.65;
+const NON_URGENT_MAX_USE = 0.8;
 
 /**
  * Used fraction of its own share of the budget at which an entry stops, whatever the fleet-wide value is. That value is
