--- a/packages/bench/src/bin/bench.ts
+++ b/packages/bench/src/bin/bench.ts
@@ -3,11 +3,17 @@
 import { defineCommand, runMain } from 'citty';
 import { controlCommand } from '../control/controlCommand.js';
 import { decisionsCommand } from '../experiments/decisions.js';
+import { hubCommand } from '../hub/hubCommand.js';
 import { pathCommand } from '../path/path.js';
 
 const main = defineCommand({
   meta: { name: 'bench', description: 'Experiments and load tool' },
-  subCommands: { decisions: decisionsCommand, path: pathCommand, control: controlCommand },
+  subCommands: {
+    decisions: decisionsCommand,
+    path: pathCommand,
+    control: controlCommand,
+    hub: hubCommand,
+  },
 });
 
 await runMain(main);
