Entries leave a hub that is cut off for one that it does not hear

Cause: an entry selected any other hub of the list, and that of a cut-off hub keeps those on both sides for 3 s and then only those that are cut off. Its stay at the next unconfirmed hub was doubled.

Change: hubs announce which hubs they do not hear, and their status says whether they are cut off. An entry that leaves a hub that is cut off does not try the hubs that this one hears, and remembers hubs that are no longer announced.

busyHub.test.ts cuts off three of seven hubs, two of them seeds, 0.6 s before a commit.

--- a/packages/gateway/src/control/HubFreshness.ts
+++ b/packages/gateway/src/control/HubFreshness.ts
@@ -63,6 +63,11 @@
     return this.ctx.reachesMajority(now);
   }
 
+  /** Whether messages of a majority of the voters do not arrive. Not known, and so false, shortly after the start. */
+  public isCutOff(now: number): boolean {
+    return this.uptimeMs() > STARTUP_GRACE_MS && !this.ctx.reachesMajority(now);
+  }
+
   /**
    * Records a confirmation that another hub sent as leader: `index` was the last committed index at `at` (monotonic
    * ms). A confirmation dated by its arrival would hide that messages of the leader wait behind others.
--- a/packages/gateway/src/control/HubMessages.ts
+++ b/packages/gateway/src/control/HubMessages.ts
@@ -38,6 +38,7 @@
       budgetAgeMs: Math.round(Math.min(MAX_AGE_MS, this.budgetAgeMs(now))),
       entries: entries.expectedSize(now),
       isLeaderless: freshness.isLeaderless(now),
+      isCutOff: freshness.isCutOff(now),
       planVersion: BigInt(stateMachine.current?.plan.version ?? 0),
     };
   }
--- a/packages/gateway/src/control/HubPeers.ts
+++ b/packages/gateway/src/control/HubPeers.ts
@@ -7,6 +7,7 @@
 import type { IReplicatedLog } from '@marigoldbank/replicated-log';
 import { syncAddress, type GatewaySettings } from '../settings.js';
 import { echoOf } from '../sync/timeEcho.js';
+import type { HubCandidate } from '../sync/HubCandidate.js';
 import { isAlive, type PeerHub } from './PeerHub.js';
 import { RelayLink, type HubRelayInit } from './RelayLink.js';
 
@@ -52,14 +53,20 @@
   }
 
   /** Addresses of this hub and of the hubs that are alive. */
-  public addresses(now: number): { address: string; dataCentre: string; entries: number }[] {
+  public addresses(now: number): HubCandidate[] {
     const { settings, entriesOf } = this.ctx;
     return [
-      { address: this.ownAddress, dataCentre: settings.dataCentre, entries: entriesOf(undefined) },
-      ...this.alive(now).map(({ address, dataCentre }) => ({
+      {
+        address: this.ownAddress,
+        dataCentre: settings.dataCentre,
+        entries: entriesOf(undefined),
+        isSilent: false,
+      },
+      ...this.alive(now).map(({ address, dataCentre, lastMessageAt }) => ({
         address,
         dataCentre,
         entries: entriesOf(address),
+        isSilent: now - lastMessageAt >= REACHABLE_TIMEOUT_MS,
       })),
     ];
   }
--- a/packages/gateway/src/control/busyHub.test.ts
+++ b/packages/gateway/src/control/busyHub.test.ts
@@ -70,6 +70,25 @@
   });
 });
 
+describe('hubs that are cut off from a majority', () => {
+  // An entry that left such a hub often went to another one that was cut off as well, and stayed there twice as long.
+  [1, 3].forEach((factor) => {
+    it(`lose their entries to the others within two seconds after a commit, with ${7 * factor} hubs`, async () => {
+      const fleet = makeFleet(factor);
+      fleet.commit(makePlan(1));
+      await fleet.advance(25_000);
+      // Two of the three seeds are among them.
+      [1, 2, 6]
+        .flatMap((i) => Array.from({ length: factor }, (_, j) => i + 7 * j))
+        .forEach((i) => Object.assign(fleet.hubs[i]!, { isCutOff: true }));
+      await fleet.advance(600);
+      fleet.commit(makePlan(2));
+      await fleet.advance(CONFIG_APPLY_MS);
+      expect(fleet.entries.filter(({ state }) => state.planVersion < 2).length).toEqual(0);
+    });
+  });
+});
+
 describe('the hubs of a fleet', () => {
   // The only hub of a data centre with 30 entries had twice as many as the others and ran out of processor time.
   [1, 3].forEach((factor) => {
--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -64,7 +64,13 @@
   it('does not consider an old plan confirmed when a status arrives before the newer plan', () => {
     const state = new EntryState(BOUNDS);
     state.applyPlan(0, 5, wholePlan(makePlan(5, 1_000)));
-    const status = { confirmedAgeMs: 0, budgetAgeMs: 0, entries: 1, isLeaderless: false };
+    const status = {
+      confirmedAgeMs: 0,
+      budgetAgeMs: 0,
+      entries: 1,
+      isLeaderless: false,
+      isCutOff: false,
+    };
     state.setStatus({ ...status, planVersion: 7, trueAt: 0 });
     expect(state.hasConfirmedPlan).toEqual(false);
     state.applyPlan(0, 7, wholePlan(makePlan(7, 1_000)));
@@ -79,6 +85,7 @@
       budgetAgeMs: 1_200,
       entries: 4,
       isLeaderless: false,
+      isCutOff: false,
       planVersion: 0,
       trueAt: 1_000,
     });
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -35,6 +35,8 @@
   readonly entries: number;
   /** Whether the hub reaches a majority of the voters, but no leader. */
   readonly isLeaderless: boolean;
+  /** Whether the hub does not reach a majority of the voters. */
+  readonly isCutOff: boolean;
   /** Version of the plan that was confirmed. */
   readonly planVersion: number;
   /** Monotonic ms. Much earlier than the arrival of the status if messages wait at the hub or on the way. */
@@ -117,6 +119,11 @@
     return this.status?.isLeaderless ?? false;
   }
 
+  /** Whether the hub did not reach a majority of the voters, according to its last status. */
+  public get isCutOff(): boolean {
+    return this.status?.isCutOff ?? false;
+  }
+
   /** Whether the entry follows a hub, which counts the retries of the fleet. */
   public isFollowingHub(now: number): boolean {
     return this.status !== undefined && now - this.status.trueAt < HUB_TIMEOUT_MS;
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -146,9 +146,12 @@
       silentMs: Math.round(now - stream.lastMessageAt),
       confirmedAgeMs: Math.round(Math.min(confirmedAgeMs, Number.MAX_SAFE_INTEGER)),
       isLeaderless,
+      isCutOff: state.isCutOff,
       reason,
     });
-    if (reason === 'silent' || reason === 'unconfirmed') hubs.recordFailure(stream.address, now);
+    if (reason === 'unconfirmed' && state.isCutOff) hubs.recordCutOff(stream.address, now);
+    else if (reason === 'silent' || reason === 'unconfirmed')
+      {hubs.recordFailure(stream.address, now);}
     stream.abort.abort();
   }
 
@@ -161,7 +164,7 @@
       const trueAt = trueSince(update.status.echo, now);
       if (trueAt !== undefined) state.setStatus({ ...update.status, planVersion, trueAt });
     }
-    if (update.hubs.length > 0) hubs.setHubs(update.hubs, seeds());
+    if (update.hubs.length > 0) hubs.setHubs(update.hubs, seeds(), now);
     if (update.plan !== undefined) {
       const { fromVersion, version, changes } = update.plan;
       state.applyPlan(Number(fromVersion), Number(version), decodePlanChanges(changes));
--- a/packages/gateway/src/entry/HubSelector.test.ts
+++ b/packages/gateway/src/entry/HubSelector.test.ts
@@ -8,10 +8,11 @@
   const selector = new HubSelector('dc-1', SEEDS, 0, 0);
   selector.setHubs(
     [
-      { address: 'near:1', dataCentre: 'dc-1', entries: 2 },
-      { address: 'far:1', dataCentre: 'dc-2', entries: 2 },
+      { address: 'near:1', dataCentre: 'dc-1', entries: 2, isSilent: false },
+      { address: 'far:1', dataCentre: 'dc-2', entries: 2, isSilent: false },
     ],
     SEEDS,
+    0,
   );
   return selector;
 }
@@ -56,10 +57,11 @@
     const announce = (near: number, far: number): void =>
       selector.setHubs(
         [
-          { address: 'near:1', dataCentre: 'dc-1', entries: near },
-          { address: 'far:1', dataCentre: 'dc-2', entries: far },
+          { address: 'near:1', dataCentre: 'dc-1', entries: near, isSilent: false },
+          { address: 'far:1', dataCentre: 'dc-2', entries: far, isSilent: false },
         ],
         SEEDS,
+        0,
       );
     announce(30, 10);
     expect(selector.next(0, 0.5)).toEqual('far:1');
@@ -71,6 +73,25 @@
     expect(selector.reasonForBetterHub('far:1', 0)).toEqual('far');
   });
 
+  it('leaves a hub that is cut off for one that it does not hear, not for one that is cut off with it', () => {
+    const selector = new HubSelector('dc-1', [], 0, 0);
+    const hubs = ['a', 'b', 'c', 'd', 'e'].map((address) => ({
+      address,
+      dataCentre: 'dc-1',
+      entries: 2,
+      isSilent: address > 'b',
+    }));
+    selector.setHubs(hubs, [], 0);
+    selector.recordCutOff('a', 0);
+    const points = Array.from({ length: 20 }, (_, i) => i / 20);
+    const chosen = new Set(points.map((point) => selector.next(10, point)));
+    expect([...chosen].sort()).toEqual(['c', 'd', 'e']);
+    // After some seconds the hub that is cut off announces only those that it hears.
+    selector.setHubs(hubs.slice(0, 2), [], 2_000);
+    const later = new Set(points.map((point) => selector.next(2_010, point)));
+    expect([...later].sort()).toEqual(['c', 'd', 'e']);
+  });
+
   it('tries the hub whose failure is the oldest when all have failed', () => {
     const selector = makeSelector();
     ['far:1', 's2:1', 'near:1', 's1:1'].forEach((address, at) =>
--- a/packages/gateway/src/entry/HubSelector.ts
+++ b/packages/gateway/src/entry/HubSelector.ts
@@ -1,4 +1,5 @@
 /** Selects the hub that an entry follows next. */
+import type { HubCandidate } from '../sync/HubCandidate.js';
 
 /** A hub is not selected for this long after a failure, unless all hubs have failed. */
 const FAILURE_BACKOFF_MS = 3_000;
@@ -9,25 +10,35 @@
  */
 const INITIAL_SEED_MS = 800;
 
+/**
+ * A hub that is no longer announced is remembered for this long. One that is cut off announces only hubs that are cut off
+ * as well.
+ */
+const REMEMBERED_MS = 30_000;
+
 /** A hub has room for further entries while it has fewer than this multiple of the mean of all hubs. */
 const MAX_LOAD = 1.25;
 
-export interface HubCandidate {
-  readonly address: string;
-  /** Empty if unknown. */
-  readonly dataCentre: string;
-  /** Number of entries that follow the hub. */
-  readonly entries: number;
-}
-
 /** Why another hub is better: it is in the data centre of the entry, or the current one has too many entries. */
 export type BetterHubReason = 'far' | 'crowded';
 
+interface RememberedHub {
+  readonly hub: HubCandidate;
+  readonly since: number;
+}
+
+function unannouncedSeed(address: string): HubCandidate {
+  return { address, dataCentre: '', entries: 0, isSilent: false };
+}
+
 export class HubSelector {
   private readonly failedAt = new Map<string, number>();
 
   private hubs: readonly HubCandidate[];
 
+  /** Hubs that are no longer announced, with the time (monotonic ms) since when. */
+  private remembered: readonly RememberedHub[] = [];
+
   private readonly initialSeed: { readonly address: string | undefined; readonly until: number };
 
   private hasHubList = false;
@@ -39,49 +50,66 @@
     now: number,
     fraction: number,
   ) {
-    this.hubs = seeds.map((address) => ({ address, dataCentre: '', entries: 0 }));
+    this.hubs = seeds.map(unannouncedSeed);
     const address = seeds[Math.floor(fraction * seeds.length)];
     this.initialSeed = { address, until: now + INITIAL_SEED_MS };
   }
 
   /** Sets the hubs that the current hub announced, and keeps the seeds that are not among them. */
-  public setHubs(announced: readonly HubCandidate[], seeds: readonly string[]): void {
+  public setHubs(announced: readonly HubCandidate[], seeds: readonly string[], now: number): void {
     this.hasHubList = true;
-    const announcedAddresses = new Set(announced.map(({ address }) => address));
-    const otherSeeds = seeds.filter((address) => !announcedAddresses.has(address));
-    this.hubs = [
-      ...announced,
-      ...otherSeeds.map((address) => ({ address, dataCentre: '', entries: 0 })),
-    ];
+    const addresses = new Set(announced.map(({ address }) => address));
+    const dropped = this.hubs
+      .filter(({ address, dataCentre }) => dataCentre !== '' && !addresses.has(address))
+      .map((hub) => ({ hub, since: now }));
+    this.remembered = [...this.remembered, ...dropped].filter(
+      ({ hub, since }) => !addresses.has(hub.address) && now - since < REMEMBERED_MS,
+    );
+    const otherSeeds = seeds.filter((address) => !addresses.has(address));
+    this.hubs = [...announced, ...otherSeeds.map(unannouncedSeed)];
   }
 
   public recordFailure(address: string, now: number): void {
     this.failedAt.set(address, now);
   }
 
+  /** Records that the current hub is cut off from a majority of the voters, and so are the hubs that it hears. */
+  public recordCutOff(address: string, now: number): void {
+    this.hubs
+      .filter((hub) => hub.address === address || (hub.dataCentre !== '' && !hub.isSilent))
+      .forEach((hub) => this.recordFailure(hub.address, now));
+  }
+
   /**
-   * Returns a random hub that has room, from the own data centre if possible. If all have failed recently, returns the
-   * one whose last failure is the oldest.
+   * Returns a random hub that has room, from the own data centre if possible. Hubs that the current one does not hear
+   * come next, then remembered ones. If all have failed recently, returns the one whose last failure is the oldest.
    */
   public next(now: number, fraction: number): string | undefined {
     if (!this.hasHubList && now < this.initialSeed.until) return this.initialSeed.address;
     const usable = this.hubs.filter((hub) => !this.hasFailed(hub, now));
-    const local = usable.filter((hub) => this.isLocal(hub));
+    const heard = usable.filter(({ isSilent }) => !isSilent);
+    const remembered = this.remembered.map(({ hub }) => hub);
     const pool = [
-      local.filter((hub) => this.hasRoom(hub)),
-      usable.filter((hub) => this.hasRoom(hub)),
-      local,
+      heard.filter((hub) => this.isLocal(hub) && this.hasRoom(hub)),
+      heard.filter((hub) => this.hasRoom(hub)),
+      heard.filter((hub) => this.isLocal(hub)),
+      heard,
       usable,
+      remembered.filter((hub) => !this.hasFailed(hub, now)),
     ].find((hubs) => hubs.length > 0);
     if (pool !== undefined) return pool[Math.floor(fraction * pool.length)]?.address;
-    return [...this.hubs].sort((a, b) => this.failureOf(a) - this.failureOf(b))[0]?.address;
+    const byFailure = [...this.hubs, ...remembered].sort(
+      (a, b) => this.failureOf(a) - this.failureOf(b),
+    );
+    return byFailure[0]?.address;
   }
 
   /** Returns why an entry that follows this hub should change to another one that has room, or undefined. */
   public reasonForBetterHub(address: string, now: number): BetterHubReason | undefined {
     const current = this.hubs.find((hub) => hub.address === address);
     const others = this.hubs.filter(
-      (hub) => hub.address !== address && !this.hasFailed(hub, now) && this.hasRoom(hub),
+      (hub) =>
+        hub.address !== address && !hub.isSilent && !this.hasFailed(hub, now) && this.hasRoom(hub),
     );
     const isFar = current === undefined || !this.isLocal(current);
     if (isFar && others.some((hub) => this.isLocal(hub))) return 'far';
--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -39,6 +39,7 @@
     budgetAgeMs: 0,
     entries: 1,
     isLeaderless: false,
+    isCutOff: false,
     planVersion: 0,
     trueAt: clock.now(),
   });
--- a/packages/gateway/src/entry/TeamAdmission.test.ts
+++ b/packages/gateway/src/entry/TeamAdmission.test.ts
@@ -31,6 +31,7 @@
     budgetAgeMs: 0,
     entries: ENTRIES,
     isLeaderless: false,
+    isCutOff: false,
     planVersion: 0,
     trueAt: clock.now(),
   });
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -54,6 +54,8 @@
   readonly stateMachine: PlanStateMachine;
   /** Time that each message waits at this hub, in either direction. */
   delayMs: number;
+  /** Whether the hub is cut off from the leader. Hubs that are cut off reach each other, and entries reach all. */
+  isCutOff: boolean;
 }
 
 export interface FakeEntry {
@@ -116,12 +118,13 @@
     this.entries = options.entries.map((dataCentre, i) => this.createEntry(`e${i}`, dataCentre));
   }
 
-  /** Commits a plan at the leader; the other hubs apply it when its message has passed their delay. */
+  /** Commits a plan at the leader. The hubs that it reaches apply it when its message has passed their delay. */
   public commit(plan: RoutingPlan): void {
     this.commitIndex += 1;
     const index = this.commitIndex;
     const command = encodeCommand({ kind: 'putPlan', document: '', plan });
-    this.hubs.forEach(({ stateMachine, delayMs }, i) => {
+    this.hubs.forEach(({ stateMachine, delayMs, isCutOff }, i) => {
+      if (isCutOff) return;
       const apply = (): unknown => stateMachine.apply(index, command);
       if (i === 0) apply();
       else this.clock.setTimeout(apply, REPLICATION_MS + delayMs);
@@ -154,7 +157,14 @@
       log: this.createLog(ip, stateMachine),
       clientOf: (address) => this.client(address, ip),
     });
-    return { ip, address: syncAddress(settings, ip), hub, stateMachine, delayMs: 0 };
+    return {
+      ip,
+      address: syncAddress(settings, ip),
+      hub,
+      stateMachine,
+      delayMs: 0,
+      isCutOff: false,
+    };
   }
 
   /** A log whose leader is the first hub. */
@@ -235,6 +245,7 @@
     const reading = readAll(messages, (message) => {
       const target = this.hubAt(address);
       const sender = this.hubs.find(({ ip }) => ip === from)!;
+      if (sender.isCutOff !== target.isCutOff) return;
       stream.deliver(target.delayMs + sender.delayMs, () => {
         const relay = create(HubRelaySchema, message);
         const { hello } = relay;
