--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -150,8 +150,9 @@
       reason,
     });
     if (reason === 'unconfirmed' && state.isCutOff) hubs.recordCutOff(stream.address, now);
-    else if (reason === 'silent' || reason === 'unconfirmed')
-      {hubs.recordFailure(stream.address, now);}
+    else if (reason === 'silent' || reason === 'unconfirmed') {
+      hubs.recordFailure(stream.address, now);
+    }
     stream.abort.abort();
   }
 
