--- a/packages/gateway/src/control/busyHub.test.ts
+++ b/packages/gateway/src/control/fleet-scenarios.test.ts
@@ -1,3 +1,4 @@
+/** Scenarios of whole fleets in virtual time, at the size of the grown deployments and beyond. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
