Budgets after a restart of all hubs: count the entries that are known, not those that have reconnected

An entry's share of a budget is one by the number of entries that its hub counts. A hub that has just started counts those that have connected, so that 111 entries may each take a third of the slack when three have connected. Hubs without a leader share out the team budgets by the same number.

Change: an entry keeps to the largest number of the last 20 s, and tells it to a hub when it connects. The hub expects at least that many for 5 s, in which the entries reconnect.

Tests: EntryState.test.ts and state.test.ts; both fail on the former code, which follows the hub's count at once.

--- a/packages/gateway/src/control/EntryRegistry.ts
+++ b/packages/gateway/src/control/EntryRegistry.ts
@@ -9,6 +9,12 @@
   readonly dataCentre: string;
 }
 
+/**
+ * Time for which the number of entries that an entry reports on connecting counts as expected. After a restart of all hubs
+ * the entries reconnect within it.
+ */
+const REPORTED_COUNT_MS = 5_000;
+
 interface KnownEntry {
   readonly identity: EntryIdentity;
   readonly isReady: boolean;
@@ -30,6 +36,13 @@
   /** Entries that have lost their hub, with the time (monotonic ms) of the loss. */
   private readonly lost = new Map<string, { readonly entry: KnownEntry; readonly at: number }>();
 
+  private reported = { count: 0, at: -Infinity };
+
+  /** Notes the number of entries that an entry knew when it connected. */
+  public noteReportedCount(count: number, now: number): void {
+    if (count >= this.reportedCount(now)) this.reported = { count, at: now };
+  }
+
   public set(hub: string, identity: EntryIdentity, isReady: boolean): void {
     const entries = this.byHub.get(hub) ?? new Map<string, KnownEntry>();
     entries.set(identity.vm, { identity, isReady });
@@ -64,10 +77,13 @@
     return this.connectedVms().size;
   }
 
-  /** Number of entries that may be serving: those connected to a hub, and those lost a short time ago. */
+  /**
+   * Number of entries that may be serving: those connected to a hub, and those lost a short time ago. If this hub has
+   * just started, at least as many as its entries know.
+   */
   public expectedSize(now: number): number {
     this.pruneLost(now);
-    return this.size + this.lost.size;
+    return Math.max(this.size + this.lost.size, this.reportedCount(now));
   }
 
   /**
@@ -86,6 +102,10 @@
     return [...connected, ...[...this.lost.values()].map(({ entry }) => entry)];
   }
 
+  private reportedCount(now: number): number {
+    return now - this.reported.at < REPORTED_COUNT_MS ? this.reported.count : 0;
+  }
+
   /** Removes lost entries that have reconnected to a hub or were lost long ago. */
   private pruneLost(now: number): void {
     const connected = this.connectedVms();
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -193,8 +193,10 @@
     if (target !== undefined) this.peers.links.forEach((link) => link.setTarget(target));
   }
 
-  /** Opens the stream of an entry, which starts with a snapshot. */
-  public openSession(identity: EntryIdentity, planVersion: number, sentAtMs = 0): EntrySession {
+  /** Opens the stream of an entry with the first report of it. The stream starts with a snapshot. */
+  public openSession(identity: EntryIdentity, report: EntryReport): EntrySession {
+    const { sentAtMs, entryCount } = report;
+    const version = Number(report.planVersion);
     const { clock, stateMachine } = this.ctx;
     this.sessions.get(identity.vm)?.dispose();
     const source = {
@@ -204,8 +206,9 @@
       encodeChanges: (from: CommittedPlan | undefined, to: CommittedPlan) =>
         this.encoder.encode(from, to),
     };
+    this.entries.noteReportedCount(entryCount, clock.now());
     this.lastEntryRef += 1;
-    const session = new EntrySession(identity, this.lastEntryRef, source, planVersion);
+    const session = new EntrySession(identity, this.lastEntryRef, source, version);
     this.sessions.set(identity.vm, session);
     session.noteReport(clock.now(), sentAtMs);
     session.sendStatus(this.messages.status(clock.now()), {
@@ -248,11 +251,7 @@
   /** Processes a message of another hub. */
   public handleRelay(relay: HubRelay, peer: PeerHub): void {
     const now = this.ctx.clock.now();
-    Object.assign(peer, { lastMessageAt: now });
-    if (relay.sentAtMs > 0) {
-      Object.assign(peer, { time: { sentAtMs: relay.sentAtMs, handledAt: now } });
-    }
-    this.peers.linkTo(peer)?.notePeerMessage();
+    this.peers.noteMessage(peer, relay.sentAtMs, now);
     if (relay.confirmedIndex > 0n) this.noteConfirmed(relay, peer, now);
     relay.hubs.forEach(({ address, dataCentre }) => this.peers.connect(address, dataCentre));
     relay.entries.forEach(({ identity, isReady, isGone }) => {
--- a/packages/gateway/src/control/HubPeers.ts
+++ b/packages/gateway/src/control/HubPeers.ts
@@ -114,6 +114,13 @@
     return this.linksByAddress.get(peer.address);
   }
 
+  /** Notes a message of a hub, which it sent at `sentAtMs` of its own clock; 0 if it is of an older release. */
+  public noteMessage(peer: PeerHub, sentAtMs: number, now: number): void {
+    Object.assign(peer, { lastMessageAt: now });
+    if (sentAtMs > 0) Object.assign(peer, { time: { sentAtMs, handledAt: now } });
+    this.linkTo(peer)?.notePeerMessage();
+  }
+
   /** Sends a message to all other hubs. */
   public send(message: HubRelayInit): void {
     this.links.forEach((link) => link.send(message));
--- a/packages/gateway/src/control/state.test.ts
+++ b/packages/gateway/src/control/state.test.ts
@@ -104,6 +104,15 @@
     expect(namesOf(registry, 60_000)).toEqual(['a:80']);
   });
 
+  it('expects as many entries as the first ones that connect after its start know of', () => {
+    const registry = new EntryRegistry();
+    registry.noteReportedCount(111, 1_000);
+    addEntry(registry, '', 'a', 'dc-1');
+    registry.noteReportedCount(1, 1_100);
+    addEntry(registry, '', 'b', 'dc-1');
+    expect([registry.expectedSize(2_000), registry.expectedSize(10_000)]).toEqual([111, 2]);
+  });
+
   it('counts lost entries as expected for a while, so that the others do not use their share of the budgets', () => {
     const registry = new EntryRegistry();
     ['a', 'b'].forEach((vm) => addEntry(registry, '', vm, 'dc-1'));
--- a/packages/gateway/src/control/sync-routes.ts
+++ b/packages/gateway/src/control/sync-routes.ts
@@ -36,7 +36,7 @@
       const hello = first.done === true ? undefined : first.value.hello;
       if (hello === undefined) throw new ConnectError('no hello', Code.InvalidArgument);
       const report = first.value as EntryReport;
-      const session = hub.openSession(hello, Number(report.planVersion), report.sentAtMs);
+      const session = hub.openSession(hello, report);
       hub.handleReport(session, report);
       readReports(iterator, hub, session)
         .catch((err: unknown) => {
--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -77,6 +77,31 @@
     expect(state.hasConfirmedPlan).toEqual(true);
   });
 
+  // After a restart of all control VMs each entry took its share of the budgets by the few entries that had reconnected.
+  it('keeps to the number of entries in its fleet while a hub that has just started counts fewer', () => {
+    const state = new EntryState(BOUNDS);
+    const countAt = (trueAt: number, entries: number): number => {
+      const ages = { confirmedAgeMs: 0, budgetAgeMs: 0 };
+      state.setStatus({
+        ...ages,
+        entries,
+        isLeaderless: false,
+        isCutOff: false,
+        planVersion: 0,
+        trueAt,
+      });
+      return state.entryCount;
+    };
+    const counts = [
+      [1_000, 111],
+      [2_000, 3],
+      [4_000, 111],
+      [20_000, 60],
+      [25_000, 60],
+    ] as const;
+    expect(counts.map(([at, entries]) => countAt(at, entries))).toEqual([111, 111, 111, 111, 60]);
+  });
+
   it('adds the time since the status was received to its ages', () => {
     const state = new EntryState(BOUNDS);
     expect(state.confirmedAgeMs(0)).toEqual(Infinity);
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -23,6 +23,12 @@
 /** Time without a status after which the hub counts as lost. A hub sends one every 400 ms. */
 const HUB_TIMEOUT_MS = 1_500;
 
+/**
+ * Time for which an entry keeps to a larger number of entries than its hub counts. A hub that has just started counts only
+ * those that have connected; if each entry took its share by that number, the shares would exceed the budgets.
+ */
+const ENTRY_COUNT_MEMORY_MS = 20_000;
+
 const MAX_SEED = 0x7fffffff;
 
 /** Status of the hub. Ages are those at `trueAt`; the time since then is added when they are read. */
@@ -67,6 +73,8 @@
 
   private status: HubStatus | undefined;
 
+  private largestCount = { entries: 1, at: -Infinity };
+
   private readonly durations = new Map<string, DurationEstimate>();
 
   public constructor(bounds: RetryBudgetLimits) {
@@ -82,9 +90,9 @@
     return this.routeTable?.plan.version ?? 0;
   }
 
-  /** Number of entries in the fleet according to the last status, at least 1. */
+  /** Largest number of entries in the fleet according to the statuses of the last 20 s, at least 1. */
   public get entryCount(): number {
-    return Math.max(1, this.status?.entries ?? 1);
+    return this.largestCount.entries;
   }
 
   /** Applies changes to the plan `fromVersion`, or a complete plan if that is 0. Never returns to an older version. */
@@ -101,6 +109,11 @@
 
   public setStatus(status: HubStatus): void {
     this.status = status;
+    const { entries, trueAt } = status;
+    const isExpired = trueAt - this.largestCount.at > ENTRY_COUNT_MEMORY_MS;
+    if (isExpired || entries >= this.largestCount.entries) {
+      this.largestCount = { entries: Math.max(1, entries), at: trueAt };
+    }
   }
 
   /** Milliseconds since a majority of the voters confirmed the plan. Infinity without a status. */
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -97,7 +97,14 @@
     this.stream = stream;
     this.switchPolicy.startFollowing();
     const planVersion = BigInt(state.planVersion);
-    queue.push({ hello: identity, isReady: reporter.isReady, planVersion, sentAtMs: now });
+    const { entryCount } = state;
+    queue.push({
+      hello: identity,
+      isReady: reporter.isReady,
+      planVersion,
+      sentAtMs: now,
+      entryCount,
+    });
     try {
       const updates = clientOf(address).follow(queue, { signal: abort.signal });
       const iterator = updates[Symbol.asyncIterator]();
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -269,7 +269,7 @@
     const received = new MessageQueue<HubUpdate>();
     let session: EntrySession | undefined;
     const open = (report: ReturnType<typeof create<typeof EntryReportSchema>>): void => {
-      session = target.hub.openSession(report.hello!, Number(report.planVersion), report.sentAtMs);
+      session = target.hub.openSession(report.hello!, report);
       readAll(session.queue, (update) =>
         down.deliver(target.delayMs, () => received.push(create(HubUpdateSchema, update))),
       ).catch(() => undefined);
