--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -88,6 +88,11 @@
     if (sentAtMs > 0) this.entryTime = { sentAtMs, handledAt: now };
   }
 
+  /** Whether the entry runs an older release, which sends no time and reads no snapshots. */
+  public get isOlderRelease(): boolean {
+    return this.entryTime === undefined;
+  }
+
   /** Sends a status, whose ages refer to now, with the rest of its message. */
   public sendStatus(status: HubStatusInit, rest: HubUpdateInit): void {
     const { entryTime } = this;
--- a/packages/gateway/src/control/EvidenceDistributor.ts
+++ b/packages/gateway/src/control/EvidenceDistributor.ts
@@ -25,7 +25,7 @@
 }
 
 export class EvidenceDistributor {
-  private readonly load = new LoadTable();
+  private readonly loadTable = new LoadTable();
 
   public constructor(private readonly ctx: DistributorContext) {}
 
@@ -46,7 +46,7 @@
 
   /** Removes the load of an entry that has disconnected from this hub. */
   public removeEntry(vm: string): void {
-    this.load.removeSource(vm).forEach((id) => {
+    this.loadTable.removeSource(vm).forEach((id) => {
       this.ctx.feed.add(0, id, 0, 0, 0);
       this.ctx.links().forEach((link) => link.addEvidence(id, 0, 0, 0));
     });
@@ -54,40 +54,47 @@
 
   /** Removes the load of a hub that has timed out. */
   public removeHub(address: string): void {
-    this.load.removeSource(address).forEach((id) => this.ctx.feed.add(0, id, 0, 0, 0));
+    this.loadTable.removeSource(address).forEach((id) => this.ctx.feed.add(0, id, 0, 0, 0));
   }
 
   /** Requests in flight at a target from all entries. */
   public inFlight(target: string): number {
-    return this.load.total(target);
+    return this.loadTable.total(target);
   }
 
   /** Requests in flight at a target from all entries but one. */
   public othersInFlight(vm: string, target: string): number {
-    return this.load.total(target) - this.load.get(vm, target);
+    return this.loadTable.total(target) - this.loadTable.get(vm, target);
   }
 
   /** Requests in flight at a target from the entries connected to this hub. */
   public ownInFlight(target: string): number {
     const fromPeers = this.ctx
       .peerAddresses()
-      .reduce((sum, address) => sum + this.load.get(address, target), 0);
-    return this.load.total(target) - fromPeers;
+      .reduce((sum, address) => sum + this.loadTable.get(address, target), 0);
+    return this.loadTable.total(target) - fromPeers;
+  }
+
+  /** Requests of all entries in flight, by target. */
+  public load(): TargetLoad[] {
+    return this.loadTable.busyTargets().map((id) => ({ id, inFlight: this.inFlight(id) }));
   }
 
   public loadForEntry(vm: string): TargetLoad[] {
-    return this.load.busyTargets().map((id) => ({ id, inFlight: this.othersInFlight(vm, id) }));
+    return this.loadTable
+      .busyTargets()
+      .map((id) => ({ id, inFlight: this.othersInFlight(vm, id) }));
   }
 
   public loadForHub(): TargetLoad[] {
-    return this.load
+    return this.loadTable
       .busyTargets()
       .map((id) => ({ id, inFlight: this.ownInFlight(id) }))
       .filter(({ inFlight }) => inFlight > 0);
   }
 
   private add(source: string, item: TargetEvidence, now: number): void {
-    this.load.set(source, item.id, item.inFlight);
+    this.loadTable.set(source, item.id, item.inFlight);
     this.ctx.targets.observe(item, now);
     const { id, succeeded, failed, suspect } = item;
     this.ctx.feed.add(this.ctx.entryRefOf(source), id, succeeded, failed, suspect);
--- a/packages/gateway/src/control/HubMessages.ts
+++ b/packages/gateway/src/control/HubMessages.ts
@@ -9,6 +9,7 @@
 import type { HubTargets } from './HubTargets.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import type { HubRelayInit } from './RelayLink.js';
+import { TargetSnapshot } from './TargetSnapshot.js';
 import type { TeamBudgets } from './TeamBudgets.js';
 
 /** Upper limit of ages on the wire, also used for "never". */
@@ -28,7 +29,11 @@
 }
 
 export class HubMessages {
-  public constructor(private readonly parts: HubParts) {}
+  private readonly snapshot: TargetSnapshot;
+
+  public constructor(private readonly parts: HubParts) {
+    this.snapshot = new TargetSnapshot(parts);
+  }
 
   /** Status for entries, whose ages refer to `now` (monotonic ms). */
   public status(now: number): HubStatusInit {
@@ -44,16 +49,15 @@
   }
 
   /** State for an entry that has connected, except the plan. */
-  public forEntry({ identity: { vm }, entryRef }: EntrySession): HubUpdateInit {
-    const { clock, peers, targets, evidence, teamBudgets } = this.parts;
-    const now = clock.now();
+  public forEntry(session: EntrySession): HubUpdateInit {
+    const { clock, peers, teamBudgets } = this.parts;
     return {
-      entryRef,
-      hubs: peers.addresses(now),
-      targets: targets.describeAll(),
-      beliefs: targets.beliefs(now),
-      evidence: evidence.loadForEntry(vm),
+      entryRef: session.entryRef,
+      hubs: peers.addresses(clock.now()),
       teams: teamBudgets.modesForEntry(),
+      ...(session.isOlderRelease
+        ? this.plainSnapshot(session.identity.vm)
+        : { snapshot: this.snapshot.encode() }),
     };
   }
 
@@ -70,6 +74,15 @@
     };
   }
 
+  private plainSnapshot(vm: string): HubUpdateInit {
+    const { clock, targets, evidence } = this.parts;
+    return {
+      targets: targets.describeAll(),
+      beliefs: targets.beliefs(clock.now()),
+      evidence: evidence.loadForEntry(vm),
+    };
+  }
+
   /** Age of the newest state of the hub that grants the tokens of team budgets, 0 if this hub grants them. */
   private budgetAgeMs(now: number): number {
     const { teamBudgets, peers } = this.parts;
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -1,13 +1,15 @@
 /** Follows one hub at a time and applies its updates to the state of the entry. */
+import { fromBinary } from '@bufbuild/protobuf';
 import type { Client } from '@connectrpc/connect';
 import { delay, setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import type {
-  HubUpdate,
-  SyncService,
-  Target,
-  TargetEvidence,
+import {
+  HubUpdateSchema,
+  type HubUpdate,
+  type SyncService,
+  type Target,
+  type TargetEvidence,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import type { TargetOutcome } from '@marigoldbank/routing/TargetBelief';
@@ -55,6 +57,13 @@
   lastMessageAt: number;
 }
 
+/** Adds what the snapshot of a first update contains. */
+function withSnapshot(update: HubUpdate): HubUpdate {
+  if (update.snapshot.length === 0) return update;
+  const { targets, beliefs, evidenceBatch } = fromBinary(HubUpdateSchema, update.snapshot);
+  return { ...update, targets, beliefs, evidenceBatch };
+}
+
 export class HubFollower extends DisposableStore {
   private stream: HubStream | undefined;
 
@@ -163,7 +172,8 @@
     stream.abort.abort();
   }
 
-  private applyUpdate(stream: HubStream, update: HubUpdate): void {
+  private applyUpdate(stream: HubStream, message: HubUpdate): void {
+    const update = withSnapshot(message);
     const { clock, state, hubs, reporter, seeds } = this.ctx;
     const now = clock.now();
     Object.assign(stream, { lastMessageAt: now });
