--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -52,9 +52,7 @@
 export class EntryState {
   public readonly targets = new TargetTable();
 
-  public readonly random = new Random(Math.floor(Math.random() * MAX_SEED));
-
-  public readonly selector = new TargetSelector(this.targets, this.random);
+  public readonly selector: TargetSelector;
 
   public readonly teamLimiter = new TeamRateLimiter();
 
@@ -77,7 +75,11 @@
 
   private readonly durations = new Map<string, DurationEstimate>();
 
-  public constructor(bounds: RetryBudgetLimits) {
+  public constructor(
+    bounds: RetryBudgetLimits,
+    public readonly random = new Random(Math.floor(Math.random() * MAX_SEED)),
+  ) {
+    this.selector = new TargetSelector(this.targets, random);
     this.retryLimiter = new RetryLimiter(bounds);
   }
 
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -29,6 +29,7 @@
 import { OffsetClock } from './OffsetClock.js';
 
 const REPLICATION_MS = 5;
+const MAX_SEED = 0x7fffffff;
 const FIRST_PORT = 7_600;
 
 const BOUNDS = {
@@ -190,7 +191,10 @@
 
   private createEntry(vm: string, dataCentre: string): FakeEntry {
     const clock = this.processClock();
-    const state = new EntryState({ ratio: 0.2, slack: 188, windowMs: 10_000 });
+    const state = new EntryState(
+      { ratio: 0.2, slack: 188, windowMs: 10_000 },
+      new Random(this.random.int(MAX_SEED)),
+    );
     const reporter = new HubReporter(clock, state);
     const seeds = this.hubs.slice(0, 3).map(({ address }) => address);
     const entry: FakeEntry = {
