Entries keep their targets while a hub that has just started does not know all of them

A hub that has just started knows only those that have announced themselves to it since.

Change: the status says whether the hub has started less than 4 s ago. Until it has not, the entry keeps the targets it knows, and then drops those that this hub has never named. A target that is marked as leaving and unknown to a hub is removed at its entries, since they may know it from before.

Test: HubFollower.test.ts; on the former code the entry keeps one target of four.

--- a/packages/gateway/src/control/HubFreshness.ts
+++ b/packages/gateway/src/control/HubFreshness.ts
@@ -14,6 +14,9 @@
 /** Age of the confirmation from which entries consider leaving the hub. */
 const STALE_MS = 1_300;
 
+/** Targets announce themselves every 1 to 2 s, and try other control VMs first if one does not answer. */
+const ANNOUNCEMENT_GRACE_MS = 4_000;
+
 const MS_PER_SECOND = 1_000;
 
 export interface FreshnessContext {
@@ -63,6 +66,11 @@
     return this.ctx.reachesMajority(now);
   }
 
+  /** Whether most targets have not had the time to announce themselves to this hub. */
+  public get isStarting(): boolean {
+    return this.uptimeMs() < ANNOUNCEMENT_GRACE_MS;
+  }
+
   /** Whether messages of a majority of the voters do not arrive. Not known, and so false, shortly after the start. */
   public isCutOff(now: number): boolean {
     return this.uptimeMs() > STARTUP_GRACE_MS && !this.ctx.reachesMajority(now);
--- a/packages/gateway/src/control/HubMessages.ts
+++ b/packages/gateway/src/control/HubMessages.ts
@@ -44,6 +44,7 @@
       entries: entries.expectedSize(now),
       isLeaderless: freshness.isLeaderless(now),
       isCutOff: freshness.isCutOff(now),
+      isStarting: freshness.isStarting,
       planVersion: BigInt(stateMachine.current?.plan.version ?? 0),
     };
   }
--- a/packages/gateway/src/control/HubTargets.ts
+++ b/packages/gateway/src/control/HubTargets.ts
@@ -54,7 +54,9 @@
     if (mark === undefined) return;
     this.ctx.logger.info('target leaves', { target: id, isGone: mark.isGone });
     if (mark.isGone) this.drop(id, mark.born);
-    else this.emitChange(id);
+    else if (this.registry.get(id) !== undefined) this.emitChange(id);
+    // Entries may still know the target from a hub that they followed before.
+    else this.removeEmitter.fire(id);
   }
 
   /** Removes targets whose announcements have expired. */
--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -70,6 +70,7 @@
       entries: 1,
       isLeaderless: false,
       isCutOff: false,
+      isStarting: false,
     };
     state.setStatus({ ...status, planVersion: 7, trueAt: 0 });
     expect(state.hasConfirmedPlan).toEqual(false);
@@ -87,6 +88,7 @@
         entries,
         isLeaderless: false,
         isCutOff: false,
+        isStarting: false,
         planVersion: 0,
         trueAt,
       });
@@ -111,6 +113,7 @@
       entries: 4,
       isLeaderless: false,
       isCutOff: false,
+      isStarting: false,
       planVersion: 0,
       trueAt: 1_000,
     });
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -43,6 +43,8 @@
   readonly isLeaderless: boolean;
   /** Whether the hub does not reach a majority of the voters. */
   readonly isCutOff: boolean;
+  /** Whether the hub has just started and does not know all targets yet. */
+  readonly isStarting: boolean;
   /** Version of the plan that was confirmed. */
   readonly planVersion: number;
   /** Monotonic ms. Much earlier than the arrival of the status if messages wait at the hub or on the way. */
@@ -139,6 +141,11 @@
     return this.status?.isCutOff ?? false;
   }
 
+  /** Whether the hub had just started, according to its last status. */
+  public get isHubStarting(): boolean {
+    return this.status?.isStarting ?? false;
+  }
+
   /** Whether the entry follows a hub, which counts the retries of the fleet. */
   public isFollowingHub(now: number): boolean {
     return this.status !== undefined && now - this.status.trueAt < HUB_TIMEOUT_MS;
--- /dev/null
+++ b/packages/gateway/src/entry/HubFollower.test.ts
@@ -0,0 +1,99 @@
+import { describe, it } from 'node:test';
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
+import type { Client } from '@connectrpc/connect';
+import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import {
+  HubUpdateSchema,
+  type HubUpdate,
+  type SyncService,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import { expect } from 'earl';
+import { MessageQueue } from '../sync/MessageQueue.js';
+import { EntryState } from './EntryState.js';
+import { HubFollower } from './HubFollower.js';
+import { HubReporter } from './HubReporter.js';
+import { HubSelector } from './HubSelector.js';
+
+interface Fixture {
+  readonly state: EntryState;
+  /** Sends an update of the hub that is followed. */
+  readonly send: (update: MessageInitShape<typeof HubUpdateSchema>) => Promise<void>;
+  /** Ends the stream, so that the entry follows the next hub. */
+  readonly reconnect: () => Promise<void>;
+}
+
+async function makeFollower(): Promise<Fixture> {
+  const clock = new VirtualClock();
+  const state = new EntryState({ ratio: 0.2, slack: 60, windowMs: 10_000 });
+  let updates = new MessageQueue<HubUpdate>();
+  const client = {
+    follow: () => {
+      updates = new MessageQueue<HubUpdate>();
+      return updates;
+    },
+  } as unknown as Client<typeof SyncService>;
+  const follower = new HubFollower({
+    clock,
+    state,
+    reporter: new HubReporter(clock, state),
+    hubs: new HubSelector('dc-1', ['h1:1'], 0, 0),
+    logger: new NullLogger(),
+    identity: { vm: 'e1', address: 'e1:80', dataCentre: 'dc-1' },
+    seeds: () => ['h1:1'],
+    clientOf: () => client,
+  });
+  follower.run().catch(() => undefined);
+  await clock.advanceAsync(10);
+  return {
+    state,
+    send: async (update) => {
+      updates.push(create(HubUpdateSchema, update));
+      await clock.advanceAsync(1);
+    },
+    reconnect: async () => {
+      updates.end();
+      await clock.advanceAsync(100);
+    },
+  };
+}
+
+function makeUpdate(
+  ids: readonly string[],
+  isStarting: boolean,
+): MessageInitShape<typeof HubUpdateSchema> {
+  return {
+    status: { isStarting },
+    targets: ids.map((id) => ({ id, address: `${id}:80`, service: 's', slots: 6 })),
+  };
+}
+
+function idsOf({ targets }: EntryState): string[] {
+  return targets
+    .all()
+    .map(({ info }) => info.id)
+    .sort();
+}
+
+describe('HubFollower', () => {
+  it('drops targets that its next hub does not know', async () => {
+    const { state, send, reconnect } = await makeFollower();
+    await send(makeUpdate(['a', 'b', 'c'], false));
+    await reconnect();
+    await send(makeUpdate(['b'], false));
+    expect(idsOf(state)).toEqual(['b']);
+  });
+
+  // After a restart of all hubs, entries knew only the few targets that had announced themselves since.
+  it('keeps its targets while a hub that has just started does not know all of them', async () => {
+    const { state, send, reconnect } = await makeFollower();
+    await send(makeUpdate(['a', 'b', 'c', 'd'], false));
+    await reconnect();
+    await send(makeUpdate(['b'], true));
+    expect(idsOf(state)).toEqual(['a', 'b', 'c', 'd']);
+    await send({ ...makeUpdate(['c'], true), removedTargets: ['d'] });
+    expect(idsOf(state)).toEqual(['a', 'b', 'c']);
+    await send(makeUpdate([], false));
+    expect(idsOf(state)).toEqual(['b', 'c']);
+  });
+});
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -55,6 +55,10 @@
   /** Time of the first message. */
   firstMessageAt: number | undefined;
   lastMessageAt: number;
+  /** Targets that the hub has sent. */
+  readonly targetIds: Set<string>;
+  /** Whether the hub is known to have sent all targets. */
+  hasAllTargets: boolean;
 }
 
 /** Adds what the snapshot of a first update contains. */
@@ -101,7 +105,14 @@
     const { clock, state, reporter, hubs, logger, identity, clientOf } = this.ctx;
     const now = clock.now();
     const abort = new AbortController();
-    const stream: HubStream = { address, abort, firstMessageAt: undefined, lastMessageAt: now };
+    const stream: HubStream = {
+      address,
+      abort,
+      firstMessageAt: undefined,
+      lastMessageAt: now,
+      targetIds: new Set(),
+      hasAllTargets: false,
+    };
     const queue = new MessageQueue<EntryReportInit>();
     this.stream = stream;
     this.switchPolicy.startFollowing();
@@ -189,17 +200,12 @@
       this.ctx.logger.info('plan in force', { version: state.planVersion });
     }
     if (stream.firstMessageAt === undefined) {
-      state.targets.retainOnly(new Set(update.targets.map(({ id }) => id)));
       state.targets.all().forEach((target) => Object.assign(target, { othersInFlight: 0 }));
       Object.assign(stream, { firstMessageAt: now });
       this.refs.clear();
       this.entryRef = update.entryRef;
     }
-    update.targets.forEach((target) => this.applyTarget(target, now));
-    update.removedTargets.forEach((id) => {
-      state.targets.remove(id);
-      this.refs.remove(id);
-    });
+    this.applyTargets(stream, update, now);
     update.beliefs.forEach(({ id, failingProbability }) =>
       state.targets.get(id)?.belief.adopt(failingProbability, now),
     );
@@ -227,6 +233,23 @@
     }
   }
 
+  private applyTargets(stream: HubStream, update: HubUpdate, now: number): void {
+    const { targets } = this.ctx.state;
+    update.targets.forEach((target) => {
+      stream.targetIds.add(target.id);
+      this.applyTarget(target, now);
+    });
+    update.removedTargets.forEach((id) => {
+      stream.targetIds.delete(id);
+      targets.remove(id);
+      this.refs.remove(id);
+    });
+    // After a restart of all hubs the entry would lose nearly all targets, and overload the few that it is told of.
+    if (stream.hasAllTargets || this.ctx.state.isHubStarting) return;
+    Object.assign(stream, { hasAllTargets: true });
+    targets.retainOnly(stream.targetIds);
+  }
+
   private applyTarget(target: Target, now: number): void {
     const { id, address, service, dataCentre, slots, isDraining, coldMs, ref } = target;
     this.refs.set(id, ref);
--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -40,6 +40,7 @@
     entries: 1,
     isLeaderless: false,
     isCutOff: false,
+    isStarting: false,
     planVersion: 0,
     trueAt: clock.now(),
   });
--- a/packages/gateway/src/entry/TeamAdmission.test.ts
+++ b/packages/gateway/src/entry/TeamAdmission.test.ts
@@ -32,6 +32,7 @@
     entries: ENTRIES,
     isLeaderless: false,
     isCutOff: false,
+    isStarting: false,
     planVersion: 0,
     trueAt: clock.now(),
   });
