--- a/packages/gateway/src/control/fleet-scenarios.test.ts
+++ b/packages/gateway/src/control/fleet-scenarios.test.ts
@@ -1,22 +1,11 @@
 /** Scenarios of whole fleets in virtual time, at the size of the grown deployments and beyond. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { FakeFleet, type FakeHub } from '../testing/FakeFleet.js';
+import { makeEmptyPlan } from '../testing/fixtures.js';
 
 const CONFIG_APPLY_MS = 2_000;
 
-function makePlan(version: number): RoutingPlan {
-  return {
-    version,
-    routes: [],
-    services: [],
-    teams: [],
-    hasTeams: true,
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 },
-  };
-}
-
 /** Two hubs in each of three data centres and one in the largest, as in the grown deployment times `factor`. */
 function makeFleet(factor = 1): FakeFleet {
   const sizes = { 'dc-1': 28, 'dc-2': 27, 'dc-3': 26, 'dc-4': 30 };
@@ -42,11 +31,11 @@
   // late by several seconds, so that entries neither left the hub nor knew that their plan was outdated.
   it('does not keep its entries on a plan that was replaced two seconds ago', async () => {
     const fleet = makeFleet();
-    fleet.commit(makePlan(1));
+    fleet.commit(makeEmptyPlan(1));
     await fleet.advance(15_000);
     const busy = fleet.hubs.at(-1)!;
     await overload(fleet, busy);
-    fleet.commit(makePlan(2));
+    fleet.commit(makeEmptyPlan(2));
     await fleet.advance(CONFIG_APPLY_MS);
     const outdated = fleet.entries.filter(({ state }) => state.planVersion < 2);
     expect(outdated.length).toEqual(0);
@@ -54,7 +43,7 @@
 
   it('is not confirmed itself, nor does it count as without a leader, for which entries would stay', async () => {
     const fleet = makeFleet();
-    fleet.commit(makePlan(1));
+    fleet.commit(makeEmptyPlan(1));
     await fleet.advance(15_000);
     const busy = fleet.hubs.at(-1)!;
     await overload(fleet, busy);
@@ -64,7 +53,7 @@
 
   it('is confirmed all the time while it is not busy', async () => {
     const fleet = makeFleet();
-    fleet.commit(makePlan(1));
+    fleet.commit(makeEmptyPlan(1));
     await fleet.advance(15_000);
     const ages = fleet.hubs.map(({ hub }) => hub.confirmedAgeMs());
     expect(Math.max(...ages)).toBeLessThan(500);
@@ -76,14 +65,14 @@
   [1, 3].forEach((factor) => {
     it(`lose their entries to the others within two seconds after a commit, with ${7 * factor} hubs`, async () => {
       const fleet = makeFleet(factor);
-      fleet.commit(makePlan(1));
+      fleet.commit(makeEmptyPlan(1));
       await fleet.advance(25_000);
       // Two of the three seeds are among them.
       [1, 2, 6]
         .flatMap((i) => Array.from({ length: factor }, (_, j) => i + 7 * j))
         .forEach((i) => Object.assign(fleet.hubs[i]!, { isCutOff: true }));
       await fleet.advance(600);
-      fleet.commit(makePlan(2));
+      fleet.commit(makeEmptyPlan(2));
       await fleet.advance(CONFIG_APPLY_MS);
       expect(fleet.entries.filter(({ state }) => state.planVersion < 2).length).toEqual(0);
     });
@@ -95,7 +84,7 @@
   [1, 3].forEach((factor) => {
     it(`share ${111 * factor} entries, also where a data centre has fewer hubs`, async () => {
       const fleet = makeFleet(factor);
-      fleet.commit(makePlan(1));
+      fleet.commit(makeEmptyPlan(1));
       await fleet.advance(25_000);
       const followers = fleet.followersByHub();
       const mean = fleet.entries.length / followers.length;
--- a/packages/gateway/src/control/state.test.ts
+++ b/packages/gateway/src/control/state.test.ts
@@ -1,25 +1,14 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { encodeCommand } from './commands.js';
 import { ConfirmationTracker } from './ConfirmationTracker.js';
 import { EntryRegistry } from './EntryRegistry.js';
 import { LoadTable } from './LoadTable.js';
+import { makeEmptyPlan } from '../testing/fixtures.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
 
-function makePlan(version: number): RoutingPlan {
-  return {
-    version,
-    routes: [],
-    services: [],
-    teams: [],
-    hasTeams: true,
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 },
-  };
-}
-
 function putPlan(machine: PlanStateMachine, version: number, document: string): string {
-  const command = encodeCommand({ kind: 'putPlan', document, plan: makePlan(version) });
+  const command = encodeCommand({ kind: 'putPlan', document, plan: makeEmptyPlan(version) });
   return Buffer.from(machine.apply(version, command)).toString();
 }
 
