--- a/packages/gateway/src/control/HubFreshness.ts
+++ b/packages/gateway/src/control/HubFreshness.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { IReplicatedLog, LogStatus } from '@marigoldbank/replicated-log';
 import { hubConfirmedAge } from '../metrics.js';
+import { MAX_CONFIRMED_AGE_MS } from '../sync/confirmation.js';
 import { ConfirmationTracker } from './ConfirmationTracker.js';
 
 /** Control VMs that start together elect a leader within this time, and the leader confirms the state of the others. */
@@ -11,9 +12,6 @@
 /** Without a confirmation this long after the start, entries are sent the plan: an outdated one is better than none. */
 const WITHHOLD_PLAN_MS = 10_000;
 
-/** Age of the confirmation from which entries consider leaving the hub. */
-const STALE_MS = 1_300;
-
 /** Targets announce themselves every 1 to 2 s, and try other control VMs first if one does not answer. */
 const ANNOUNCEMENT_GRACE_MS = 4_000;
 
@@ -98,7 +96,7 @@
   private logChange({ role, leader }: LogStatus): void {
     const ageMs = this.confirmedAgeMs();
     hubConfirmedAge.set(ageMs / MS_PER_SECOND);
-    const isStale = ageMs > STALE_MS;
+    const isStale = ageMs > MAX_CONFIRMED_AGE_MS;
     if (isStale === this.isStale || !this.hasBeenConfirmed) return;
     this.isStale = isStale;
     const isLeaderless = this.isLeaderless(this.ctx.clock.now());
--- a/packages/gateway/src/entry/HubSwitchPolicy.ts
+++ b/packages/gateway/src/entry/HubSwitchPolicy.ts
@@ -1,5 +1,6 @@
 /** Decides when an entry leaves the hub that it follows. */
 import type { Random } from '@marigoldbank/base/random';
+import { MAX_CONFIRMED_AGE_MS } from '../sync/confirmation.js';
 import type { BetterHubReason } from './HubSelector.js';
 
 /** A hub sends a message at least every 400 ms. An entry leaves a hub that sends nothing for this long. */
@@ -8,9 +9,6 @@
 /** Timeout without a plan: most likely the hub has just started as well and is busy with all its entries. */
 const STARTUP_SILENCE_TIMEOUT_MS = 2_500;
 
-/** A hub whose last confirmation by a majority of the voters is older than this may have stale state. */
-const MAX_CONFIRMED_AGE_MS = 1_300;
-
 /**
  * Time for which an entry follows a hub that is partitioned from the others and may miss acknowledged changes. It
  * doubles with each further hub that is not confirmed either.
