Run the replicated log and the hub of a control VM as two processes

Callers of the grown deployments were refused or served late, and operators' changes got no acknowledgement within 4 s, in each case while control VMs were busy.

The role `control` is now the replicated log with the interface for operators and targets, and the new role `hub` serves streams and look-ups. A hub follows the log process of its VM through LogService.Watch. The log processes confirm their state among themselves (StateConfirmation); hubs take no part in it. A control VM to which no leader has confirmed its state for 0.7 s keeps an operator's call for a moment instead of redirecting it to a leader that may be frozen.

--- a/packages/bench/src/hub/hubProcess.ts
+++ b/packages/bench/src/hub/hubProcess.ts
@@ -4,14 +4,13 @@
 import { SystemClock } from '@marigoldbank/base/clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { Hub } from '@marigoldbank/gateway/control/Hub';
+import type { ILogView } from '@marigoldbank/gateway/control/LogView';
 import { PlanStateMachine } from '@marigoldbank/gateway/control/PlanStateMachine';
 import { registerSyncService } from '@marigoldbank/gateway/control/sync-routes';
-import type { VoterManager } from '@marigoldbank/gateway/control/VoterManager';
 import type { Announcement } from '@marigoldbank/gateway/announcement';
 import { gatewaySettingsSchema, syncAddress } from '@marigoldbank/gateway/settings';
 import { BatchPace } from '@marigoldbank/gateway/sync/BatchPace';
 import { COMPRESS_MIN_BYTES, SyncClients } from '@marigoldbank/gateway/sync/SyncClients';
-import type { IReplicatedLog, LogStatus, ReadOutcome } from '@marigoldbank/replicated-log';
 
 const [ip = '', firstPort = ''] = process.argv.slice(2);
 const port = Number(firstPort);
@@ -20,7 +19,7 @@
   vm: 'hub',
   ip,
   dataCentre: 'dc-1',
-  role: 'control',
+  role: 'hub',
   listen: {},
   internalPorts: [port, port + 2],
   seeds: [],
@@ -29,40 +28,38 @@
   bounds: { grace: '6s', maxTtl: '5s', retryRatio: 0.2, retrySlack: 188, retryWindow: '10s' },
 });
 
-const self = { vm: ip, incarnation: '', address: '' };
-const leadingLog: Pick<IReplicatedLog, 'status' | 'confirmRead'> = {
-  status: (): LogStatus => ({
-    self,
-    role: 'leader',
-    term: 1,
-    commitIndex: 1,
-    lastIndex: 1,
-    leader: self,
-    membership: { voters: [self], learners: [] },
-    progress: [],
-  }),
-  confirmRead: (): Promise<ReadOutcome> => Promise.resolve({ kind: 'confirmed', index: 1 }),
+const clock = new SystemClock();
+
+/** A log that leads and whose state is always confirmed. */
+const log: ILogView = {
+  isLeader: true,
+  leader: ip,
+  voters: [ip],
+  get confirmedAt() {
+    return clock.now();
+  },
+  get leaderSeenAt() {
+    return clock.now();
+  },
 };
-const log = leadingLog as IReplicatedLog;
 const logger = new NullLogger();
 const clients = new SyncClients();
 const hub = new Hub({
-  clock: new SystemClock(),
+  clock,
   settings,
   log,
   stateMachine: new PlanStateMachine(),
   logger,
-  pace: new BatchPace(new SystemClock()),
+  pace: new BatchPace(clock),
   clientOf: (address) => clients.client(address),
 });
-const voterManager = { admit: () => Promise.resolve(false) } as unknown as VoterManager;
 const server = http2.createServer(
   connectNodeAdapter({
     compressMinBytes: COMPRESS_MIN_BYTES,
-    routes: (router) => registerSyncService(router, hub, voterManager, log, logger),
+    routes: (router) => registerSyncService(router, hub, logger),
   }),
 );
 process.on('message', (announcements: Announcement[]) => {
-  announcements.forEach((announcement) => hub.announce(announcement));
+  announcements.forEach((announcement) => hub.announce(announcement, clock.now()));
 });
 server.listen(Number(syncAddress(settings, ip).split(':')[1]), ip, () => process.send?.('ready'));
--- /dev/null
+++ b/packages/gateway/src/control/AnnouncementFeed.ts
@@ -0,0 +1,60 @@
+/** Announcements that this control VM has received, numbered in the order of their arrival. */
+import type { Announcement } from '../announcement.js';
+import { TargetRegistry } from './TargetRegistry.js';
+import { toTargetMessage, type TargetInit } from './targets-codec.js';
+
+/** Announcements after a position, and the position that they lead to. */
+export interface AnnouncementBatch {
+  readonly announcements: readonly TargetInit[];
+  readonly position: number;
+}
+
+export class AnnouncementFeed {
+  private readonly registry = new TargetRegistry();
+
+  /** Position of the newest announcement of each target. There is one of each, so the feed is bounded. */
+  private readonly positions = new Map<string, number>();
+
+  private lastPosition = 0;
+
+  public get position(): number {
+    return this.lastPosition;
+  }
+
+  /** Adds an announcement that was received at `now` (monotonic ms). Returns false if a newer one is known. */
+  public add(announcement: Announcement, now: number): boolean {
+    const displaced = this.registry.displacedBy(announcement);
+    if (this.registry.announce(announcement, now) === 'outdated') return false;
+    if (displaced !== undefined) this.remove(displaced, 0);
+    this.lastPosition += 1;
+    this.positions.set(announcement.id, this.lastPosition);
+    return true;
+  }
+
+  /** Removes a target that has left. Later announcements of incarnations up to `born` are ignored. */
+  public remove(id: string, born: number): void {
+    this.registry.remove(id, born);
+    this.positions.delete(id);
+  }
+
+  /** Removes targets whose announcements have expired. */
+  public expire(now: number): void {
+    this.registry.expire(now).forEach((id) => this.positions.delete(id));
+  }
+
+  /** Start (Unix ms) of a target's incarnation, 0 if unknown. */
+  public bornOf(id: string): number {
+    return this.registry.get(id)?.announcement.born ?? 0;
+  }
+
+  /** Announcements after a position, with their ages at `now` (monotonic ms). */
+  public since(position: number, now: number): AnnouncementBatch {
+    const announcements = [...this.positions]
+      .filter(([, at]) => at > position)
+      .flatMap(([id]) => {
+        const registered = this.registry.get(id);
+        return registered === undefined ? [] : [toTargetMessage(registered, now)];
+      });
+    return { announcements, position: this.lastPosition };
+  }
+}
--- a/packages/gateway/src/control/ConfirmationTracker.test.ts
+++ b/packages/gateway/src/control/ConfirmationTracker.test.ts
@@ -13,8 +13,8 @@
 
   it('distinguishes a hub that lags behind its leader from one without a leader', () => {
     const confirmation = new ConfirmationTracker();
-    expect(confirmation.isOverdue(0)).toEqual(true);
+    expect(confirmation.arrivalAgeMs(0)).toEqual(Infinity);
     confirmation.record(7, 1_000, 5);
-    expect([confirmation.isOverdue(1_500), confirmation.isOverdue(3_000)]).toEqual([false, true]);
+    expect([confirmation.ageMs(1_500), confirmation.arrivalAgeMs(1_500)]).toEqual([Infinity, 500]);
   });
 });
--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -1,14 +1,16 @@
 /** HTTP interface of a control VM for operators and targets. */
 import { H3, HTTPResponse, toNodeHandler, type H3Event } from 'h3';
 import { createServer, type Server } from 'node:http';
+import { delay, type Clock } from '@marigoldbank/base/clock';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
-import type { IReplicatedLog, ProposeOutcome } from '@marigoldbank/replicated-log';
+import type { IReplicatedLog, Member, ProposeOutcome } from '@marigoldbank/replicated-log';
 import { isUsable } from '../announcement.js';
 import type { ControlCall, ProtocolAdapter } from '../ProtocolAdapter.js';
 import { encodeCommand, type CommandInit } from './commands.js';
-import type { Hub } from './Hub.js';
+import type { LogFeed } from './LogFeed.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
+import type { StateConfirmation } from './StateConfirmation.js';
 
 /** Idle timeout of connections; targets send announcements within seconds. */
 const KEEP_ALIVE_MS = 30_000;
@@ -16,12 +18,22 @@
 /** Limit of request bodies, sized for a complete configuration. */
 const MAX_BODY_BYTES = 33_554_432;
 
+/**
+ * Time for which a call waits for a leader that answers, during an election or while the leader may be frozen. Callers
+ * give up after a second; one that is redirected to a frozen leader loses that second.
+ */
+const LEADER_WAIT_MS = 700;
+
+const LEADER_CHECK_MS = 20;
+
 const JSON_HEADERS = { 'content-type': 'application/json' };
 
 export interface ControlApiContext {
+  readonly clock: Clock;
   readonly protocol: ProtocolAdapter;
-  readonly hub: Hub;
-  readonly log: IReplicatedLog;
+  readonly feed: Pick<LogFeed, 'announce' | 'announcements'>;
+  readonly log: Pick<IReplicatedLog, 'status' | 'propose' | 'confirmRead'>;
+  readonly confirmation: Pick<StateConfirmation, 'reachableLeader'>;
   readonly stateMachine: PlanStateMachine;
   readonly logger: Logger;
   /** Port on which every control VM serves operators. */
@@ -104,7 +116,7 @@
       this.ctx.logger.warn('unreadable announcement', { target: id });
       return errorResponse(400, 'unreadable announcement');
     }
-    this.ctx.hub.announce(announcement);
+    this.ctx.feed.announce(announcement);
     if (!announcement.isDraining) return jsonResponse(200, '{}');
     return this.markLeaving(id, announcement.born, false, requestTarget);
   }
@@ -121,16 +133,16 @@
   ): Promise<HTTPResponse> {
     const mark = this.ctx.stateMachine.leavingMark(id, born);
     if (mark !== undefined && (mark.isGone || !isGone)) return jsonResponse(200, '{}');
-    const start = born === 0 ? this.ctx.hub.targets.bornOf(id) : born;
+    const start = born === 0 ? this.ctx.feed.announcements.bornOf(id) : born;
     const command: CommandInit = { kind: 'markLeaving', id, born: start, isGone, at: Date.now() };
     return this.propose(command, requestTarget);
   }
 
   private async putPlan(requestTarget: string, document: string): Promise<HTTPResponse> {
-    const { protocol, logger, stateMachine, log } = this.ctx;
+    const { protocol, logger, stateMachine } = this.ctx;
     // Only the leader validates the document: validating a large one on every member would cost each as much CPU time.
-    const { role, leader } = log.status();
-    if (role !== 'leader') return this.redirect(leader?.vm, requestTarget);
+    const leader = await this.findLeader();
+    if (!this.isSelf(leader)) return this.redirect(leader, requestTarget);
     const parsed = protocol.parsePlan(document);
     if (parsed.kind === 'invalid') {
       logger.warn('configuration refused', { problems: parsed.problems.join('; ').slice(0, 500) });
@@ -144,24 +156,48 @@
   }
 
   private async propose(command: CommandInit, requestTarget: string): Promise<HTTPResponse> {
+    const leader = await this.findLeader();
+    if (!this.isSelf(leader)) return this.redirect(leader, requestTarget);
     const outcome: ProposeOutcome = await this.ctx.log.propose(encodeCommand(command));
     if (outcome.kind === 'committed') return jsonResponse(200, '{}');
-    if (outcome.kind === 'notLeader') return this.redirect(outcome.leader?.vm, requestTarget);
+    if (outcome.kind === 'notLeader') return this.redirect(outcome.leader, requestTarget);
     return errorResponse(503, 'the outcome is not known');
   }
 
   private async getPlan(requestTarget: string): Promise<HTTPResponse> {
+    const leader = await this.findLeader();
+    if (!this.isSelf(leader)) return this.redirect(leader, requestTarget);
     const read = await this.ctx.log.confirmRead();
-    if (read.kind === 'notLeader') return this.redirect(read.leader?.vm, requestTarget);
+    if (read.kind === 'notLeader') return this.redirect(read.leader, requestTarget);
     const committed = this.ctx.stateMachine.current;
     return committed === undefined
       ? errorResponse(503, 'no configuration yet')
       : jsonResponse(200, committed.document);
   }
 
-  private redirect(leaderIp: string | undefined, requestTarget: string): HTTPResponse {
-    if (leaderIp === undefined) return errorResponse(503, 'no leader is known');
-    const location = `http://${leaderIp}:${this.ctx.controlPort}${requestTarget}`;
+  /** Waits for a leader that answers this VM. Undefined if there is none in time. */
+  private async findLeader(): Promise<Member | undefined> {
+    const { clock, confirmation, logger } = this.ctx;
+    const startedAt = clock.now();
+    let leader = confirmation.reachableLeader();
+    while (leader === undefined && clock.now() - startedAt < LEADER_WAIT_MS) {
+      await delay(clock, LEADER_CHECK_MS);
+      leader = confirmation.reachableLeader();
+    }
+    const waitedMs = Math.round(clock.now() - startedAt);
+    if (waitedMs >= LEADER_CHECK_MS) {
+      logger.info('a call waited for a leader', { waitedMs, leader: leader?.vm ?? '' });
+    }
+    return leader;
+  }
+
+  private isSelf(leader: Member | undefined): boolean {
+    return leader !== undefined && leader.vm === this.ctx.log.status().self.vm;
+  }
+
+  private redirect(leader: Member | undefined, requestTarget: string): HTTPResponse {
+    if (leader === undefined) return errorResponse(503, 'no leader answers');
+    const location = `http://${leader.vm}:${this.ctx.controlPort}${requestTarget}`;
     return jsonResponse(307, '{}', { location });
   }
 }
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -12,7 +12,6 @@
   HubRelay,
   SyncService,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import type { IReplicatedLog } from '@marigoldbank/replicated-log';
 import { chooseAddresses, type AdvertisedEntry } from '../AddressBook.js';
 import type { Announcement } from '../announcement.js';
 import { ipOf, syncAddress, type GatewaySettings } from '../settings.js';
@@ -27,6 +26,7 @@
 import { HubPeers } from './HubPeers.js';
 import { HubFreshness } from './HubFreshness.js';
 import { HubTargets } from './HubTargets.js';
+import type { ILogView } from './LogView.js';
 import { isAlive, type PeerHub } from './PeerHub.js';
 import { LimitDistributor } from './LimitDistributor.js';
 import { PlanEncoder } from './PlanEncoder.js';
@@ -55,7 +55,7 @@
 export interface HubContext {
   readonly clock: Clock;
   readonly settings: GatewaySettings;
-  readonly log: IReplicatedLog;
+  readonly log: ILogView;
   readonly stateMachine: PlanStateMachine;
   readonly logger: Logger;
   /** Pace of the batches to entries and other hubs. */
@@ -122,12 +122,11 @@
     this.freshness = new HubFreshness({
       ...ctx,
       reachesMajority: (now) => this.peers.reachesMajority(now),
-      broadcastConfirmed: (index, askedAt) => this.peers.sendConfirmed(index, askedAt),
     });
     this.teamBudgets = this.createTeamBudgets();
     this.tokenRequests = new TokenRequestHandler({
       teamBudgets: this.teamBudgets,
-      isLeader: () => ctx.log.status().role === 'leader',
+      isLeader: () => ctx.log.isLeader,
       leaderLink: () => this.peers.leaderLink,
       linkTo: (peer) => this.peers.linkTo(peer),
       sessionOf: (vm) => this.sessions.get(vm),
@@ -174,7 +173,6 @@
       targets: this.targets,
       evidence: this.evidence,
       limits: this.limits,
-      freshness: this.freshness,
       retryBudgets: this.retryBudgets,
       teamBudgets: this.teamBudgets,
       tokenRequests: this.tokenRequests,
@@ -217,9 +215,9 @@
     );
   }
 
-  /** Registers an announcement that a target sent to this hub, and relays it to the others. */
-  public announce(announcement: Announcement): void {
-    this.targets.register(announcement, this.ctx.clock.now());
+  /** Registers an announcement that this VM received at `receivedAt` (monotonic ms), and relays it to other hubs. */
+  public announce(announcement: Announcement, receivedAt: number): void {
+    this.targets.register(announcement, receivedAt);
     const target = this.targets.describe(announcement.id);
     if (target !== undefined) this.peers.links.forEach((link) => link.setTarget(target));
   }
@@ -307,7 +305,7 @@
     const { logger, log } = this.ctx;
     return new TeamBudgets({
       logger,
-      isLeader: () => log.status().role === 'leader',
+      isLeader: () => log.isLeader,
       leaderLastMessageAt: () => this.peers.leader?.lastMessageAt ?? -Infinity,
       entries: (now) => ({
         own: this.entries.entriesOf(OWN_HUB).length,
--- a/packages/gateway/src/control/HubFreshness.test.ts
+++ b/packages/gateway/src/control/HubFreshness.test.ts
@@ -1,58 +1,49 @@
 import { describe, it } from 'node:test';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
-import type { LogStatus, ReadOutcome } from '@marigoldbank/replicated-log';
 import { expect } from 'earl';
 import { HubFreshness } from './HubFreshness.js';
 
+interface State {
+  confirmedAt: number;
+  leaderSeenAt: number;
+  reachesMajority: boolean;
+}
+
 interface Fixture {
   readonly clock: VirtualClock;
   readonly freshness: HubFreshness;
-  readonly broadcast: number[];
   readonly set: (changes: Partial<State>) => void;
 }
 
-interface State {
-  role: LogStatus['role'];
-  commitIndex: number;
-  reachesMajority: boolean;
-}
-
 function makeFreshness(): Fixture {
   const clock = new VirtualClock();
-  const state: State = { role: 'follower', commitIndex: 0, reachesMajority: true };
-  const self = { vm: 'c1', incarnation: 'c1-1', address: 'c1:1' };
-  const broadcast: number[] = [];
+  const state: State = { confirmedAt: -Infinity, leaderSeenAt: -Infinity, reachesMajority: true };
   const freshness = new HubFreshness({
     clock,
     log: {
-      status: (): LogStatus => ({
-        role: state.role,
-        term: 1,
-        self,
-        leader: undefined,
-        membership: { voters: [self], learners: [] },
-        lastIndex: state.commitIndex,
-        commitIndex: state.commitIndex,
-        progress: [],
-      }),
-      confirmRead: (): Promise<ReadOutcome> =>
-        Promise.resolve({ kind: 'confirmed', index: state.commitIndex }),
+      isLeader: false,
+      leader: undefined,
+      voters: [],
+      get confirmedAt() {
+        return state.confirmedAt;
+      },
+      get leaderSeenAt() {
+        return state.leaderSeenAt;
+      },
     },
     logger: new NullLogger(),
     reachesMajority: () => state.reachesMajority,
-    broadcastConfirmed: (index) => broadcast.push(index),
   });
-  return { clock, freshness, broadcast, set: (changes) => Object.assign(state, changes) };
+  return { clock, freshness, set: (changes) => Object.assign(state, changes) };
 }
 
 describe('HubFreshness', () => {
   it('withholds the plan until a leader has confirmed it, but only for a limited time', () => {
     const { clock, freshness, set } = makeFreshness();
-    freshness.noteConfirmed(5, 0);
+    set({ leaderSeenAt: 0 });
     expect(freshness.maySendPlan).toEqual(false);
-    set({ commitIndex: 5 });
-    freshness.update();
+    set({ confirmedAt: 0 });
     expect(freshness.maySendPlan).toEqual(true);
     const other = makeFreshness();
     other.clock.advance(11_000);
@@ -60,19 +51,19 @@
     expect(clock.now()).toEqual(0);
   });
 
-  it('as leader, confirms its own state and that of the other hubs', async () => {
-    const { freshness, broadcast, set } = makeFreshness();
-    set({ role: 'leader', commitIndex: 7 });
-    freshness.update();
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-    expect([broadcast, freshness.confirmedAgeMs()]).toEqual([[7], 0]);
+  it('is late once the last confirmation of its state is older than 1.3 s', () => {
+    const { clock, freshness, set } = makeFreshness();
+    expect(freshness.isLate).toEqual(false);
+    set({ confirmedAt: 0, leaderSeenAt: 0 });
+    clock.advance(1_300);
+    expect([freshness.isLate, freshness.confirmedAgeMs()]).toEqual([false, 1_300]);
+    clock.advance(1);
+    expect(freshness.isLate).toEqual(true);
   });
 
   it('is leaderless if it reaches a majority without a leader, but not if it is partitioned', () => {
     const { clock, freshness, set } = makeFreshness();
-    freshness.noteConfirmed(0, clock.now());
+    set({ confirmedAt: 0, leaderSeenAt: 0 });
     expect(freshness.isLeaderless(clock.now())).toEqual(false);
     clock.advance(2_000);
     expect(freshness.isLeaderless(clock.now())).toEqual(true);
@@ -84,7 +75,7 @@
     const { clock, freshness, set } = makeFreshness();
     set({ reachesMajority: false });
     expect(freshness.isLeaderless(clock.now())).toEqual(true);
-    freshness.noteConfirmed(9, 0);
+    set({ leaderSeenAt: 0 });
     expect(freshness.isLeaderless(clock.now())).toEqual(false);
     const longRunning = makeFreshness();
     longRunning.set({ reachesMajority: false });
--- a/packages/gateway/src/control/HubFreshness.ts
+++ b/packages/gateway/src/control/HubFreshness.ts
@@ -1,10 +1,12 @@
-/** Tracks whether the replicated state of a hub is confirmed as current by a leader. */
+/** Tells whether the state of a hub is confirmed as current, by what its log says. */
 import type { Clock } from '@marigoldbank/base/clock';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import type { IReplicatedLog, LogStatus } from '@marigoldbank/replicated-log';
 import { hubConfirmedAge } from '../metrics.js';
 import { MAX_CONFIRMED_AGE_MS } from '../sync/confirmation.js';
-import { ConfirmationTracker } from './ConfirmationTracker.js';
+import type { ILogView } from './LogView.js';
+
+/** Without a confirmation of a leader for this long, the next one is overdue; one comes every 200 ms. */
+const OVERDUE_MS = 800;
 
 /** Control VMs that start together elect a leader within this time, and the leader confirms the state of the others. */
 const STARTUP_GRACE_MS = 2_500;
@@ -19,21 +21,15 @@
 
 export interface FreshnessContext {
   readonly clock: Clock;
-  readonly log: Pick<IReplicatedLog, 'status' | 'confirmRead'>;
+  readonly log: ILogView;
   readonly logger: Logger;
   /** Whether messages of a majority of the voters arrive. */
   readonly reachesMajority: (now: number) => boolean;
-  /** Sends a confirmed index to the other hubs, with the time (monotonic ms) at which the majority was asked. */
-  readonly broadcastConfirmed: (index: number, askedAt: number) => void;
 }
 
 export class HubFreshness {
-  private readonly confirmation = new ConfirmationTracker();
-
   private readonly startedAt: number;
 
-  private isConfirming = false;
-
   private isStale = false;
 
   public constructor(private readonly ctx: FreshnessContext) {
@@ -42,7 +38,7 @@
 
   /** Milliseconds since a majority confirmed the state of this hub, Infinity before the first confirmation. */
   public confirmedAgeMs(): number {
-    return this.confirmation.ageMs(this.ctx.clock.now());
+    return this.ctx.clock.now() - this.ctx.log.confirmedAt;
   }
 
   /**
@@ -58,7 +54,7 @@
    * with such a hub, since the other hubs are not confirmed either.
    */
   public isLeaderless(now: number): boolean {
-    if (!this.confirmation.isOverdue(now)) return false;
+    if (now - this.ctx.log.leaderSeenAt <= OVERDUE_MS) return false;
     // A hub that has just started cannot tell yet; most likely the other hubs have just started as well.
     if (!this.hasBeenConfirmed && this.uptimeMs() < STARTUP_GRACE_MS) return true;
     return this.ctx.reachesMajority(now);
@@ -79,35 +75,19 @@
     return this.uptimeMs() > STARTUP_GRACE_MS && !this.ctx.reachesMajority(now);
   }
 
-  /**
-   * Records a confirmation that another hub sent as leader: `index` was the last committed index at `at` (monotonic
-   * ms). A confirmation dated by its arrival would hide that messages of the leader wait behind others.
-   */
-  public noteConfirmed(index: number, at: number | undefined): void {
-    const { clock, log } = this.ctx;
-    if (at === undefined) this.confirmation.noteArrival(clock.now());
-    else this.confirmation.record(index, at, log.status().commitIndex, clock.now());
-  }
-
-  /** Takes new commits into account; a leader also requests a confirmation. */
-  public update(): void {
-    const status = this.ctx.log.status();
-    this.confirmation.advance(status.commitIndex);
-    if (status.role === 'leader') this.confirm();
-    this.logChange(status);
-  }
-
   /** Logs when the state of this hub is no longer confirmed, and when it is again. */
-  private logChange({ role, leader }: LogStatus): void {
+  public update(): void {
+    const { clock, log, logger } = this.ctx;
     const ageMs = this.confirmedAgeMs();
     hubConfirmedAge.set(ageMs / MS_PER_SECOND);
     const isStale = ageMs > MAX_CONFIRMED_AGE_MS;
     if (isStale === this.isStale || !this.hasBeenConfirmed) return;
     this.isStale = isStale;
-    const isLeaderless = this.isLeaderless(this.ctx.clock.now());
-    const context = { ageMs: Math.round(ageMs), role, leader: leader?.vm ?? '', isLeaderless };
-    if (isStale) this.ctx.logger.warn('state of the hub is not confirmed', context);
-    else this.ctx.logger.info('state of the hub is confirmed again', context);
+    const isLeaderless = this.isLeaderless(clock.now());
+    const { isLeader, leader = '' } = log;
+    const context = { ageMs: Math.round(ageMs), isLeader, leader, isLeaderless };
+    if (isStale) logger.warn('state of the hub is not confirmed', context);
+    else logger.info('state of the hub is confirmed again', context);
   }
 
   private get hasBeenConfirmed(): boolean {
@@ -117,24 +97,4 @@
   private uptimeMs(): number {
     return this.ctx.clock.now() - this.startedAt;
   }
-
-  /** Confirms with a majority that this hub still leads; all hubs use the result to confirm their state. */
-  private confirm(): void {
-    if (this.isConfirming) return;
-    this.isConfirming = true;
-    const { clock, log, logger, broadcastConfirmed } = this.ctx;
-    const askedAt = clock.now();
-    log
-      .confirmRead()
-      .then((read) => {
-        this.isConfirming = false;
-        if (read.kind !== 'confirmed') return;
-        this.confirmation.record(read.index, askedAt, log.status().commitIndex);
-        broadcastConfirmed(read.index, askedAt);
-      })
-      .catch((err: unknown) => {
-        this.isConfirming = false;
-        logger.warn('leadership was not confirmed', { error: String(err) });
-      });
-  }
 }
--- a/packages/gateway/src/control/HubMessages.ts
+++ b/packages/gateway/src/control/HubMessages.ts
@@ -94,6 +94,6 @@
     // A leader that has lost its majority steps down within an election timeout.
     if (teamBudgets.isGranting) return 0;
     const { leader } = peers;
-    return now - (leader?.confirmedAt ?? leader?.lastMessageAt ?? -Infinity);
+    return now - (leader?.report?.trueAt ?? leader?.lastMessageAt ?? -Infinity);
   }
 }
--- a/packages/gateway/src/control/HubPeers.ts
+++ b/packages/gateway/src/control/HubPeers.ts
@@ -4,11 +4,11 @@
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { HubRelay, SyncService } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import type { IReplicatedLog } from '@marigoldbank/replicated-log';
 import { syncAddress, type GatewaySettings } from '../settings.js';
 import type { Pace } from '../sync/BatchPace.js';
 import { echoOf, trueSince } from '../sync/timeEcho.js';
 import type { HubCandidate } from '../sync/HubCandidate.js';
+import type { ILogView } from './LogView.js';
 import { isAlive, isLate, type PeerHub } from './PeerHub.js';
 import { RelayLink, type HubRelayInit } from './RelayLink.js';
 
@@ -18,7 +18,7 @@
 export interface HubPeersContext {
   readonly clock: Clock;
   readonly settings: GatewaySettings;
-  readonly log: IReplicatedLog;
+  readonly log: ILogView;
   readonly logger: Logger;
   readonly pace: Pace;
   readonly clientOf: (address: string) => Client<typeof SyncService>;
@@ -84,14 +84,14 @@
    */
   public reachesMajority(now: number): boolean {
     const { log, settings } = this.ctx;
-    const { membership, self } = log.status();
-    const reached = membership.voters.filter(({ vm }) => {
+    const reached = log.voters.filter((vm) => {
       const peer = this.peers.get(syncAddress(settings, vm));
       return (
-        vm === self.vm || (peer !== undefined && now - peer.lastMessageAt < REACHABLE_TIMEOUT_MS)
+        vm === settings.ip ||
+        (peer !== undefined && now - peer.lastMessageAt < REACHABLE_TIMEOUT_MS)
       );
     });
-    return reached.length > membership.voters.length / 2;
+    return reached.length > log.voters.length / 2;
   }
 
   /**
@@ -107,7 +107,7 @@
 
   /** The leader, if it is another hub. */
   public get leader(): PeerHub | undefined {
-    const leader = this.ctx.log.status().leader?.vm;
+    const { leader } = this.ctx.log;
     if (leader === undefined) return undefined;
     return this.peers.get(syncAddress(this.ctx.settings, leader));
   }
@@ -147,16 +147,6 @@
     Object.assign(peer, { report: { isLate: own.isLate, trueAt } });
   }
 
-  /** Sends an index that a majority confirmed, asked at `askedAt` (monotonic ms), to all other hubs. */
-  public sendConfirmed(index: number, askedAt: number): void {
-    this.all.forEach((peer) =>
-      this.linkTo(peer)?.send({
-        confirmedIndex: BigInt(index),
-        confirmedEcho: echoOf(peer.time, askedAt),
-      }),
-    );
-  }
-
   /** Connects to a hub that is not known yet. */
   public connect(address: string, dataCentre: string): void {
     if (address === this.ownAddress || this.peers.has(address) || address === '') return;
@@ -165,7 +155,6 @@
       dataCentre,
       lastMessageAt: -Infinity,
       time: undefined,
-      confirmedAt: undefined,
       report: undefined,
     });
     const { clock, logger, pace, clientOf, snapshot, ownInFlight } = this.ctx;
@@ -184,7 +173,6 @@
     return Object.assign(peer, {
       dataCentre,
       time: undefined,
-      confirmedAt: undefined,
       report: undefined,
     });
   }
--- /dev/null
+++ b/packages/gateway/src/control/LogFollower.ts
@@ -0,0 +1,131 @@
+/** Follows the replicated log of this VM, which runs in another process. */
+import type { Client } from '@connectrpc/connect';
+import { delay, type Clock } from '@marigoldbank/base/clock';
+import { Emitter } from '@marigoldbank/base/events';
+import { DisposableStore } from '@marigoldbank/base/lifecycle';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import type { LogService, WatchResponse } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { Announcement } from '../announcement.js';
+import type { ILogView } from './LogView.js';
+import type { PlanStateMachine } from './PlanStateMachine.js';
+import { toAnnouncement } from './targets-codec.js';
+
+/** Longest time for which the log process keeps a request. The hub learns of confirmations at this interval. */
+const MAX_WAIT_MS = 150;
+
+const ANSWER_TIMEOUT_MS = 1_000;
+
+const RETRY_MS = 50;
+
+/** A leader whose log process has not answered for longer does not count as one any more. */
+const LEADER_VIEW_MS = 1_000;
+
+/** An announcement that this VM has received, and when (monotonic ms). */
+export interface ReceivedAnnouncement {
+  readonly announcement: Announcement;
+  readonly receivedAt: number;
+}
+
+export interface LogFollowerContext {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly stateMachine: PlanStateMachine;
+  readonly client: Pick<Client<typeof LogService>, 'watch'>;
+}
+
+export class LogFollower extends DisposableStore implements ILogView {
+  private readonly announceEmitter = new Emitter<ReceivedAnnouncement>();
+
+  public readonly onDidAnnounce = this.announceEmitter.event;
+
+  private state: WatchResponse | undefined;
+
+  /** Time at which the newest answer was true at the latest. */
+  private trueAt = -Infinity;
+
+  private confirmed = -Infinity;
+
+  private leaderSeen = -Infinity;
+
+  private hasFailed = false;
+
+  public constructor(private readonly ctx: LogFollowerContext) {
+    super();
+  }
+
+  public get isLeader(): boolean {
+    const isRecent = this.ctx.clock.now() - this.trueAt < LEADER_VIEW_MS;
+    return isRecent && (this.state?.isLeader ?? false);
+  }
+
+  public get leader(): string | undefined {
+    return this.state?.leader === '' ? undefined : this.state?.leader;
+  }
+
+  public get voters(): readonly string[] {
+    return this.state?.voters ?? [];
+  }
+
+  public get confirmedAt(): number {
+    return this.confirmed;
+  }
+
+  public get leaderSeenAt(): number {
+    return this.leaderSeen;
+  }
+
+  /** Requests one answer after the other until disposed. */
+  public async run(): Promise<void> {
+    while (!this.isDisposed) {
+      const isAnswered = await this.request();
+      if (!isAnswered) await delay(this.ctx.clock, RETRY_MS);
+    }
+  }
+
+  private async request(): Promise<boolean> {
+    const { clock, logger, client } = this.ctx;
+    const askedAt = clock.now();
+    try {
+      const res = await client.watch(
+        {
+          lifetime: this.state?.lifetime ?? '',
+          afterIndex: this.state?.index ?? 0n,
+          afterAnnouncement: this.state?.announcement ?? 0n,
+          maxWaitMs: MAX_WAIT_MS,
+        },
+        { timeoutMs: ANSWER_TIMEOUT_MS },
+      );
+      if (this.hasFailed) logger.info('the log process answers again');
+      this.hasFailed = false;
+      this.apply(res, askedAt);
+      return true;
+    } catch (err) {
+      if (!this.hasFailed) logger.warn('the log process does not answer', { error: String(err) });
+      this.hasFailed = true;
+      return false;
+    }
+  }
+
+  /** The answer counts from when it was asked for and not from its arrival, so that it does not appear newer. */
+  private apply(res: WatchResponse, askedAt: number): void {
+    const { clock, stateMachine } = this.ctx;
+    this.state = res;
+    this.trueAt = askedAt + res.waitedMs;
+    if (res.snapshot !== undefined) stateMachine.restore(res.snapshot);
+    res.commands.forEach(({ index, data }) => stateMachine.apply(Number(index), data));
+    const { confirmedAgeMs, leaderAgeMs } = res;
+    if (confirmedAgeMs !== undefined) {
+      this.confirmed = Math.max(this.confirmed, this.trueAt - confirmedAgeMs);
+    }
+    if (leaderAgeMs !== undefined) {
+      this.leaderSeen = Math.max(this.leaderSeen, this.trueAt - leaderAgeMs);
+    }
+    const now = clock.now();
+    res.announcements.forEach((target) =>
+      this.announceEmitter.fire({
+        announcement: toAnnouncement(target),
+        receivedAt: now - target.ageMs,
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/LogView.ts
@@ -0,0 +1,13 @@
+/** What a hub knows of the replicated log of its VM. Times are monotonic ms of the hub's clock, -Infinity for never. */
+export interface ILogView {
+  /** Whether the log of this VM leads. False if that is not known any more. */
+  readonly isLeader: boolean;
+  /** VM of the leader, undefined if none is known. */
+  readonly leader: string | undefined;
+  /** VMs of the voters. */
+  readonly voters: readonly string[];
+  /** Time at which a majority of the voters confirmed the state that the hub has. */
+  readonly confirmedAt: number;
+  /** Time at which the log last heard a confirmation of a leader, also of a state that the hub does not have yet. */
+  readonly leaderSeenAt: number;
+}
--- a/packages/gateway/src/control/PeerHub.ts
+++ b/packages/gateway/src/control/PeerHub.ts
@@ -17,8 +17,6 @@
   lastMessageAt: number;
   /** Time in its last message that had one; it is returned to the hub. */
   time: PeerTime | undefined;
-  /** Monotonic ms at which the newest confirmation from this hub was true, undefined if none could be dated. */
-  confirmedAt: number | undefined;
   /** What the hub last said about itself. */
   report: PeerReport | undefined;
 }
--- a/packages/gateway/src/control/PlanStateMachine.ts
+++ b/packages/gateway/src/control/PlanStateMachine.ts
@@ -14,6 +14,12 @@
 /** Older leaving marks are removed with the next one; delayed announcements of their targets no longer arrive. */
 const MARK_LIFETIME_MS = 120_000;
 
+/** A command with its index in the log. */
+export interface AppliedCommand {
+  readonly index: number;
+  readonly data: Uint8Array;
+}
+
 export class PlanStateMachine extends StateMachine {
   private readonly planEmitter = new Emitter<CommittedPlan>();
 
@@ -25,6 +31,16 @@
   /** Fires when the leaving mark of a target is committed, and for each mark of a restored snapshot. */
   public readonly onDidMarkLeaving = this.leavingEmitter.event;
 
+  private readonly applyEmitter = new Emitter<AppliedCommand>();
+
+  private readonly restoreEmitter = new Emitter<void>();
+
+  /** Fires for each command after it was applied. */
+  public readonly onDidApply = this.applyEmitter.event;
+
+  /** Fires when a snapshot has replaced commands that were not applied one by one. */
+  public readonly onDidRestore = this.restoreEmitter.event;
+
   /** Index of the last command that was applied; restoring a snapshot leaves it unchanged. */
   public appliedIndex = 0;
 
@@ -52,6 +68,7 @@
     const parsed = commandSchema.safeParse(JSON.parse(Buffer.from(data).toString()));
     // This release proposes only commands of this schema. All members that run it skip commands of a newer release.
     const result = parsed.success ? this.execute(parsed.data) : 'superseded';
+    this.applyEmitter.fire({ index, data });
     return Buffer.from(result);
   }
 
@@ -65,12 +82,19 @@
     );
   }
 
+  /**
+   * Adds the state of a snapshot. A log process that has restarted may serve a snapshot that is older than what a hub
+   * already has, so a newer plan and other marks stay.
+   */
   public override restore(snapshot: Uint8Array): void {
     const state = stateSchema.parse(JSON.parse(Buffer.from(snapshot).toString()));
-    this.leavingMarks.clear();
     Object.entries(state.leaving).forEach(([id, mark]) => this.leavingMarks.set(id, mark));
-    if (state.plan !== null) this.setPlan(state.plan, state.document);
-    [...this.leavingMarks.keys()].forEach((id) => this.leavingEmitter.fire(id));
+    const heldVersion = this.committed?.plan.version ?? 0;
+    if (state.plan !== null && state.plan.version > heldVersion) {
+      this.setPlan(state.plan, state.document);
+    }
+    this.restoreEmitter.fire();
+    Object.keys(state.leaving).forEach((id) => this.leavingEmitter.fire(id));
   }
 
   private execute(command: Command): CommandResult {
--- a/packages/gateway/src/control/RelayHandler.ts
+++ b/packages/gateway/src/control/RelayHandler.ts
@@ -1,9 +1,7 @@
 /** Applies the messages of another hub to the state of this one. */
 import type { HubRelay } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import { trueSince } from '../sync/timeEcho.js';
 import type { EntryRegistry } from './EntryRegistry.js';
 import type { EvidenceDistributor } from './EvidenceDistributor.js';
-import type { HubFreshness } from './HubFreshness.js';
 import type { HubPeers } from './HubPeers.js';
 import type { HubTargets } from './HubTargets.js';
 import type { LimitDistributor } from './LimitDistributor.js';
@@ -20,7 +18,6 @@
   readonly targets: HubTargets;
   readonly evidence: EvidenceDistributor;
   readonly limits: LimitDistributor;
-  readonly freshness: HubFreshness;
   readonly retryBudgets: RetryBudgets;
   readonly teamBudgets: TeamBudgets;
   readonly tokenRequests: TokenRequestHandler;
@@ -34,7 +31,6 @@
     const { peers, targets, evidence, limits, retryBudgets, teamBudgets, tokenRequests } =
       this.parts;
     peers.noteMessage(peer, relay.sentAtMs, now);
-    if (relay.confirmedIndex > 0n) this.noteConfirmed(relay, peer, now);
     peers.noteReport(peer, relay, now);
     relay.hubs.forEach(({ address, dataCentre }) => peers.connect(address, dataCentre));
     this.applyEntries(relay, peer, now);
@@ -61,10 +57,4 @@
       else entries.set(peer.address, identity, isReady);
     });
   }
-
-  private noteConfirmed(relay: HubRelay, peer: PeerHub, now: number): void {
-    const at = trueSince(relay.confirmedEcho, now);
-    Object.assign(peer, { confirmedAt: at });
-    this.parts.freshness.noteConfirmed(Number(relay.confirmedIndex), at);
-  }
 }
--- a/packages/gateway/src/control/VoterManager.ts
+++ b/packages/gateway/src/control/VoterManager.ts
@@ -3,7 +3,7 @@
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import type { SyncService } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { IReplicatedLog, LogStatus, Member } from '@marigoldbank/replicated-log';
 import { nextVoterChange } from './nextVoterChange.js';
 
@@ -19,9 +19,9 @@
   readonly log: IReplicatedLog;
   readonly logger: Logger;
   readonly desiredVoters: number;
-  /** Addresses of the state synchronization services of other control VMs. */
-  readonly hubs: () => readonly string[];
-  readonly clientOf: (address: string) => Client<typeof SyncService>;
+  /** Addresses of the log services of the control VMs in the settings; they may be outdated. */
+  readonly seeds: () => readonly string[];
+  readonly clientOf: (address: string) => Pick<Client<typeof LogService>, 'join'>;
 }
 
 function isIn(members: readonly Member[], member: Member): boolean {
@@ -39,6 +39,9 @@
   /** Time (monotonic ms) at which this member last knew a leader. */
   private leaderSeenAt: number;
 
+  /** Addresses of members that other control VMs have named: seeds may be outdated. */
+  private namedMembers: readonly string[] = [];
+
   private isBusy = false;
 
   public constructor(private readonly ctx: VoterManagerContext) {
@@ -106,14 +109,20 @@
     const isMember = isIn([...membership.voters, ...membership.learners], self);
     const hasLeader = now - this.leaderSeenAt < JOIN_AFTER_MS;
     if (isMember && hasLeader) return;
-    await Promise.all(this.ctx.hubs().map((address) => this.sendJoin(address, self)));
+    const members = [...membership.voters, ...membership.learners].map(({ address }) => address);
+    const known = new Set([...this.ctx.seeds(), ...members, ...this.namedMembers]);
+    known.delete(self.address);
+    await Promise.all([...known].map((address) => this.sendJoin(address, self)));
   }
 
   private async sendJoin(address: string, self: Member): Promise<void> {
     try {
-      await this.ctx.clientOf(address).join(self, { timeoutMs: JOIN_TIMEOUT_MS });
+      const res = await this.ctx.clientOf(address).join(self, { timeoutMs: JOIN_TIMEOUT_MS });
+      const { leaderAddress, memberAddresses } = res;
+      const named = [leaderAddress, ...memberAddresses].filter((other) => other !== '');
+      if (named.length > 0) this.namedMembers = named;
     } catch (err) {
-      this.ctx.logger.debug('join request failed', { hub: address, error: String(err) });
+      this.ctx.logger.debug('join request failed', { member: address, error: String(err) });
     }
   }
 }
--- a/packages/gateway/src/control/late-hubs.test.ts
+++ b/packages/gateway/src/control/late-hubs.test.ts
@@ -35,7 +35,7 @@
       (_, i) => dataCentres[i % dataCentres.length]!,
     ),
   });
-  fleet.hubs.forEach(({ hub }) => hub.announce(TARGET));
+  fleet.hubs.forEach(({ hub, clock }) => hub.announce(TARGET, clock.now()));
   fleet.commit(makeEmptyPlan(1));
   await fleet.advance(30_000);
   fleet.connectMs = CONNECT_MS;
--- /dev/null
+++ b/packages/gateway/src/control/log-routes.ts
@@ -0,0 +1,44 @@
+/** Serves the log service of a control VM. */
+import type { ConnectRouter } from '@connectrpc/connect';
+import { LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { IReplicatedLog } from '@marigoldbank/replicated-log';
+import type { LogFeed } from './LogFeed.js';
+import type { StateConfirmation } from './StateConfirmation.js';
+import type { VoterManager } from './VoterManager.js';
+
+/** Parts of a control VM that the service exposes. */
+export interface LogServiceParts {
+  readonly log: Pick<IReplicatedLog, 'status'>;
+  readonly feed: Pick<LogFeed, 'watch'>;
+  readonly confirmation: Pick<StateConfirmation, 'ownConfirmation'>;
+  readonly voterManager: Pick<VoterManager, 'admit'>;
+}
+
+/** Registers the service with a router. */
+export function registerLogService(router: ConnectRouter, parts: LogServiceParts): void {
+  const { log, feed, confirmation, voterManager } = parts;
+  router.service(LogService, {
+    watch: (req) => feed.watch(req),
+
+    confirm: () => {
+      const { isLeader, index, ageMs } = confirmation.ownConfirmation();
+      return {
+        isLeader,
+        ageMs: Math.ceil(ageMs),
+        ...(index === undefined ? {} : { index: BigInt(index) }),
+      };
+    },
+
+    join: async (req) => {
+      const isAccepted = await voterManager.admit(req);
+      const { leader, membership } = log.status();
+      return {
+        isAccepted,
+        leaderAddress: leader?.address ?? '',
+        memberAddresses: [...membership.voters, ...membership.learners].map(
+          ({ address }) => address,
+        ),
+      };
+    },
+  });
+}
--- a/packages/gateway/src/control/sync-routes.ts
+++ b/packages/gateway/src/control/sync-routes.ts
@@ -1,12 +1,10 @@
-/** Serves the state synchronization service of a control VM. */
+/** Serves the state synchronization service of a hub. */
 import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect';
 import { SyncService, type EntryReport } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import type { IReplicatedLog } from '@marigoldbank/replicated-log';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { EntrySession } from './EntrySession.js';
 import type { Hub } from './Hub.js';
 import type { PeerHub } from './PeerHub.js';
-import type { VoterManager } from './VoterManager.js';
 
 /** Passes the reports of an entry to the hub until its stream ends. */
 async function readReports(
@@ -22,13 +20,7 @@
 }
 
 /** Registers the service with a router. */
-export function registerSyncService(
-  router: ConnectRouter,
-  hub: Hub,
-  voterManager: VoterManager,
-  log: IReplicatedLog,
-  logger: Logger,
-): void {
+export function registerSyncService(router: ConnectRouter, hub: Hub, logger: Logger): void {
   router.service(SyncService, {
     async *follow(reports) {
       const iterator = reports[Symbol.asyncIterator]();
@@ -67,10 +59,5 @@
       }
       return {};
     },
-
-    async join(req) {
-      const isAccepted = await voterManager.admit(req);
-      return { isAccepted, leaderAddress: log.status().leader?.address ?? '' };
-    },
   });
 }
--- a/packages/gateway/src/entry/target-limits.test.ts
+++ b/packages/gateway/src/entry/target-limits.test.ts
@@ -67,8 +67,8 @@
   });
   const targets = Array.from({ length: TARGETS }, (_, i) => makeTarget(`target-${i}`));
   const announce = (seq: number): void =>
-    fleet.hubs.forEach(({ hub }) =>
-      targets.forEach((info) => hub.announce({ ...info, version: '', seq, born: 1 })),
+    fleet.hubs.forEach(({ hub, clock }) =>
+      targets.forEach((info) => hub.announce({ ...info, version: '', seq, born: 1 }, clock.now())),
     );
   announce(1);
   fleet.commit(makePlan());
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -22,7 +22,7 @@
   vm: z.string().min(1).describe('Id of this VM.'),
   ip: z.string().min(1).describe('IP address at which other processes reach this VM.'),
   dataCentre: z.string().describe('Data centre of this VM.'),
-  role: z.enum(['control', 'entry']).describe('Role of this process.'),
+  role: z.enum(['control', 'hub', 'entry']).describe('Role of this process.'),
   /** Addresses to listen on; which ones are required depends on the role. */
   listen: z.object({
     caller: address.optional().describe('Callers, role entry.'),
@@ -30,7 +30,7 @@
     control: address.optional().describe('Operators and announcements, role control.'),
     directory: address
       .optional()
-      .describe('Address lookups of callers; an entry without it serves none.'),
+      .describe('Address lookups of callers; a hub or an entry without it serves none.'),
   }),
   internalPorts: z
     .array(port)
@@ -59,6 +59,9 @@
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
 
+/** Internal traffic runs on an isolated network; the secret only distinguishes services. */
+export const INTERNAL_SECRET = 'internal';
+
 /** Offsets of the internal services from the first internal port. */
 const CONSENSUS_PORT = 0;
 const SYNC_PORT = 1;
@@ -74,7 +77,7 @@
   return Number(hostAndPort.slice(hostAndPort.lastIndexOf(':') + 1));
 }
 
-/** Address of the consensus service of a VM. */
+/** Address of the consensus and log services of a VM. */
 export function consensusAddress({ internalPorts }: GatewaySettings, ip: string): string {
   return `${ip}:${internalPorts[0]! + CONSENSUS_PORT}`;
 }
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -1,7 +1,7 @@
 /** Hubs and entries in virtual time, connected by a network that delays the messages of busy hubs. */
 import { create } from '@bufbuild/protobuf';
 import type { Client } from '@connectrpc/connect';
-import type { Clock } from '@marigoldbank/base/clock';
+import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
@@ -12,11 +12,11 @@
   type HubUpdate,
   type SyncService,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import type { IReplicatedLog, LogStatus, Member } from '@marigoldbank/replicated-log';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { encodeCommand } from '../control/commands.js';
 import type { EntrySession } from '../control/EntrySession.js';
 import { Hub } from '../control/Hub.js';
+import type { ILogView } from '../control/LogView.js';
 import type { PeerHub } from '../control/PeerHub.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
 import { EntryState } from '../entry/EntryState.js';
@@ -30,6 +30,10 @@
 import { OffsetClock } from './OffsetClock.js';
 
 const REPLICATION_MS = 5;
+
+/** Interval at which a hub asks the log process of its VM, and age of the confirmations that it learns there. */
+const WATCH_MS = 150;
+const CONFIRMATION_AGE_MS = 200;
 const MAX_SEED = 0x7fffffff;
 
 /** Work for a stream that a hub refuses, as a share of that for one that it accepts. */
@@ -37,6 +41,8 @@
 
 const FIRST_PORT = 7_600;
 
+const LEADER_IP = '10.0.0.1';
+
 const BOUNDS = {
   grace: '6s',
   maxTtl: '5s',
@@ -57,6 +63,8 @@
   readonly ip: string;
   readonly address: string;
   readonly hub: Hub;
+  /** Clock of the hub's process. */
+  readonly clock: Clock;
   readonly stateMachine: PlanStateMachine;
   /** Time that each message waits at this hub, in either direction. */
   delayMs: number;
@@ -64,8 +72,10 @@
   busyUntil: number;
   /** Number of entries that have connected so far, each as often as it did. */
   connections: number;
-  /** Whether the hub is cut off from the leader. Hubs that are cut off reach each other, and entries reach all. */
+  /** Whether the VM is cut off from the leader. Hubs that are cut off reach each other, and entries reach all. */
   isCutOff: boolean;
+  /** What the hub knows of the log of its VM. */
+  readonly log: { -readonly [K in keyof ILogView]: ILogView[K] };
 }
 
 export interface FakeEntry {
@@ -131,6 +141,8 @@
     this.hubs = options.hubs.map((dataCentre, i) => this.createHub(`10.0.0.${i + 1}`, dataCentre));
     this.hubs.forEach(({ hub }) => hub.setSeeds(this.hubs.map(({ ip }) => `${ip}:1`)));
     this.entries = options.entries.map((dataCentre, i) => this.createEntry(`e${i}`, dataCentre));
+    this.watchLogs();
+    setPeriodic(this.clock, () => this.watchLogs(), WATCH_MS);
   }
 
   /** Commits a plan at the leader. The hubs that it reaches apply it when its message has passed their delay. */
@@ -173,19 +185,23 @@
   private createHub(ip: string, dataCentre: string): FakeHub {
     const settings = makeSettings(ip, dataCentre);
     const stateMachine = new PlanStateMachine();
+    const log = { ...this.unansweredLog(), isLeader: ip === LEADER_IP };
+    const clock = this.processClock();
     const hub = new Hub({
-      clock: this.processClock(),
+      clock,
       settings,
       stateMachine,
       logger: new NullLogger(),
       pace: USUAL_PACE,
-      log: this.createLog(ip, stateMachine),
+      log,
       clientOf: (address) => this.client(address, ip),
     });
     return {
       ip,
       address: syncAddress(settings, ip),
       hub,
+      clock,
+      log,
       stateMachine,
       delayMs: 0,
       busyUntil: 0,
@@ -194,25 +210,33 @@
     };
   }
 
-  /** A log whose leader is the first hub. */
-  private createLog(ip: string, stateMachine: PlanStateMachine): IReplicatedLog {
-    const member = (vm: string): Member => ({ vm, incarnation: '', address: '' });
-    const voters = (): Member[] => this.hubs.map((other) => member(other.ip));
-    const isLeader = ip === '10.0.0.1';
-    const log: Pick<IReplicatedLog, 'status' | 'confirmRead'> = {
-      status: (): LogStatus => ({
-        self: member(ip),
-        role: isLeader ? 'leader' : 'follower',
-        term: 1,
-        commitIndex: stateMachine.appliedIndex,
-        lastIndex: stateMachine.appliedIndex,
-        leader: member('10.0.0.1'),
-        membership: { voters: voters(), learners: [] },
-        progress: [],
-      }),
-      confirmRead: () => Promise.resolve({ kind: 'confirmed', index: this.commitIndex }),
+  /** What a hub knows of a log before its first answer. The voters are those of a running group. */
+  private unansweredLog(): ILogView {
+    const hubs = (): FakeHub[] => this.hubs;
+    return {
+      isLeader: false,
+      leader: LEADER_IP,
+      get voters() {
+        return hubs().map(({ ip }) => ip);
+      },
+      confirmedAt: -Infinity,
+      leaderSeenAt: -Infinity,
     };
-    return log as IReplicatedLog;
+  }
+
+  /**
+   * Lets the hubs ask the log processes of their VMs, which answer at once. The answer waits at a busy hub and is dated
+   * by when it was asked for. The log of a VM that is cut off hears no leader.
+   */
+  private watchLogs(): void {
+    this.hubs
+      .filter(({ isCutOff }) => !isCutOff)
+      .forEach((hub) => {
+        const trueAt = hub.clock.now() - (hub.ip === LEADER_IP ? 0 : CONFIRMATION_AGE_MS);
+        const learn = (): unknown =>
+          Object.assign(hub.log, { confirmedAt: trueAt, leaderSeenAt: trueAt });
+        this.clock.setTimeout(learn, this.waitMs(hub));
+      });
   }
 
   private createEntry(vm: string, dataCentre: string): FakeEntry {
