--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -106,6 +106,11 @@
   });
 }
 
+/** What a hub knows of the log before it has been confirmed. */
+function makeUnansweredLog(isLeader: boolean, voters: readonly string[]): ILogView {
+  return { isLeader, leader: LEADER_IP, voters, confirmedAt: -Infinity, leaderSeenAt: -Infinity };
+}
+
 async function readAll<T>(messages: AsyncIterable<T>, fn: (message: T) => void): Promise<void> {
   const iterator = messages[Symbol.asyncIterator]();
   let next = await iterator.next();
@@ -134,11 +139,15 @@
 
   private readonly random: Random;
 
+  /** VMs of the hubs, which are also the voters. */
+  private readonly ips: readonly string[];
+
   private commitIndex = 0;
 
   public constructor(options: FakeFleetOptions) {
     this.random = new Random(options.seed ?? 1);
-    this.hubs = options.hubs.map((dataCentre, i) => this.createHub(`10.0.0.${i + 1}`, dataCentre));
+    this.ips = options.hubs.map((_, i) => `10.0.0.${i + 1}`);
+    this.hubs = options.hubs.map((dataCentre, i) => this.createHub(this.ips[i]!, dataCentre));
     this.hubs.forEach(({ hub }) => hub.setSeeds(this.hubs.map(({ ip }) => `${ip}:1`)));
     this.entries = options.entries.map((dataCentre, i) => this.createEntry(`e${i}`, dataCentre));
     this.watchLogs();
@@ -185,7 +194,7 @@
   private createHub(ip: string, dataCentre: string): FakeHub {
     const settings = makeSettings(ip, dataCentre);
     const stateMachine = new PlanStateMachine();
-    const log = { ...this.unansweredLog(), isLeader: ip === LEADER_IP };
+    const log = makeUnansweredLog(ip === LEADER_IP, this.ips);
     const clock = this.processClock();
     const hub = new Hub({
       clock,
@@ -210,20 +219,6 @@
     };
   }
 
-  /** What a hub knows of a log before its first answer. The voters are those of a running group. */
-  private unansweredLog(): ILogView {
-    const hubs = (): FakeHub[] => this.hubs;
-    return {
-      isLeader: false,
-      leader: LEADER_IP,
-      get voters() {
-        return hubs().map(({ ip }) => ip);
-      },
-      confirmedAt: -Infinity,
-      leaderSeenAt: -Infinity,
-    };
-  }
-
   /**
    * Lets the hubs ask the log processes of their VMs, which answer at once. The answer waits at a busy hub and is dated
    * by when it was asked for. The log of a VM that is cut off hears no leader.
