Count a hub as late when its state is late at its entries

A busy hub refused entries and announced itself as late only when its own state was, while what it sends waits as long again. The time that the answer of the log waited at the hub is now added. A hub also tells a log process that does not answer (cut off) from one that hears no leader.

--- a/packages/bench/src/hub/hubProcess.ts
+++ b/packages/bench/src/hub/hubProcess.ts
@@ -35,6 +35,8 @@
   isLeader: true,
   leader: ip,
   voters: [ip],
+  answerDelayMs: 0,
+  isAnswering: true,
   get confirmedAt() {
     return clock.now();
   },
--- a/packages/gateway/src/control/HubFreshness.test.ts
+++ b/packages/gateway/src/control/HubFreshness.test.ts
@@ -8,6 +8,8 @@
   confirmedAt: number;
   leaderSeenAt: number;
   reachesMajority: boolean;
+  answerDelayMs: number;
+  isAnswering: boolean;
 }
 
 interface Fixture {
@@ -18,7 +20,13 @@
 
 function makeFreshness(): Fixture {
   const clock = new VirtualClock();
-  const state: State = { confirmedAt: -Infinity, leaderSeenAt: -Infinity, reachesMajority: true };
+  const state: State = {
+    confirmedAt: -Infinity,
+    leaderSeenAt: -Infinity,
+    reachesMajority: true,
+    answerDelayMs: 0,
+    isAnswering: true,
+  };
   const freshness = new HubFreshness({
     clock,
     log: {
@@ -31,6 +39,12 @@
       get leaderSeenAt() {
         return state.leaderSeenAt;
       },
+      get answerDelayMs() {
+        return state.answerDelayMs;
+      },
+      get isAnswering() {
+        return state.isAnswering;
+      },
     },
     logger: new NullLogger(),
     reachesMajority: () => state.reachesMajority,
@@ -59,6 +73,10 @@
     expect([freshness.isLate, freshness.confirmedAgeMs()]).toEqual([false, 1_300]);
     clock.advance(1);
     expect(freshness.isLate).toEqual(true);
+    set({ confirmedAt: clock.now() - 1_000 });
+    expect(freshness.isLate).toEqual(false);
+    set({ answerDelayMs: 301 });
+    expect(freshness.isLate).toEqual(true);
   });
 
   it('is leaderless if it reaches a majority without a leader, but not if it is partitioned', () => {
@@ -71,6 +89,15 @@
     expect(freshness.isLeaderless(clock.now())).toEqual(false);
   });
 
+  it('is cut off, and not leaderless, if its log process does not answer', () => {
+    const { clock, freshness, set } = makeFreshness();
+    set({ confirmedAt: 0, leaderSeenAt: 0 });
+    clock.advance(5_000);
+    expect([freshness.isCutOff(5_000), freshness.isLeaderless(5_000)]).toEqual([false, true]);
+    set({ isAnswering: false });
+    expect([freshness.isCutOff(5_000), freshness.isLeaderless(5_000)]).toEqual([true, false]);
+  });
+
   it('counts as leaderless after its start, unless a leader with a higher index confirms', () => {
     const { clock, freshness, set } = makeFreshness();
     set({ reachesMajority: false });
--- a/packages/gateway/src/control/HubFreshness.ts
+++ b/packages/gateway/src/control/HubFreshness.ts
@@ -54,15 +54,17 @@
    * with such a hub, since the other hubs are not confirmed either.
    */
   public isLeaderless(now: number): boolean {
-    if (now - this.ctx.log.leaderSeenAt <= OVERDUE_MS) return false;
+    const { leaderSeenAt, isAnswering } = this.ctx.log;
+    if (now - leaderSeenAt <= OVERDUE_MS || !isAnswering) return false;
     // A hub that has just started cannot tell yet; most likely the other hubs have just started as well.
     if (!this.hasBeenConfirmed && this.uptimeMs() < STARTUP_GRACE_MS) return true;
     return this.ctx.reachesMajority(now);
   }
 
-  /** Whether the state of this hub was confirmed once, but not recently. */
+  /** Whether the state of this hub was confirmed once, but not recently when it reaches an entry. */
   public get isLate(): boolean {
-    return this.hasBeenConfirmed && this.confirmedAgeMs() > MAX_CONFIRMED_AGE_MS;
+    const ageAtEntryMs = this.confirmedAgeMs() + this.ctx.log.answerDelayMs;
+    return this.hasBeenConfirmed && ageAtEntryMs > MAX_CONFIRMED_AGE_MS;
   }
 
   /** Whether most targets have not had the time to announce themselves to this hub. */
@@ -70,9 +72,13 @@
     return this.uptimeMs() < ANNOUNCEMENT_GRACE_MS;
   }
 
-  /** Whether messages of a majority of the voters do not arrive. Not known, and so false, shortly after the start. */
+  /**
+   * Whether messages of a majority of the voters do not arrive, or those of the own log. Not known, and so false, shortly
+   * after the start.
+   */
   public isCutOff(now: number): boolean {
-    return this.uptimeMs() > STARTUP_GRACE_MS && !this.ctx.reachesMajority(now);
+    const { log, reachesMajority } = this.ctx;
+    return this.uptimeMs() > STARTUP_GRACE_MS && (!log.isAnswering || !reachesMajority(now));
   }
 
   /** Logs when the state of this hub is no longer confirmed, and when it is again. */
--- a/packages/gateway/src/control/LogFollower.ts
+++ b/packages/gateway/src/control/LogFollower.ts
@@ -20,6 +20,9 @@
 /** A leader whose log process has not answered for longer does not count as one any more. */
 const LEADER_VIEW_MS = 1_000;
 
+/** A hub whose log process has not answered for longer is of no use to entries. */
+const LOG_TIMEOUT_MS = 3_000;
+
 /** An announcement that this VM has received, and when (monotonic ms). */
 export interface ReceivedAnnouncement {
   readonly announcement: Announcement;
@@ -47,10 +50,22 @@
 
   private leaderSeen = -Infinity;
 
+  /** Arrival of the newest answer. */
+  private answeredAt: number;
+
   private hasFailed = false;
 
   public constructor(private readonly ctx: LogFollowerContext) {
     super();
+    this.answeredAt = ctx.clock.now();
+  }
+
+  public get answerDelayMs(): number {
+    return this.state === undefined ? 0 : this.answeredAt - this.trueAt;
+  }
+
+  public get isAnswering(): boolean {
+    return this.ctx.clock.now() - this.answeredAt < LOG_TIMEOUT_MS;
   }
 
   public get isLeader(): boolean {
@@ -109,7 +124,9 @@
   /** The answer counts from when it was asked for and not from its arrival, so that it does not appear newer. */
   private apply(res: WatchResponse, askedAt: number): void {
     const { clock, stateMachine } = this.ctx;
+    const now = clock.now();
     this.state = res;
+    this.answeredAt = now;
     this.trueAt = askedAt + res.waitedMs;
     if (res.snapshot !== undefined) stateMachine.restore(res.snapshot);
     res.commands.forEach(({ index, data }) => stateMachine.apply(Number(index), data));
@@ -118,9 +135,8 @@
       this.confirmed = Math.max(this.confirmed, this.trueAt - confirmedAgeMs);
     }
     if (leaderAgeMs !== undefined) {
-      this.leaderSeen = Math.max(this.leaderSeen, this.trueAt - leaderAgeMs);
+      this.leaderSeen = Math.max(this.leaderSeen, now - leaderAgeMs);
     }
-    const now = clock.now();
     res.announcements.forEach((target) =>
       this.announceEmitter.fire({
         announcement: toAnnouncement(target),
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -108,7 +108,15 @@
 
 /** What a hub knows of the log before it has been confirmed. */
 function makeUnansweredLog(isLeader: boolean, voters: readonly string[]): ILogView {
-  return { isLeader, leader: LEADER_IP, voters, confirmedAt: -Infinity, leaderSeenAt: -Infinity };
+  return {
+    isLeader,
+    leader: LEADER_IP,
+    voters,
+    confirmedAt: -Infinity,
+    leaderSeenAt: -Infinity,
+    answerDelayMs: 0,
+    isAnswering: true,
+  };
 }
 
 async function readAll<T>(messages: AsyncIterable<T>, fn: (message: T) => void): Promise<void> {
@@ -227,9 +235,14 @@
     this.hubs
       .filter(({ isCutOff }) => !isCutOff)
       .forEach((hub) => {
-        const trueAt = hub.clock.now() - (hub.ip === LEADER_IP ? 0 : CONFIRMATION_AGE_MS);
+        const ageMs = hub.ip === LEADER_IP ? 0 : CONFIRMATION_AGE_MS;
+        const askedAt = hub.clock.now();
         const learn = (): unknown =>
-          Object.assign(hub.log, { confirmedAt: trueAt, leaderSeenAt: trueAt });
+          Object.assign(hub.log, {
+            confirmedAt: askedAt - ageMs,
+            leaderSeenAt: hub.clock.now() - ageMs,
+            answerDelayMs: hub.clock.now() - askedAt,
+          });
         this.clock.setTimeout(learn, this.waitMs(hub));
       });
   }
