--- a/packages/gateway/src/control/HubProcess.ts
+++ b/packages/gateway/src/control/HubProcess.ts
@@ -13,8 +13,8 @@
 import type { ProtocolAdapter } from '../ProtocolAdapter.js';
 import {
   consensusAddress,
+  hubMetricsAddress,
   INTERNAL_SECRET,
-  metricsAddress,
   syncAddress,
   type GatewaySettings,
 } from '../settings.js';
@@ -129,7 +129,7 @@
 
   private async serveMetrics(): Promise<void> {
     const server = new InternalServer({
-      address: metricsAddress(this.settings, this.settings.ip),
+      address: hubMetricsAddress(this.settings, this.settings.ip),
       secretOf: () => INTERNAL_SECRET,
       register: () => undefined,
       fallback: metricsHandler(),
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -66,6 +66,7 @@
 const CONSENSUS_PORT = 0;
 const SYNC_PORT = 1;
 const METRICS_PORT = 2;
+const HUB_METRICS_PORT = 3;
 
 /** IP of an `ip:port`. */
 export function ipOf(hostAndPort: string): string {
@@ -87,7 +88,12 @@
   return `${ip}:${internalPorts[0]! + SYNC_PORT}`;
 }
 
-/** Address at which a VM serves its metrics. */
+/** Address at which a hub serves its metrics; its VM may run an entry as well. */
+export function hubMetricsAddress({ internalPorts }: GatewaySettings, ip: string): string {
+  return `${ip}:${internalPorts[0]! + HUB_METRICS_PORT}`;
+}
+
+/** Address at which an entry serves its metrics. */
 export function metricsAddress({ internalPorts }: GatewaySettings, ip: string): string {
   return `${ip}:${internalPorts[0]! + METRICS_PORT}`;
 }
