Test a hub whose log process has stopped

Callers were routed by a replaced plan: a hub that hears other hubs, but not the log process of its VM, tells its entries that there is no leader, so that they stay.

--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -74,6 +74,8 @@
   connections: number;
   /** Whether the VM is cut off from the leader. Hubs that are cut off reach each other, and entries reach all. */
   isCutOff: boolean;
+  /** Whether the log process of the VM does not run, while the hub does. */
+  isLogDown: boolean;
   /** What the hub knows of the log of its VM. */
   readonly log: { -readonly [K in keyof ILogView]: ILogView[K] };
 }
@@ -167,8 +169,8 @@
     this.commitIndex += 1;
     const index = this.commitIndex;
     const command = encodeCommand({ kind: 'putPlan', document: '', plan });
-    this.hubs.forEach(({ stateMachine, delayMs, isCutOff }, i) => {
-      if (isCutOff) return;
+    this.hubs.forEach(({ stateMachine, delayMs, isCutOff, isLogDown }, i) => {
+      if (isCutOff || isLogDown) return;
       const apply = (): unknown => stateMachine.apply(index, command);
       if (i === 0) apply();
       else this.clock.setTimeout(apply, REPLICATION_MS + delayMs);
@@ -224,6 +226,7 @@
       busyUntil: 0,
       connections: 0,
       isCutOff: false,
+      isLogDown: false,
     };
   }
 
@@ -233,7 +236,7 @@
    */
   private watchLogs(): void {
     this.hubs
-      .filter(({ isCutOff }) => !isCutOff)
+      .filter(({ isCutOff, isLogDown }) => !isCutOff && !isLogDown)
       .forEach((hub) => {
         const ageMs = hub.ip === LEADER_IP ? 0 : CONFIRMATION_AGE_MS;
         const askedAt = hub.clock.now();
