--- a/packages/gateway/src/control/LogFollower.ts
+++ b/packages/gateway/src/control/LogFollower.ts
@@ -21,7 +21,7 @@
 const LEADER_VIEW_MS = 1_000;
 
 /** A hub whose log process has not answered for longer is of no use to entries. */
-const LOG_TIMEOUT_MS = 3_000;
+export const LOG_TIMEOUT_MS = 3_000;
 
 /** An announcement that this VM has received, and when (monotonic ms). */
 export interface ReceivedAnnouncement {
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -16,6 +16,7 @@
 import { encodeCommand } from '../control/commands.js';
 import type { EntrySession } from '../control/EntrySession.js';
 import { Hub } from '../control/Hub.js';
+import { LOG_TIMEOUT_MS } from '../control/LogFollower.js';
 import type { ILogView } from '../control/LogView.js';
 import type { PeerHub } from '../control/PeerHub.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
@@ -152,6 +153,9 @@
   /** VMs of the hubs, which are also the voters. */
   private readonly ips: readonly string[];
 
+  /** Time of the last answer of the log process of each VM, by IP address. */
+  private readonly logAnsweredAt = new Map<string, number>();
+
   private commitIndex = 0;
 
   public constructor(options: FakeFleetOptions) {
@@ -235,17 +239,24 @@
    * by when it was asked for. The log of a VM that is cut off hears no leader.
    */
   private watchLogs(): void {
+    const now = this.clock.now();
+    this.hubs
+      .filter((hub) => now - (this.logAnsweredAt.get(hub.ip) ?? 0) >= LOG_TIMEOUT_MS)
+      .forEach(({ log }) => Object.assign(log, { isAnswering: false }));
     this.hubs
       .filter(({ isCutOff, isLogDown }) => !isCutOff && !isLogDown)
       .forEach((hub) => {
         const ageMs = hub.ip === LEADER_IP ? 0 : CONFIRMATION_AGE_MS;
         const askedAt = hub.clock.now();
-        const learn = (): unknown =>
+        const learn = (): void => {
+          this.logAnsweredAt.set(hub.ip, this.clock.now());
           Object.assign(hub.log, {
             confirmedAt: askedAt - ageMs,
             leaderSeenAt: hub.clock.now() - ageMs,
             answerDelayMs: hub.clock.now() - askedAt,
+            isAnswering: true,
           });
+        };
         this.clock.setTimeout(learn, this.waitMs(hub));
       });
   }
