Confirm the state of other control VMs by the next heartbeat, and tell their hubs at once

The leader told others the age of its last confirmation by a clock that stands still while it is suspended, so that they took it for up to 720 ms newer than it was; and three intervals added up to 545 ms at a hub in calm (log-confirmation.test.ts, 500 ms allowed). A question is now answered once a majority has answered messages sent after it, by the heartbeats that are sent anyway, and a confirmation wakes the hub that waits for news.

--- a/packages/gateway/src/control/LogFeed.ts
+++ b/packages/gateway/src/control/LogFeed.ts
@@ -19,8 +19,8 @@
 /** Commands are kept up to this size; a hub that has missed more gets a snapshot. */
 const MAX_COMMAND_BYTES = 4_194_304;
 
-/** Delays of answers after a command and after an announcement, of which several are sent in one answer. */
-const COMMAND_DELAY_MS = 1;
+/** Delays of answers after commands or confirmations, and after announcements, of which several share one answer. */
+const NEWS_DELAY_MS = 1;
 const ANNOUNCEMENT_DELAY_MS = 40;
 
 export type WatchResponseInit = MessageInitShape<typeof WatchResponseSchema>;
@@ -29,7 +29,7 @@
   readonly clock: Clock;
   readonly log: Pick<IReplicatedLog, 'status'>;
   readonly stateMachine: PlanStateMachine;
-  readonly confirmation: Pick<StateConfirmation, 'confirmedAgeMs' | 'leaderAgeMs'>;
+  readonly confirmation: Pick<StateConfirmation, 'confirmedAgeMs' | 'leaderAgeMs' | 'onDidConfirm'>;
   /** Id of this lifetime of the process. */
   readonly lifetime: string;
 }
@@ -55,11 +55,12 @@
 
   public constructor(private readonly ctx: LogFeedContext) {
     super();
-    const { clock, log, stateMachine } = ctx;
+    const { clock, log, stateMachine, confirmation } = ctx;
     this.completeAfter = log.status().commitIndex;
     this.batcher = this.add(new Batcher(clock, () => this.wake()));
     this.add(stateMachine.onDidApply((command) => this.addCommand(command)));
     this.add(stateMachine.onDidRestore(() => this.forgetCommands()));
+    this.add(confirmation.onDidConfirm(() => this.batcher.request(NEWS_DELAY_MS)));
     this.add(
       stateMachine.onDidMarkLeaving((id) => {
         const mark = stateMachine.leavingMark(id, this.announcements.bornOf(id));
@@ -147,7 +148,7 @@
     this.commands.push(command);
     this.commandBytes += command.data.length;
     while (this.commandBytes > MAX_COMMAND_BYTES) this.dropOldestCommand();
-    this.batcher.request(COMMAND_DELAY_MS);
+    this.batcher.request(NEWS_DELAY_MS);
   }
 
   private dropOldestCommand(): void {
@@ -160,7 +161,7 @@
     this.commands = [];
     this.commandBytes = 0;
     this.completeAfter = Infinity;
-    this.batcher.request(COMMAND_DELAY_MS);
+    this.batcher.request(NEWS_DELAY_MS);
   }
 
   private wake(): void {
--- a/packages/gateway/src/control/StateConfirmation.ts
+++ b/packages/gateway/src/control/StateConfirmation.ts
@@ -4,6 +4,7 @@
  */
 import type { Client } from '@connectrpc/connect';
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import { Emitter } from '@marigoldbank/base/events';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
@@ -19,23 +20,15 @@
 /** Interval before the first confirmation: until then, entries without a plan cannot serve. */
 const FIRST_INTERVAL_MS = 40;
 
-/** Answers come within milliseconds. A leader that is frozen or cut off sends none. */
+/** Answers come after the next heartbeat, within 0.1 s. A leader that is frozen or cut off sends none. */
 const ASK_TIMEOUT_MS = 300;
 
 /** A leader that has confirmed nothing to this VM for longer may be frozen or cut off. */
 const LEADER_TIMEOUT_MS = 700;
 
-/** The newest confirmation of a leader. */
-export interface LeaderConfirmation {
-  readonly isLeader: boolean;
-  /** Undefined if nothing was confirmed yet. */
-  readonly index: number | undefined;
-  readonly ageMs: number;
-}
-
 export interface ConfirmationContext {
   readonly clock: Clock;
-  readonly log: Pick<IReplicatedLog, 'status' | 'confirmedState'>;
+  readonly log: Pick<IReplicatedLog, 'status' | 'confirmedState' | 'confirmReadByHeartbeat'>;
   readonly logger: Logger;
   readonly clientOf: (address: string) => Pick<Client<typeof LogService>, 'confirm'>;
 }
@@ -46,6 +39,11 @@
   /** VM of the leader that confirmed last. */
   private confirmedBy: string | undefined;
 
+  private readonly confirmEmitter = new Emitter<void>();
+
+  /** Fires when a leader has confirmed the state of this VM. */
+  public readonly onDidConfirm = this.confirmEmitter.event;
+
   private askedAt = -Infinity;
 
   private isAsking = false;
@@ -75,13 +73,10 @@
     return isRecent ? leader : undefined;
   }
 
-  /** What this VM has confirmed as leader, for the others. */
-  public ownConfirmation(): LeaderConfirmation {
-    const { clock, log } = this.ctx;
-    const isLeader = log.status().role === 'leader';
-    const confirmed = log.confirmedState();
-    if (confirmed === undefined) return { isLeader, index: undefined, ageMs: 0 };
-    return { isLeader, index: confirmed.index, ageMs: clock.now() - confirmed.at };
+  /** Last committed index if this VM leads, confirmed by answers to messages that it sends after the call. */
+  public async confirmLeadership(): Promise<number | undefined> {
+    const read = await this.ctx.log.confirmReadByHeartbeat();
+    return read.kind === 'confirmed' ? read.index : undefined;
   }
 
   /** Takes new commits and, as leader, the answers of the voters into account. */
@@ -115,7 +110,8 @@
     const client = this.ctx.clientOf(leader.address);
     const res = await client.confirm({}, { timeoutMs: ASK_TIMEOUT_MS });
     if (!res.isLeader || res.index === undefined) return;
-    this.record(leader.vm, Number(res.index), askedAt - res.ageMs, this.ctx.clock.now());
+    this.record(leader.vm, Number(res.index), askedAt, this.ctx.clock.now());
+    this.confirmEmitter.fire();
   }
 
   private record(vm: string, index: number, at: number, arrivedAt: number): void {
--- a/packages/gateway/src/control/log-routes.ts
+++ b/packages/gateway/src/control/log-routes.ts
@@ -10,7 +10,7 @@
 export interface LogServiceParts {
   readonly log: Pick<IReplicatedLog, 'status'>;
   readonly feed: Pick<LogFeed, 'watch'>;
-  readonly confirmation: Pick<StateConfirmation, 'ownConfirmation'>;
+  readonly confirmation: Pick<StateConfirmation, 'confirmLeadership'>;
   readonly voterManager: Pick<VoterManager, 'admit'>;
 }
 
@@ -20,13 +20,9 @@
   router.service(LogService, {
     watch: (req) => feed.watch(req),
 
-    confirm: () => {
-      const { isLeader, index, ageMs } = confirmation.ownConfirmation();
-      return {
-        isLeader,
-        ageMs: Math.ceil(ageMs),
-        ...(index === undefined ? {} : { index: BigInt(index) }),
-      };
+    confirm: async () => {
+      const index = await confirmation.confirmLeadership();
+      return index === undefined ? { isLeader: false } : { isLeader: true, index: BigInt(index) };
     },
 
     join: async (req) => {
--- a/packages/replicated-log/src/Leader.ts
+++ b/packages/replicated-log/src/Leader.ts
@@ -118,10 +118,11 @@
     return { kind: 'committed', index: applied.entry.index, result: applied.result };
   }
 
-  public async confirmRead(): Promise<ReadOutcome> {
+  /** Confirms a read by messages of its own if it is urgent, otherwise by the next heartbeats. */
+  public async confirmRead(isUrgent: boolean): Promise<ReadOutcome> {
     if (!this.checkQuorum()) return NOT_LEADER;
     if (!(await this.waitForCommitInTerm()) || this.store.isDisposed) return NOT_LEADER;
-    const outcome = this.reads.add(this.sequence, this.ctx.state.commitIndex);
+    const outcome = this.reads.add(this.sequence, this.ctx.state.commitIndex, isUrgent);
     this.startReadRound();
     return outcome;
   }
@@ -316,7 +317,7 @@
   private onAnswer(replicator: Replicator, sequence: number): void {
     if (!this.reads.acknowledge(replicator.member, sequence)) return;
     this.readRoundSentAt = undefined;
-    if (this.reads.hasPending) this.startReadRound();
+    if (this.reads.hasUrgent) this.startReadRound();
   }
 
   /** Sends a round of heartbeats for pending reads. Reads requested during a round share the next one. */
@@ -325,7 +326,7 @@
     const isOutstanding =
       this.readRoundSentAt !== undefined &&
       now - this.readRoundSentAt < this.ctx.tuning.resendAfterMs;
-    if (isOutstanding || !this.reads.hasPending) return;
+    if (isOutstanding || !this.reads.hasUrgent) return;
     this.readRoundSentAt = now;
     this.broadcast();
   }
--- a/packages/replicated-log/src/PendingReads.ts
+++ b/packages/replicated-log/src/PendingReads.ts
@@ -5,6 +5,8 @@
   /** Messages with a higher number were sent after the read was requested. */
   readonly afterSequence: number;
   readonly index: number;
+  /** Whether messages are sent for the read; others wait for the next heartbeats. */
+  readonly isUrgent: boolean;
   readonly acknowledgedBy: Set<Member>;
   resolve(outcome: ReadOutcome): void;
 }
@@ -19,16 +21,16 @@
   ) {}
 
   /** Waits until a majority acknowledged a message numbered above `afterSequence`. */
-  public add(afterSequence: number, index: number): Promise<ReadOutcome> {
+  public add(afterSequence: number, index: number, isUrgent: boolean): Promise<ReadOutcome> {
     return new Promise((resolve) => {
       const acknowledgedBy = new Set([this.self]);
-      this.pending.push({ afterSequence, index, acknowledgedBy, resolve });
+      this.pending.push({ afterSequence, index, isUrgent, acknowledgedBy, resolve });
       this.settle();
     });
   }
 
-  public get hasPending(): boolean {
-    return this.pending.length > 0;
+  public get hasUrgent(): boolean {
+    return this.pending.some(({ isUrgent }) => isUrgent);
   }
 
   /** Counts an acknowledgement; returns whether it confirmed any read. */
--- a/packages/replicated-log/src/ReplicatedLog.ts
+++ b/packages/replicated-log/src/ReplicatedLog.ts
@@ -127,9 +127,12 @@
     return this.withLeaderHint(leader ? await leader.propose(data) : undefined);
   }
 
-  public async confirmRead(): Promise<ReadOutcome> {
-    const { leader } = this.roles;
-    return this.withLeaderHint(leader ? await leader.confirmRead() : undefined);
+  public confirmRead(): Promise<ReadOutcome> {
+    return this.read(true);
+  }
+
+  public confirmReadByHeartbeat(): Promise<ReadOutcome> {
+    return this.read(false);
   }
 
   public confirmedState(): ConfirmedState | undefined {
@@ -204,6 +207,11 @@
     if (this.isStopped) throw new StoppedError();
   }
 
+  private async read(isUrgent: boolean): Promise<ReadOutcome> {
+    const { leader } = this.roles;
+    return this.withLeaderHint(leader ? await leader.confirmRead(isUrgent) : undefined);
+  }
+
   private async changeMembership(
     change: (leader: Leader) => Promise<MembershipOutcome>,
   ): Promise<MembershipOutcome> {
--- a/packages/replicated-log/src/types.ts
+++ b/packages/replicated-log/src/types.ts
@@ -124,6 +124,8 @@
 export interface IReplicatedLog {
   propose(data: Uint8Array): Promise<ProposeOutcome>;
   confirmRead(): Promise<ReadOutcome>;
+  /** As `confirmRead`, but takes up to a heartbeat interval longer and sends no messages of its own. */
+  confirmReadByHeartbeat(): Promise<ReadOutcome>;
   /**
    * The newest state that the answers to earlier messages confirm, undefined unless this member leads. Older than that of
    * `confirmRead` by up to a heartbeat interval, but free of messages.
