Send entries away from a hub whose log process has stopped

The log process of a VM can end alone, for instance if its disk refuses writes. Its hub still heard the other hubs and told its entries to stay: in virtual time all 16 entries of a hub of seven had an outdated plan 13.5 s after a commit, and connected to the same hub 64 times (stopped-log.test.ts). The hub now counts as late 0.5 s after its log process stopped answering, and sends its entries away while another hub is on time.

Found with it: a hub that does not know the voters yet is not cut off (189 connections in 2 s for 112 entries when all hubs start before their log processes); the holder of the team budgets counts as gone with the leader, and its contact is dated by the confirmation of the leader; a command that cannot be applied is requested again (LogFollower.test.ts); a control VM that wants to join asks all members that were named to it; calls in progress are answered before a log process stops.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -3,7 +3,7 @@
  * process of its own, so that its streams delay neither votes and confirmations nor the answers to operators.
  */
 import { randomUUID } from 'node:crypto';
-import type { Clock } from '@marigoldbank/base/clock';
+import { delay, type Clock } from '@marigoldbank/base/clock';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import { Channels } from '@marigoldbank/daemon/transport/Channels';
 import { ConnectConsensusTransport } from '@marigoldbank/daemon/transport/ConnectConsensusTransport';
@@ -44,6 +44,9 @@
   retainedEntries: 100,
 };
 
+/** Time for calls in progress to be answered before the process ends. */
+const FINISH_MS = 300;
+
 function requireAddress(address: string | undefined, name: string): string {
   if (address === undefined) throw new Error(`the role control needs listen.${name}`);
   return address;
@@ -115,8 +118,10 @@
     this.settings = settings;
   }
 
+  /** Ends the calls in progress, then shuts down. */
   public async stop(): Promise<void> {
     this.api?.close();
+    await delay(this.clock, FINISH_MS);
     this.voterManager?.dispose();
     this.confirmation?.dispose();
     this.feed?.dispose();
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -158,6 +158,7 @@
     this.messages = new HubMessages({
       clock,
       settings,
+      log: ctx.log,
       stateMachine,
       entries: this.entries,
       targets: this.targets,
@@ -361,7 +362,7 @@
 
   private sendStatus(now: number): void {
     const status = this.messages.status(now);
-    const rest = { hubs: this.peers.addresses(now), isLeaving: this.isLeaving };
+    const rest = this.messages.withStatus(now, this.isLeaving);
     this.sessions.forEach((session) => session.sendStatus(status, rest));
   }
 
--- a/packages/gateway/src/control/HubFreshness.ts
+++ b/packages/gateway/src/control/HubFreshness.ts
@@ -54,17 +54,22 @@
    * with such a hub, since the other hubs are not confirmed either.
    */
   public isLeaderless(now: number): boolean {
-    const { leaderSeenAt, isAnswering } = this.ctx.log;
-    if (now - leaderSeenAt <= OVERDUE_MS || !isAnswering) return false;
+    if (now - this.ctx.log.leaderSeenAt <= OVERDUE_MS || this.isWithoutLog) return false;
     // A hub that has just started cannot tell yet; most likely the other hubs have just started as well.
     if (!this.hasBeenConfirmed && this.uptimeMs() < STARTUP_GRACE_MS) return true;
     return this.ctx.reachesMajority(now);
   }
 
+  /** Whether the log process of this VM does not answer any more, so that the hub learns of no changes. */
+  public get isWithoutLog(): boolean {
+    return !this.ctx.log.isAnswering;
+  }
+
   /** Whether the state of this hub was confirmed once, but not recently when it reaches an entry. */
   public get isLate(): boolean {
     const ageAtEntryMs = this.confirmedAgeMs() + this.ctx.log.answerDelayMs;
-    return this.hasBeenConfirmed && ageAtEntryMs > MAX_CONFIRMED_AGE_MS;
+    const isOld = this.hasBeenConfirmed && ageAtEntryMs > MAX_CONFIRMED_AGE_MS;
+    return isOld || this.isWithoutLog;
   }
 
   /** Whether most targets have not had the time to announce themselves to this hub. */
@@ -73,12 +78,13 @@
   }
 
   /**
-   * Whether messages of a majority of the voters do not arrive, or those of the own log. Not known, and so false, shortly
-   * after the start.
+   * Whether messages of a majority of the voters do not arrive. Not known, and so false, shortly after the start and
+   * before the log has named the voters.
    */
   public isCutOff(now: number): boolean {
     const { log, reachesMajority } = this.ctx;
-    return this.uptimeMs() > STARTUP_GRACE_MS && (!log.isAnswering || !reachesMajority(now));
+    const isKnown = log.voters.length > 0 && this.uptimeMs() > STARTUP_GRACE_MS;
+    return isKnown && !reachesMajority(now);
   }
 
   /** Logs when the state of this hub is no longer confirmed, and when it is again. */
--- a/packages/gateway/src/control/HubMessages.ts
+++ b/packages/gateway/src/control/HubMessages.ts
@@ -7,6 +7,7 @@
 import type { HubFreshness } from './HubFreshness.js';
 import type { HubPeers } from './HubPeers.js';
 import type { HubTargets } from './HubTargets.js';
+import type { ILogView } from './LogView.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import type { HubRelayInit } from './RelayLink.js';
 import type { LimitDistributor } from './LimitDistributor.js';
@@ -20,6 +21,7 @@
 export interface HubParts {
   readonly clock: Clock;
   readonly settings: GatewaySettings;
+  readonly log: ILogView;
   readonly stateMachine: PlanStateMachine;
   readonly entries: EntryRegistry;
   readonly targets: HubTargets;
@@ -51,6 +53,13 @@
     };
   }
 
+  /** What is sent with each status. Entries are sent away by a hub that stops, or learns of no changes while another does. */
+  public withStatus(now: number, isStopping: boolean): HubUpdateInit {
+    const { freshness, peers } = this.parts;
+    const isUseless = freshness.isWithoutLog && peers.hasOneOnTime(now);
+    return { hubs: peers.addresses(now), isLeaving: isStopping || isUseless };
+  }
+
   /** State for an entry that has connected, except the plan. */
   public forEntry(session: EntrySession): HubUpdateInit {
     const { clock, peers, teamBudgets, limits } = this.parts;
@@ -90,10 +99,11 @@
 
   /** Age of the newest state of the hub that grants the tokens of team budgets, 0 if this hub grants them. */
   private budgetAgeMs(now: number): number {
-    const { teamBudgets, peers } = this.parts;
+    const { teamBudgets, peers, log } = this.parts;
     // A leader that has lost its majority steps down within an election timeout.
     if (teamBudgets.isGranting) return 0;
     const { leader } = peers;
-    return now - (leader?.report?.trueAt ?? leader?.lastMessageAt ?? -Infinity);
+    if (leader === undefined) return Infinity;
+    return now - Math.min(leader.report?.trueAt ?? leader.lastMessageAt, log.leaderSeenAt);
   }
 }
--- a/packages/gateway/src/control/HubPeers.ts
+++ b/packages/gateway/src/control/HubPeers.ts
@@ -56,6 +56,16 @@
     return this.all.filter((peer) => isAlive(peer, now));
   }
 
+  /** Whether another hub is known to be heard and not late. */
+  public hasOneOnTime(now: number): boolean {
+    return this.all.some(
+      (peer) =>
+        now - peer.lastMessageAt < REACHABLE_TIMEOUT_MS &&
+        peer.report !== undefined &&
+        !isLate(peer, now),
+    );
+  }
+
   /** Addresses of this hub and of the hubs that are alive. */
   public addresses(now: number): HubCandidate[] {
     const { settings, entriesOf } = this.ctx;
--- a/packages/gateway/src/control/LogFollower.ts
+++ b/packages/gateway/src/control/LogFollower.ts
@@ -10,18 +10,22 @@
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import { toAnnouncement } from './targets-codec.js';
 
-/** Longest time for which the log process keeps a request. The hub learns of confirmations at this interval. */
-const MAX_WAIT_MS = 150;
+/** Longest time for which the log process keeps a request in which nothing is new. */
+const MAX_WAIT_MS = 300;
 
-const ANSWER_TIMEOUT_MS = 1_000;
+/** A busy hub may read an answer late. A shorter time limit would discard answers that have arrived. */
+const ANSWER_TIMEOUT_MS = 3_000;
 
 const RETRY_MS = 50;
 
-/** A leader whose log process has not answered for longer does not count as one any more. */
-const LEADER_VIEW_MS = 1_000;
+/** A VM whose log process has not answered for longer does not count as leader any more. */
+const OWN_LEADERSHIP_MS = 1_000;
 
-/** A hub whose log process has not answered for longer is of no use to entries. */
-export const LOG_TIMEOUT_MS = 3_000;
+/** Another leader is forgotten after this time without an answer of the log process. */
+const LEADER_MEMORY_MS = 2_000;
+
+/** A hub whose log process has not been reached for longer is of no use to entries. */
+export const LOG_TIMEOUT_MS = 500;
 
 /** An announcement that this VM has received, and when (monotonic ms). */
 export interface ReceivedAnnouncement {
@@ -51,13 +55,13 @@
   private leaderSeen = -Infinity;
 
   /** Arrival of the newest answer. */
-  private answeredAt: number;
+  private answeredAt = -Infinity;
 
-  private hasFailed = false;
+  /** Time since which no request was answered, undefined if the last one was. */
+  private failedSince: number | undefined;
 
   public constructor(private readonly ctx: LogFollowerContext) {
     super();
-    this.answeredAt = ctx.clock.now();
   }
 
   public get answerDelayMs(): number {
@@ -65,16 +69,18 @@
   }
 
   public get isAnswering(): boolean {
-    return this.ctx.clock.now() - this.answeredAt < LOG_TIMEOUT_MS;
+    if (this.state === undefined || this.failedSince === undefined) return true;
+    return this.ctx.clock.now() - this.failedSince < LOG_TIMEOUT_MS;
   }
 
   public get isLeader(): boolean {
-    const isRecent = this.ctx.clock.now() - this.trueAt < LEADER_VIEW_MS;
-    return isRecent && (this.state?.isLeader ?? false);
+    const isRecent = this.ctx.clock.now() - this.trueAt < OWN_LEADERSHIP_MS;
+    return isRecent && this.failedSince === undefined && (this.state?.isLeader ?? false);
   }
 
   public get leader(): string | undefined {
-    return this.state?.leader === '' ? undefined : this.state?.leader;
+    const isRecent = this.ctx.clock.now() - this.trueAt < LEADER_MEMORY_MS;
+    return isRecent && this.state?.leader !== '' ? this.state?.leader : undefined;
   }
 
   public get voters(): readonly string[] {
@@ -110,13 +116,15 @@
         },
         { timeoutMs: ANSWER_TIMEOUT_MS },
       );
-      if (this.hasFailed) logger.info('the log process answers again');
-      this.hasFailed = false;
       this.apply(res, askedAt);
+      if (this.failedSince !== undefined) logger.info('the log is followed again');
+      this.failedSince = undefined;
       return true;
     } catch (err) {
-      if (!this.hasFailed) logger.warn('the log process does not answer', { error: String(err) });
-      this.hasFailed = true;
+      if (this.failedSince === undefined) {
+        logger.warn('the log cannot be followed', { error: String(err) });
+      }
+      this.failedSince ??= clock.now();
       return false;
     }
   }
@@ -125,11 +133,12 @@
   private apply(res: WatchResponse, askedAt: number): void {
     const { clock, stateMachine } = this.ctx;
     const now = clock.now();
+    if (res.snapshot !== undefined) stateMachine.restore(res.snapshot);
+    res.commands.forEach(({ index, data }) => stateMachine.apply(Number(index), data));
+    // Set only now, so that commands that could not be applied are requested again.
     this.state = res;
     this.answeredAt = now;
     this.trueAt = askedAt + res.waitedMs;
-    if (res.snapshot !== undefined) stateMachine.restore(res.snapshot);
-    res.commands.forEach(({ index, data }) => stateMachine.apply(Number(index), data));
     const { confirmedAgeMs, leaderAgeMs } = res;
     if (confirmedAgeMs !== undefined) {
       this.confirmed = Math.max(this.confirmed, this.trueAt - confirmedAgeMs);
--- a/packages/gateway/src/control/LogView.ts
+++ b/packages/gateway/src/control/LogView.ts
@@ -4,7 +4,7 @@
   readonly isLeader: boolean;
   /** VM of the leader, undefined if none is known. */
   readonly leader: string | undefined;
-  /** VMs of the voters. */
+  /** VMs of the voters, none before the first answer of the log. */
   readonly voters: readonly string[];
   /** Time at which a majority of the voters confirmed the state that the hub has. */
   readonly confirmedAt: number;
@@ -15,6 +15,6 @@
   readonly leaderSeenAt: number;
   /** Time (ms) for which the newest answer of the log waited at the hub. What the hub sends waits about as long. */
   readonly answerDelayMs: number;
-  /** Whether the log process answers. Not known, and so true, shortly after the start. */
+  /** Whether the log process answers. Not known, and so true, before its first answer. */
   readonly isAnswering: boolean;
 }
--- a/packages/gateway/src/control/VoterManager.ts
+++ b/packages/gateway/src/control/VoterManager.ts
@@ -40,7 +40,7 @@
   private leaderSeenAt: number;
 
   /** Addresses of members that other control VMs have named: seeds may be outdated. */
-  private namedMembers: readonly string[] = [];
+  private readonly namedMembers = new Set<string>();
 
   private isBusy = false;
 
@@ -119,8 +119,9 @@
     try {
       const res = await this.ctx.clientOf(address).join(self, { timeoutMs: JOIN_TIMEOUT_MS });
       const { leaderAddress, memberAddresses } = res;
-      const named = [leaderAddress, ...memberAddresses].filter((other) => other !== '');
-      if (named.length > 0) this.namedMembers = named;
+      [leaderAddress, ...memberAddresses]
+        .filter((other) => other !== '')
+        .forEach((other) => this.namedMembers.add(other));
     } catch (err) {
       this.ctx.logger.debug('join request failed', { member: address, error: String(err) });
     }
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -153,8 +153,8 @@
   /** VMs of the hubs, which are also the voters. */
   private readonly ips: readonly string[];
 
-  /** Time of the last answer of the log process of each VM, by IP address. */
-  private readonly logAnsweredAt = new Map<string, number>();
+  /** Time since which the log process of a VM has not answered, by IP address. */
+  private readonly logFailedAt = new Map<string, number>();
 
   private commitIndex = 0;
 
@@ -241,15 +241,20 @@
   private watchLogs(): void {
     const now = this.clock.now();
     this.hubs
-      .filter((hub) => now - (this.logAnsweredAt.get(hub.ip) ?? 0) >= LOG_TIMEOUT_MS)
-      .forEach(({ log }) => Object.assign(log, { isAnswering: false }));
+      .filter(({ isLogDown }) => isLogDown)
+      .forEach(({ ip, log }) => {
+        const failedAt = this.logFailedAt.get(ip) ?? now;
+        this.logFailedAt.set(ip, failedAt);
+        const hasAnswered = log.confirmedAt > -Infinity;
+        if (hasAnswered && now - failedAt >= LOG_TIMEOUT_MS) log.isAnswering = false;
+      });
     this.hubs
       .filter(({ isCutOff, isLogDown }) => !isCutOff && !isLogDown)
       .forEach((hub) => {
         const ageMs = hub.ip === LEADER_IP ? 0 : CONFIRMATION_AGE_MS;
         const askedAt = hub.clock.now();
         const learn = (): void => {
-          this.logAnsweredAt.set(hub.ip, this.clock.now());
+          this.logFailedAt.delete(hub.ip);
           Object.assign(hub.log, {
             confirmedAt: askedAt - ageMs,
             leaderSeenAt: hub.clock.now() - ageMs,
