--- a/packages/gateway/src/control/PlanStateMachine.ts
+++ b/packages/gateway/src/control/PlanStateMachine.ts
@@ -88,7 +88,7 @@
    */
   public override restore(snapshot: Uint8Array): void {
     const state = stateSchema.parse(JSON.parse(Buffer.from(snapshot).toString()));
-    Object.entries(state.leaving).forEach(([id, mark]) => this.leavingMarks.set(id, mark));
+    Object.entries(state.leaving).forEach(([id, mark]) => this.mergeMark(id, mark));
     const heldVersion = this.committed?.plan.version ?? 0;
     if (state.plan !== null && state.plan.version > heldVersion) {
       this.setPlan(state.plan, state.document);
@@ -115,13 +115,19 @@
     [...this.leavingMarks]
       .filter(([, mark]) => mark.at < at - MARK_LIFETIME_MS)
       .forEach(([old]) => this.leavingMarks.delete(old));
-    const known = this.leavingMarks.get(id);
-    if (known !== undefined && known.born > born && born !== 0) return 'superseded';
-    this.leavingMarks.set(id, { born, isGone: isGone || (known?.isGone ?? false), at });
+    if (!this.mergeMark(id, { born, isGone, at })) return 'superseded';
     this.leavingEmitter.fire(id);
     return 'applied';
   }
 
+  /** Returns false if a later incarnation is marked. A target that has left does not return to draining. */
+  private mergeMark(id: string, { born, isGone, at }: LeavingMark): boolean {
+    const known = this.leavingMarks.get(id);
+    if (known !== undefined && known.born > born && born !== 0) return false;
+    this.leavingMarks.set(id, { born, isGone: isGone || (known?.isGone ?? false), at });
+    return true;
+  }
+
   private setPlan(plan: RoutingPlan, document: string): void {
     this.committed = new CommittedPlan(plan, document);
     this.planEmitter.fire(this.committed);
--- a/packages/gateway/src/control/StateConfirmation.ts
+++ b/packages/gateway/src/control/StateConfirmation.ts
@@ -15,7 +15,7 @@
  * Interval at which a VM asks the leader. Hubs and entries without a recent confirmation consider their state late after
  * 1.3 s. Each request costs the leader processor time.
  */
-const ASK_INTERVAL_MS = 300;
+const ASK_INTERVAL_MS = 200;
 
 /** Interval before the first confirmation: until then, entries without a plan cannot serve. */
 const FIRST_INTERVAL_MS = 40;
