Keep calls of operators as soon as a leader is silent, not after the next election

A control VM that has not heard of its leader for 0.7 s keeps a call instead of redirecting it.

The test of a silent leader failed with 0.7 s; those of an election and of a thawed leader fail without the wait.

--- /dev/null
+++ b/packages/gateway/src/control/ControlApi.test.ts
@@ -0,0 +1,112 @@
+import { describe, it } from 'node:test';
+import { NO_FAULTS } from '@marigoldbank/replicated-log/testing';
+import { expect } from 'earl';
+import { FakeControlGroup, type FakeControlVm } from '../testing/FakeControlGroup.js';
+import { OperatorClient, type OperatorCallResult } from '../testing/OperatorClient.js';
+import { GET_TARGET, PUT_TARGET } from '../testing/VersionAdapter.js';
+
+const VMS = 7;
+
+/** Bound within which a valid configuration is acknowledged. */
+const ACK_MS = 4_000;
+
+const SEEDS = Array.from({ length: 40 }, (_, i) => i + 1);
+
+function makeOperator(group: FakeControlGroup): OperatorClient {
+  return new OperatorClient({
+    clock: group.clock,
+    random: group.random,
+    addresses: () => group.vms.map(({ address }) => address),
+    send: (address, target, body) => group.send(address, target, body),
+  });
+}
+
+function put(group: FakeControlGroup, vm: FakeControlVm, version: number): Promise<unknown> {
+  const status = group.send(vm.address, PUT_TARGET, String(version)).then(
+    (reply) => [reply.status, reply.location],
+    (err: unknown) => String(err),
+  );
+  return group.settle(status);
+}
+
+function redirectTo({ address }: FakeControlVm): unknown {
+  return [307, `http://${address}${PUT_TARGET}`];
+}
+
+function hasNoLeader({ log }: FakeControlVm): boolean {
+  return log.status().leader === undefined;
+}
+
+function describeLate({ tookMs, trace }: OperatorCallResult): string {
+  return `${Math.round(tookMs)} ms: ${trace.join(', ')}`;
+}
+
+describe('ControlApi', () => {
+  it('redirects a call to a leader that answers, at once', async () => {
+    const group = await FakeControlGroup.start(VMS, 1);
+    const startedAt = group.clock.now();
+    expect(await put(group, group.followers[0]!, 1)).toEqual(redirectTo(group.leader));
+    expect(group.clock.now() - startedAt).toBeLessThan(10);
+    expect(await put(group, group.leader, 1)).toEqual([200, undefined]);
+  });
+
+  // Redirected to the frozen leader, the operator would wait there for a second and then back off.
+  it('keeps a call while its leader is silent, and redirects it to the next one', async () => {
+    const group = await FakeControlGroup.start(VMS, 2);
+    const frozen = group.leader;
+    group.freeze(frozen);
+    await group.advance(380);
+    expect(group.leader.ip).toEqual(frozen.ip);
+    const reply = await put(group, group.followers[0]!, 1);
+    expect(group.leader.ip).not.toEqual(frozen.ip);
+    expect([redirectTo(group.leader), [200, undefined]]).toInclude(reply as [number, undefined]);
+  });
+
+  // The operator would back off although an election takes less than a second.
+  it('keeps a call during an election instead of refusing it', async () => {
+    const group = await FakeControlGroup.start(VMS, 3);
+    // Slow links let the election last longer.
+    group.network.setFaults({ ...NO_FAULTS, minDelayMs: 30, maxDelayMs: 40 });
+    group.freeze(group.leader);
+    await group.runUntil(() => group.vms.some(hasNoLeader));
+    const reply = await put(group, group.vms.find(hasNoLeader)!, 1);
+    expect([redirectTo(group.leader), [200, undefined]]).toInclude(reply as [number, undefined]);
+  });
+
+  // A thawed leader learns only from its first message that there is another one.
+  it('redirects calls that waited at a frozen leader to the next one', async () => {
+    const group = await FakeControlGroup.start(VMS, 4);
+    const frozen = group.leader;
+    group.freeze(frozen);
+    await group.advance(2_500);
+    const reply = put(group, frozen, 1);
+    await group.advance(100);
+    group.thaw(frozen);
+    expect(await reply).toEqual(redirectTo(group.leader));
+  });
+
+  it('answers without a leader before operators give up', async () => {
+    const group = await FakeControlGroup.start(VMS, 5);
+    group.vms.slice(0, 4).forEach((vm) => group.freeze(vm));
+    await group.advance(2_000);
+    const startedAt = group.clock.now();
+    expect(await put(group, group.vms[6]!, 1)).toEqual([503, undefined]);
+    expect(group.clock.now() - startedAt).toBeLessThan(900);
+  });
+
+  it('acknowledges an order within 4 s, and reads it back, when the leader freezes', async () => {
+    const late: string[] = [];
+    const run = async (seed: number): Promise<void> => {
+      const group = await FakeControlGroup.start(6 + (seed % 2), seed);
+      const operator = makeOperator(group);
+      group.freeze(group.leader);
+      await group.advance(group.random.int(1_500));
+      const result = await group.settle(operator.call(PUT_TARGET, '7', ACK_MS));
+      if (result.reply?.status !== 200) late.push(`seed ${seed}: ${describeLate(result)}`);
+      const read = await group.settle(operator.call(GET_TARGET, '', ACK_MS));
+      if (read.reply?.body !== '7') late.push(`seed ${seed}, read: ${describeLate(read)}`);
+    };
+    await SEEDS.reduce((earlier, seed) => earlier.then(() => run(seed)), Promise.resolve());
+    expect(late).toEqual([]);
+  });
+});
--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -79,18 +79,8 @@
     });
   }
 
-  private async handle(event: H3Event): Promise<HTTPResponse> {
-    const { req, url } = event;
-    const requestTarget = url.pathname + url.search;
-    const call = this.ctx.protocol.parseControlCall(req.method, requestTarget);
-    if (call.kind === 'unknown') return errorResponse(404, 'not found');
-    const length = Number(req.headers.get('content-length') ?? 0);
-    if (length > MAX_BODY_BYTES) return errorResponse(413, 'body too large');
-    const body = await req.text();
-    return this.dispatch(call, requestTarget, body);
-  }
-
-  private dispatch(call: ControlCall, requestTarget: string, body: string): Promise<HTTPResponse> {
+  /** Answers a call. A redirect keeps the request target, the path and query of the request. */
+  public respond(call: ControlCall, requestTarget: string, body: string): Promise<HTTPResponse> {
     switch (call.kind) {
       case 'announce':
         return this.announce(call.id, requestTarget, body);
@@ -110,6 +100,17 @@
     }
   }
 
+  private async handle(event: H3Event): Promise<HTTPResponse> {
+    const { req, url } = event;
+    const requestTarget = url.pathname + url.search;
+    const call = this.ctx.protocol.parseControlCall(req.method, requestTarget);
+    if (call.kind === 'unknown') return errorResponse(404, 'not found');
+    const length = Number(req.headers.get('content-length') ?? 0);
+    if (length > MAX_BODY_BYTES) return errorResponse(413, 'body too large');
+    const body = await req.text();
+    return this.respond(call, requestTarget, body);
+  }
+
   private async announce(id: string, requestTarget: string, body: string): Promise<HTTPResponse> {
     const announcement = this.ctx.protocol.parseAnnouncement(id, body);
     if (announcement === undefined || !isUsable(announcement)) {
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -33,7 +33,7 @@
 import { VoterManager } from './VoterManager.js';
 
 /** There are few control VMs, each with a core of its own. The election timeout must exceed a slow disk sync. */
-const TUNING = {
+export const TUNING = {
   heartbeatIntervalMs: 100,
   electionTimeoutMinMs: 500,
   electionTimeoutMaxMs: 900,
--- a/packages/gateway/src/control/StateConfirmation.ts
+++ b/packages/gateway/src/control/StateConfirmation.ts
@@ -20,11 +20,14 @@
 /** Interval before the first confirmation: until then, entries without a plan cannot serve. */
 const FIRST_INTERVAL_MS = 40;
 
-/** Answers come after the next heartbeat, within 0.1 s. A leader that is frozen or cut off sends none. */
+/** Answers come after the next heartbeat, within 0.15 s. A leader that is frozen or cut off sends none. */
 const ASK_TIMEOUT_MS = 300;
 
-/** A leader that has confirmed nothing to this VM for longer may be frozen or cut off. */
-const LEADER_TIMEOUT_MS = 700;
+/**
+ * A leader that has confirmed nothing to this VM for longer may be frozen or cut off. Less than the shortest election
+ * timeout: later there is another leader, and more than the interval of confirmations.
+ */
+const LEADER_TIMEOUT_MS = 350;
 
 export interface ConfirmationContext {
   readonly clock: Clock;
--- /dev/null
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -0,0 +1,187 @@
+/** Log processes of control VMs in virtual time, and operators that call them over a network that they can leave. */
+import type { HTTPResponse } from 'h3';
+import type { Clock } from '@marigoldbank/base/clock';
+import { Random } from '@marigoldbank/base/random';
+import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import { openReplicatedLog, type ReplicatedLog } from '@marigoldbank/replicated-log';
+import {
+  FakeNetwork,
+  FakeTransport,
+  MemoryDisk,
+  MemoryLogStorage,
+  ProcessClock,
+} from '@marigoldbank/replicated-log/testing';
+import { AnnouncementFeed } from '../control/AnnouncementFeed.js';
+import { ControlApi } from '../control/ControlApi.js';
+import { TUNING } from '../control/ControlProcess.js';
+import { PlanStateMachine } from '../control/PlanStateMachine.js';
+import { StateConfirmation, type ConfirmationContext } from '../control/StateConfirmation.js';
+import type { ControlReply } from './OperatorClient.js';
+import { VersionAdapter } from './VersionAdapter.js';
+
+const OPERATOR = 'operator';
+
+/** Operators and control VMs give up a request after this time. */
+const ANSWER_TIMEOUT_MS = 1_000;
+
+const CONTROL_PORT = 8_080;
+
+const WAIT_LIMIT_MS = 20_000;
+
+const adapter = new VersionAdapter();
+
+type ClientOf = ConfirmationContext['clientOf'];
+
+export interface FakeControlVm {
+  readonly ip: string;
+  /** Address at which operators reach the VM. */
+  readonly address: string;
+  readonly clock: ProcessClock;
+  readonly log: ReplicatedLog;
+  readonly stateMachine: PlanStateMachine;
+  readonly confirmation: StateConfirmation;
+  readonly api: ControlApi;
+}
+
+function logAddress(ip: string): string {
+  return `${ip}:7600`;
+}
+
+function withTimeout<T>(clock: Clock, work: Promise<T>, timeoutMs: number): Promise<T> {
+  return new Promise((resolve, reject) => {
+    const timer = clock.setTimeout(() => reject(new Error('timed out')), timeoutMs);
+    work.then(resolve, reject).finally(() => timer.dispose());
+  });
+}
+
+export class FakeControlGroup {
+  public readonly clock = new VirtualClock();
+
+  public readonly random: Random;
+
+  public readonly network: FakeNetwork;
+
+  public vms: FakeControlVm[] = [];
+
+  private constructor(seed: number) {
+    this.random = new Random(seed);
+    this.network = new FakeNetwork(this.clock, this.random);
+  }
+
+  /** Starts a group and waits until each VM knows a leader that answers. */
+  public static async start(count: number, seed: number): Promise<FakeControlGroup> {
+    const group = new FakeControlGroup(seed);
+    const ips = Array.from({ length: count }, (_, i) => `10.0.0.${i + 1}`);
+    group.vms = await group.settle(Promise.all(ips.map((ip) => group.createVm(ip, ips))));
+    await group.advance(3_000);
+    return group;
+  }
+
+  public get leader(): FakeControlVm {
+    const leaders = this.vms.filter(({ log }) => log.status().role === 'leader');
+    return leaders.sort((a, b) => b.log.status().term - a.log.status().term)[0]!;
+  }
+
+  public get followers(): FakeControlVm[] {
+    const { leader } = this;
+    return this.vms.filter((vm) => vm !== leader);
+  }
+
+  public advance(durationMs: number): Promise<void> {
+    return this.clock.advanceAsync(durationMs);
+  }
+
+  /** Lets time pass until the condition holds. Rejects after `WAIT_LIMIT_MS`. */
+  public async runUntil(hasHappened: () => boolean): Promise<void> {
+    const end = this.clock.now() + WAIT_LIMIT_MS;
+    while (!hasHappened() && this.clock.now() < end) await this.advance(1);
+    if (!hasHappened()) throw new Error(`has not happened within ${WAIT_LIMIT_MS} ms`);
+  }
+
+  /** Lets time pass until the promise settles. */
+  public async settle<T>(work: Promise<T>): Promise<T> {
+    let isSettled = false;
+    const markSettled = (): void => {
+      isSettled = true;
+    };
+    work.then(markSettled, markSettled);
+    await this.runUntil(() => isSettled);
+    return work;
+  }
+
+  /** Stops the process of a VM: its timers do not fire, and messages to it wait. */
+  public freeze(vm: FakeControlVm): void {
+    vm.clock.freeze();
+    this.network.freeze(vm.address);
+    this.network.freeze(logAddress(vm.ip));
+  }
+
+  public thaw(vm: FakeControlVm): void {
+    vm.clock.thaw();
+    this.network.thaw(vm.address);
+    this.network.thaw(logAddress(vm.ip));
+  }
+
+  /** Sends one request of an operator. Rejects without an answer within a second. */
+  public async send(address: string, target: string, body: string): Promise<ControlReply> {
+    const vm = this.vms.find((other) => other.address === address)!;
+    const call = adapter.parseControlCall('POST', target);
+    const answer = this.network.call(OPERATOR, address, () => vm.api.respond(call, target, body));
+    const res: HTTPResponse = await withTimeout(this.clock, answer, ANSWER_TIMEOUT_MS);
+    return {
+      status: res.status ?? 200,
+      body: String(res.body),
+      location: res.headers.get('location') ?? undefined,
+    };
+  }
+
+  private async createVm(ip: string, ips: readonly string[]): Promise<FakeControlVm> {
+    const { network, random } = this;
+    const clock = new ProcessClock(this.clock);
+    const stateMachine = new PlanStateMachine();
+    const logger = new NullLogger();
+    const address = `${ip}:${CONTROL_PORT}`;
+    const log = await openReplicatedLog({
+      vm: ip,
+      address: logAddress(ip),
+      storage: new MemoryLogStorage(new MemoryDisk(ip), clock, random.fork()),
+      transport: new FakeTransport(network, logAddress(ip)),
+      stateMachine,
+      bootstrap: ips.map((vm) => ({ vm, address: logAddress(vm), incarnation: '' })),
+      clock,
+      random: random.fork(),
+      tuning: TUNING,
+    });
+    network.attach(logAddress(ip), log);
+    network.attach(address, log);
+    const confirmation = new StateConfirmation({ clock, log, logger, clientOf: this.clientOf(ip) });
+    const api = new ControlApi({
+      clock,
+      protocol: adapter,
+      feed: { announce: () => undefined, announcements: new AnnouncementFeed() },
+      log,
+      confirmation,
+      stateMachine,
+      logger,
+      controlPort: CONTROL_PORT,
+    });
+    return { ip, address, clock, log, stateMachine, confirmation, api };
+  }
+
+  /** Clients of the log service with which a VM reaches the others. */
+  private clientOf(from: string): ClientOf {
+    const confirm = async (to: string, timeoutMs: number): Promise<object> => {
+      const vm = this.vms.find(({ ip }) => logAddress(ip) === to)!;
+      const self = this.vms.find(({ ip }) => ip === from)!;
+      const answer = this.network.call(logAddress(from), to, () =>
+        vm.confirmation.confirmLeadership(),
+      );
+      const index = await withTimeout(self.clock, answer, timeoutMs);
+      return index === undefined ? { isLeader: false } : { isLeader: true, index: BigInt(index) };
+    };
+    return ((to: string) => ({
+      confirm: (_req: object, { timeoutMs }: { timeoutMs: number }) => confirm(to, timeoutMs),
+    })) as unknown as ClientOf;
+  }
+}
--- a/packages/replicated-log/src/testing.ts
+++ b/packages/replicated-log/src/testing.ts
@@ -4,3 +4,4 @@
 export { FakeTransport } from './FakeTransport.js';
 export { MemoryDisk } from './MemoryDisk.js';
 export { MemoryLogStorage } from './MemoryLogStorage.js';
+export { ProcessClock } from './simulation/ProcessClock.js';
