Send callers of an entry that stops to the others at once

What callers saw: a request that was refused because the entry stopped came back only after 0.3 s, although other entries were ready. An entry whose hub was late or lost also went on listing itself in its answers to address lookups until it ended.

Cause: the refusal used the delay of other refusals, which gives targets time to recover. Only the hub removed the entry from the list of ready entries.

Change: the refusal tells 0 s if the entry knows others that are ready, and 0.3 s if it is the last one. An entry that stops withdraws its address from its own list for good.

--- a/packages/gateway/src/AddressBook.test.ts
+++ b/packages/gateway/src/AddressBook.test.ts
@@ -26,6 +26,19 @@
     expect(namesFor(book, 'a')).toEqual(['a1', 'a3', 'a4']);
   });
 
+  // The hub of an entry that stops may be late or lost, and its list would name the entry until it ends.
+  it('no longer lists an entry that has withdrawn, whatever later lists contain', () => {
+    const book = new AddressBook();
+    book.add(makeEntries('a1', 'a2'));
+    book.withdraw('a1');
+    expect(namesFor(book, 'a')).toEqual(['a2']);
+    book.replace(makeEntries('a1', 'a2'), 0);
+    book.add(makeEntries('a1'));
+    expect(namesFor(book, 'a')).toEqual(['a2']);
+    book.remove(['a2']);
+    expect(book.isEmpty).toEqual(true);
+  });
+
   it('keeps entries that are missing from the list of a newly started hub for some seconds', () => {
     const book = new AddressBook();
     book.replace(makeEntries('a1', 'a2', 'a3', 'a4'), 0);
--- a/packages/gateway/src/AddressBook.ts
+++ b/packages/gateway/src/AddressBook.ts
@@ -33,9 +33,25 @@
   /** Entries missing from the latest list, with the time (monotonic ms) at which they went missing. */
   private readonly missingSince = new Map<string, number>();
 
+  private withdrawn: string | undefined;
+
+  public get isEmpty(): boolean {
+    return this.entries.size === 0;
+  }
+
+  /**
+   * Removes an entry for good. An entry that stops withdraws itself, since its hub may be late or lost and would leave it
+   * on the list.
+   */
+  public withdraw(address: string): void {
+    this.withdrawn = address;
+    this.remove([address]);
+  }
+
   /** Adds entries to the list. */
   public add(entries: readonly AdvertisedEntry[]): void {
     entries.forEach((entry) => {
+      if (entry.address === this.withdrawn) return;
       this.entries.set(entry.address, entry);
       this.missingSince.delete(entry.address);
     });
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -10,7 +10,7 @@
 import type { RouteTable } from '@marigoldbank/routing/RouteTable';
 import { requestSeconds, requestsTotal } from '../metrics.js';
 import { ResponseWriter, type Transaction } from './ResponseWriter.js';
-import { encodeErrorResponse, type ErrorResponse } from './ErrorResponse.js';
+import { encodeErrorResponse, stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import type { RequestLog } from './RequestLog.js';
 import { TeamAdmission } from './TeamAdmission.js';
 import { RequestRun, type RunContext, type RunOutcome } from './RequestRun.js';
@@ -260,7 +260,7 @@
     const { state, clock } = this.ctx;
     const { currentRouteTable } = state;
     if (currentRouteTable === undefined) return refused({ kind: 'notCurrent', verdict: 'notRun' });
-    if (this.isRefusingRequests) return refused({ kind: 'stopping', verdict: 'notRun' });
+    if (this.isRefusingRequests) return refused(stoppingError(!state.addresses.isEmpty));
     const confirmedAgeMs = state.confirmedAgeMs(clock.now());
     const isConfirmed = confirmedAgeMs < MAX_CONFIRMED_AGE_MS && state.hasConfirmedPlan;
     const unknown = (kind: 'noRoute' | 'unknownKey'): Admission =>
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -134,6 +134,7 @@
     const startedAt = clock.now();
     const { grace: graceMs } = settings.bounds;
     this.isStopping = true;
+    if (settings.listen.caller !== undefined) this.state.addresses.withdraw(settings.listen.caller);
     this.updateReadiness();
     this.server.drain();
     await delay(clock, graceMs * REFUSE_AT_FRACTION);
--- a/packages/gateway/src/entry/ErrorResponse.ts
+++ b/packages/gateway/src/entry/ErrorResponse.ts
@@ -19,12 +19,22 @@
     }
   | { readonly kind: 'noTarget'; readonly verdict: 'notRun' }
   | { readonly kind: 'overloaded'; readonly verdict: 'notRun'; readonly retryAfterMs: number }
-  | { readonly kind: 'stopping'; readonly verdict: 'notRun' }
+  /** The process ends before the request could be answered. */
+  | { readonly kind: 'stopping'; readonly verdict: 'notRun'; readonly retryAfterMs: number }
   /** No target ran the request, and no further attempt is possible: no target, time or retry budget is left. */
   | { readonly kind: 'notSent'; readonly verdict: 'notRun'; readonly detail: string }
   | { readonly kind: 'upstreamFailed'; readonly verdict: 'mayHaveRun'; readonly detail: string }
   | { readonly kind: 'timedOut'; readonly verdict: 'mayHaveRun' };
 
+/** Default of the Retry-After header of 503 responses. Targets recover within seconds. */
+const DEFAULT_RETRY_AFTER_MS = 300;
+
+/** The refusal of an entry that stops. Callers need not wait if other entries are ready. */
+export function stoppingError(hasOtherEntries: boolean): ErrorResponse {
+  const retryAfterMs = hasOtherEntries ? 0 : DEFAULT_RETRY_AFTER_MS;
+  return { kind: 'stopping', verdict: 'notRun', retryAfterMs };
+}
+
 export interface EncodedResponse {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
@@ -47,9 +57,6 @@
   timedOut: 504,
 };
 
-/** Default of the Retry-After header of 503 responses. Targets recover within seconds. */
-const DEFAULT_RETRY_AFTER_MS = 300;
-
 const MS_PER_SECOND = 1_000;
 
 function retryAfterOf(error: ErrorResponse): number | undefined {
