Answer every pipelined request before a draining entry closes its connection

What callers saw: of several requests sent on one connection before the first was answered, all were passed on to targets, but only the first was answered. The others were cut, also ones that must not be repeated.

Cause: while an entry drains, each response closed its connection, whichever requests of the same connection were in progress. A request that arrived while the last response was being written was still accepted.

Change: only the response to the newest request of a connection closes it, and requests that arrive afterwards are not run.

Ruled out: that Node.js holds the close back until later responses are written; it ends the connection after the first one.

pipelining.test.ts failed before: 3 requests reached the target, 1 was answered. Now 3 are answered, the last with `connection: close`.

--- a/packages/daemon/src/entry/CallerConnection.ts
+++ b/packages/daemon/src/entry/CallerConnection.ts
@@ -12,6 +12,8 @@
 
   private activeRequests = 0;
 
+  private startedRequests = 0;
+
   private hasClosed = false;
 
   public constructor(private readonly socket: Duplex & { destroySoon?: () => void }) {}
@@ -25,8 +27,16 @@
     this.hasClosed = true;
   }
 
-  public requestStarted(): void {
+  /** Returns the number of the request on this connection. */
+  public requestStarted(): number {
     this.activeRequests += 1;
+    this.startedRequests += 1;
+    return this.startedRequests;
+  }
+
+  /** Whether no request has started after this one. Only then may its response close the connection. */
+  public isNewest(requestNumber: number): boolean {
+    return requestNumber === this.startedRequests;
   }
 
   public requestEnded(): void {
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -179,7 +179,7 @@
     // A pipelined request after one that closes the connection cannot get a response and must not run.
     const connection = this.connectionOf(req.socket);
     if (connection.isClosing) return;
-    connection.requestStarted();
+    const requestNumber = connection.requestStarted();
     const callerGone = new AbortController();
     const receivedAt = this.ctx.clock.now();
     res.on('error', () => res.destroy());
@@ -188,7 +188,7 @@
       if (!res.writableFinished) callerGone.abort();
     });
     this.inProgress += 1;
-    this.handle({ req, res, connection, receivedAt, callerGone })
+    this.handle({ req, res, connection, requestNumber, receivedAt, callerGone })
       .catch((err: unknown) => {
         this.ctx.log.write(false, { outcome: 'error', error: String(err) });
         res.destroy();
--- a/packages/gateway/src/entry/ResponseWriter.ts
+++ b/packages/gateway/src/entry/ResponseWriter.ts
@@ -16,6 +16,8 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly connection: CallerConnection;
+  /** Number of the request on its connection. */
+  readonly requestNumber: number;
   /** Monotonic ms. */
   readonly receivedAt: number;
   /** Aborted when the caller has gone. */
@@ -51,7 +53,7 @@
       attempt.cancel();
       return;
     }
-    res.writeHead(response.status, this.responseHeaders(response));
+    res.writeHead(response.status, this.responseHeaders(tx, response));
     response.body.forEach((chunk) => res.write(chunk));
     if (response.rest === undefined) {
       res.end();
@@ -69,7 +71,7 @@
     const { req, res, connection } = tx;
     if (res.headersSent || res.destroyed) return;
     const isUnread = hasUnreadBody(req);
-    const isLast = isUnread || connection.isClosing || this.ctx.isDraining();
+    const isLast = this.isLast(tx, isUnread || connection.isClosing);
     res.writeHead(message.status, {
       ...message.headers,
       ...(requestId === undefined ? {} : { [this.ctx.names.requestId]: requestId }),
@@ -113,7 +115,20 @@
     });
   }
 
-  private responseHeaders({ headers }: UpstreamResponse): Record<string, string | string[]> {
+  /**
+   * Whether the connection is closed after this response. Later requests on the connection are then not run, and one that
+   * has already started gets its response first.
+   */
+  private isLast({ connection, requestNumber }: Transaction, isClosing: boolean): boolean {
+    const isLast = (isClosing || this.ctx.isDraining()) && connection.isNewest(requestNumber);
+    if (isLast) connection.markClosing();
+    return isLast;
+  }
+
+  private responseHeaders(
+    tx: Transaction,
+    { headers }: UpstreamResponse,
+  ): Record<string, string | string[]> {
     const tokens = parseConnectionTokens([headers.connection ?? []].flat());
     const dropped = new Set([...HOP_BY_HOP_HEADERS, ...tokens]);
     const kept = Object.entries(headers).flatMap(([name, value]) =>
@@ -121,7 +136,7 @@
     );
     return {
       ...Object.fromEntries(kept),
-      ...(this.ctx.isDraining() ? { connection: 'close' } : {}),
+      ...(this.isLast(tx, tx.connection.isClosing) ? { connection: 'close' } : {}),
     };
   }
 }
