Answer every request of an entry that stops before its grace period ends

What callers saw: in a planned stop, requests that were still with their targets at 0.95 of the grace period were cut without an answer, among them requests that must not be repeated. So were requests whose body was still arriving. A request that may run once was passed on, or sent to another target, although its timeout lay beyond the end of the process. A response of up to 256 KiB counted as delivered as soon as it was handed over, also while a slow caller had not read it.

Cause: the entry took requests until 0.45 of the grace period, whatever their timeouts, and ended by disposing of the rest.

Change: ShutdownSchedule holds the times of a stop and decides what is passed on, without a network or timers. A request that may run once is passed on, for the first or another time, only if its whole time ends before the last answer is due, at 0.92 of the grace period. Others are passed on while one of their kind usually completes, and targets are told no more time than is left. At 0.7, requests that wait for a body, a token or the first plan are refused as not run. At 0.92, runs end: a request that was passed on is answered 504, one that was not is refused. Requests count as in progress until their responses are written. New connections are no longer accepted once requests are refused, so that callers move on without sending their request.

Ruled out: giving every request only the time that is left. A caller cannot repeat one that may run once after a 504, but can take a refusal to another entry.

PlanWait is moved out of CallerServer unchanged.

--- /dev/null
+++ b/packages/gateway/src/entry/ActiveRequests.test.ts
@@ -0,0 +1,63 @@
+import { EventEmitter } from 'node:events';
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { ActiveRequests } from './ActiveRequests.js';
+import type { Transaction } from './ResponseWriter.js';
+
+interface FakeTransaction {
+  readonly tx: Transaction;
+  readonly res: EventEmitter;
+  readonly socket: { destroyed: boolean };
+}
+
+function makeTransaction(): FakeTransaction {
+  const socket = { destroyed: false };
+  const res = Object.assign(new EventEmitter(), { destroyed: false });
+  return { tx: { req: { socket }, res } as unknown as Transaction, res, socket };
+}
+
+const NEVER = new Promise<string>(() => {
+  // Stands for a wait that never ends.
+});
+
+describe('ActiveRequests', () => {
+  // The process ended while a response was still buffered because its caller read slowly.
+  it('counts a request until its response is written, and not only until its handler has ended', () => {
+    const active = new ActiveRequests();
+    const { tx, res } = makeTransaction();
+    active.add(tx);
+    active.handlerEnded(tx);
+    expect(active.count).toEqual(1);
+    res.emit('close');
+    expect(active.count).toEqual(0);
+  });
+
+  it('does not count a request whose connection is lost before the turn of its response', () => {
+    const active = new ActiveRequests();
+    const { tx, socket } = makeTransaction();
+    active.add(tx);
+    socket.destroyed = true;
+    expect(active.count).toEqual(0);
+  });
+
+  it('ends the waits in progress and each later one', async () => {
+    const active = new ActiveRequests();
+    const { tx } = makeTransaction();
+    expect(await active.wait(tx, Promise.resolve('body'))).toEqual({ kind: 'done', value: 'body' });
+    const waiting = active.wait(tx, NEVER);
+    active.endWaits();
+    expect(await waiting).toEqual({ kind: 'stopped' });
+    expect(await active.wait(tx, NEVER)).toEqual({ kind: 'stopped' });
+  });
+
+  it('gives up the runs that have no outcome yet', async () => {
+    const active = new ActiveRequests();
+    const given: string[] = [];
+    const run = (name: string) => ({ giveUp: () => given.push(name) });
+    await active.track(makeTransaction().tx, run('ended'), Promise.resolve());
+    const pending = active.track(makeTransaction().tx, run('pending'), Promise.race([NEVER]));
+    active.giveUp();
+    expect(given).toEqual(['pending']);
+    await Promise.race([pending, Promise.resolve()]);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/entry/ActiveRequests.ts
@@ -0,0 +1,70 @@
+/** Requests without a complete response, and how a planned stop ends them. */
+import type { Transaction } from './ResponseWriter.js';
+
+export type WaitResult<T> =
+  | { readonly kind: 'done'; readonly value: T }
+  /** The process ends before the wait could. */
+  | { readonly kind: 'stopped' };
+
+interface Stoppable {
+  /** Ends the run early with the outcome that is known. */
+  giveUp(): void;
+}
+
+export class ActiveRequests {
+  private readonly transactions = new Set<Transaction>();
+
+  private readonly waits = new Map<Transaction, () => void>();
+
+  private readonly runs = new Map<Transaction, Stoppable>();
+
+  private hasEndedWaits = false;
+
+  /** Number of requests whose response is not written completely and whose connection is still open. */
+  public get count(): number {
+    return [...this.transactions].filter(({ req }) => !req.socket.destroyed).length;
+  }
+
+  public add(tx: Transaction): void {
+    this.transactions.add(tx);
+    // The response of a pipelined request never closes if its connection is lost before its turn.
+    tx.res.once('close', () => this.transactions.delete(tx));
+  }
+
+  /** Removes a request whose handler has ended, unless its response is still being written. */
+  public handlerEnded(tx: Transaction): void {
+    if (tx.req.socket.destroyed || tx.res.destroyed) this.transactions.delete(tx);
+  }
+
+  /** Waits for something that precedes the run of a request, until `endWaits`. */
+  public wait<T>(tx: Transaction, work: Promise<T>): Promise<WaitResult<T>> {
+    if (this.hasEndedWaits) return Promise.resolve({ kind: 'stopped' });
+    return new Promise((resolve, reject) => {
+      this.waits.set(tx, () => resolve({ kind: 'stopped' }));
+      work
+        .then((value) => resolve({ kind: 'done', value }), reject)
+        .finally(() => this.waits.delete(tx));
+    });
+  }
+
+  /** Registers a run until it has an outcome. */
+  public async track<T>(tx: Transaction, run: Stoppable, outcome: Promise<T>): Promise<T> {
+    this.runs.set(tx, run);
+    try {
+      return await outcome;
+    } finally {
+      this.runs.delete(tx);
+    }
+  }
+
+  /** Ends all waits, and each later one at once. */
+  public endWaits(): void {
+    this.hasEndedWaits = true;
+    this.waits.forEach((end) => end());
+  }
+
+  /** Ends all runs. */
+  public giveUp(): void {
+    this.runs.forEach((run) => run.giveUp());
+  }
+}
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -2,15 +2,16 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import { CallerConnection } from '@marigoldbank/daemon/entry/CallerConnection';
 import { readBody } from '@marigoldbank/daemon/entry/readBody';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
 import type { PlanLimits, Route, Team } from '@marigoldbank/routing/plan';
 import type { RouteTable } from '@marigoldbank/routing/RouteTable';
 import { requestSeconds, requestsTotal } from '../metrics.js';
+import { ActiveRequests } from './ActiveRequests.js';
 import { ResponseWriter, type Transaction } from './ResponseWriter.js';
 import { encodeErrorResponse, stoppingError, type ErrorResponse } from './ErrorResponse.js';
+import { PlanWait } from './PlanWait.js';
 import type { RequestLog } from './RequestLog.js';
 import { TeamAdmission } from './TeamAdmission.js';
 import { RequestRun, type RunContext, type RunOutcome } from './RequestRun.js';
@@ -41,15 +42,6 @@
  */
 const MAX_CONFIRMED_AGE_MS = 1_200;
 
-/** Maximum wait for the first plan. The start of the control VMs and an election take less than two seconds. */
-const MAX_PLAN_WAIT_MS = 2_000;
-
-/** Minimum time from the start of an entry to its first plan if the control VMs have just started as well. */
-const MIN_ELECTION_PLAN_MS = 1_200;
-
-/** Maximum wait for the first plan as a fraction of the deadline. The rest must suffice for the request itself. */
-const PLAN_WAIT_FRACTION = 0.6;
-
 /** Maximum wait for a token of the team budget as a fraction of the request's timeout. */
 const TOKEN_WAIT_FRACTION = 0.35;
 
@@ -92,15 +84,12 @@
   /** Whether connections are closed after their next response. */
   private isDraining = false;
 
-  /** Whether new requests are refused. */
-  private isRefusingRequests = false;
+  private readonly active = new ActiveRequests();
 
-  private inProgress = 0;
-
-  private readonly startedAt: number;
+  private readonly planWait: PlanWait;
 
   public constructor(private readonly ctx: ServerContext) {
-    this.startedAt = ctx.clock.now();
+    this.planWait = new PlanWait(ctx.clock, ctx.state);
     this.server = this.createServer();
     this.admission = new TeamAdmission(ctx);
     const { clock, names } = ctx;
@@ -112,9 +101,9 @@
     ctx.state.onDidChangePlan((table) => this.applyLimits(table));
   }
 
-  /** Number of requests without a final response. */
+  /** Number of requests whose response is not written completely. */
   public get inProgressCount(): number {
-    return this.inProgress;
+    return this.active.count;
   }
 
   public listen(address: string): Promise<void> {
@@ -134,12 +123,6 @@
     this.server.keepAliveTimeout = 1;
   }
 
-  /** Refuses new requests, since they would not complete before the process ends. */
-  public refuseNewRequests(): void {
-    this.isRefusingRequests = true;
-    this.server.closeIdleConnections();
-  }
-
   /** Stops accepting connections and closes idle ones. */
   public close(): void {
     // The close method of the HTTP server would also stop the timeout checks, so that a connection on which no complete
@@ -148,6 +131,16 @@
     this.server.closeIdleConnections();
   }
 
+  /** Refuses the requests that are not passed on yet because they wait for their body, a token or the first plan. */
+  public endWaits(): void {
+    this.active.endWaits();
+  }
+
+  /** Answers the requests at which targets are still at work. */
+  public giveUp(): void {
+    this.active.giveUp();
+  }
+
   private createServer(): Server {
     const server = createServer({
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -187,15 +180,14 @@
       connection.requestEnded();
       if (!res.writableFinished) callerGone.abort();
     });
-    this.inProgress += 1;
-    this.handle({ req, res, connection, requestNumber, receivedAt, callerGone })
+    const tx: Transaction = { req, res, connection, requestNumber, receivedAt, callerGone };
+    this.active.add(tx);
+    this.handle(tx)
       .catch((err: unknown) => {
         this.ctx.log.write(false, { outcome: 'error', error: String(err) });
         res.destroy();
       })
-      .finally(() => {
-        this.inProgress -= 1;
-      });
+      .finally(() => this.active.handlerEnded(tx));
   }
 
   private async handle(tx: Transaction): Promise<void> {
@@ -212,14 +204,19 @@
       return;
     }
     const { head } = parsed;
-    if (this.ctx.state.currentRouteTable === undefined) await this.waitForPlan(tx, head);
-    const admission = this.admit(head);
+    const { state, clock } = ctx;
+    if (state.currentRouteTable === undefined && !state.shutdown.isRefusing(clock.now())) {
+      const deadlineMs = head.deadlineMs ?? DEFAULT_DEADLINE_MS;
+      await this.active.wait(tx, this.planWait.wait(deadlineMs, tx.callerGone.signal));
+    }
+    const admission = this.admit(tx, head);
     if (admission.kind === 'refused') {
       await this.writeError(tx, head, undefined, admission.error);
       return;
     }
     const { route, team } = admission.admitted;
-    const body = await this.readWholeBody(tx);
+    const reading = await this.active.wait(tx, this.readWholeBody(tx));
+    const body = reading.kind === 'stopped' ? this.stoppingError() : reading.value;
     if (body === undefined) return;
     if (!Buffer.isBuffer(body)) {
       tx.connection.markClosing();
@@ -227,7 +224,8 @@
       return;
     }
     const maxWaitMs = CallerServer.timeoutOf(head, route) * TOKEN_WAIT_FRACTION;
-    const error = await this.admission.charge(team, maxWaitMs);
+    const charge = await this.active.wait(tx, this.admission.charge(team, maxWaitMs));
+    const error = charge.kind === 'stopped' ? this.stoppingError() : charge.value;
     if (error !== undefined) {
       await this.writeError(tx, head, route, error);
       return;
@@ -235,33 +233,14 @@
     await this.forward(tx, head, body, admission.admitted);
   }
 
-  /** Waits for the first plan. It arrives soon after the start of the entry, and callers may have no attempt left. */
-  private async waitForPlan(tx: Transaction, head: RequestHead): Promise<void> {
-    const { state, clock } = this.ctx;
-    const maxShareMs = (head.deadlineMs ?? DEFAULT_DEADLINE_MS) * PLAN_WAIT_FRACTION;
-    const waitMs = Math.min(MAX_PLAN_WAIT_MS, maxShareMs);
-    const now = clock.now();
-    const hasLeader = state.isFollowingHub(now) && !state.isLeaderless;
-    // Without a leader the plan arrives only after an election, so that a shorter wait would not help.
-    if (!hasLeader && now + waitMs < this.startedAt + MIN_ELECTION_PLAN_MS) return;
-    const waiting = new DisposableStore();
-    await new Promise<void>((resolve) => {
-      const done = (): void => resolve();
-      waiting.add(clock.setTimeout(done, waitMs));
-      waiting.add(state.onDidChangePlan(done));
-      tx.callerGone.signal.addEventListener('abort', done, { once: true });
-      waiting.add({ dispose: () => tx.callerGone.signal.removeEventListener('abort', done) });
-    });
-    waiting.dispose();
-  }
-
   /** Looks up route and team. If the plan is not confirmed, an unknown route or key may exist in a newer one. */
-  private admit(head: RequestHead): Admission {
+  private admit(tx: Transaction, head: RequestHead): Admission {
     const { state, clock } = this.ctx;
+    const now = clock.now();
+    if (state.shutdown.isRefusing(now)) return refused(this.stoppingError());
     const { currentRouteTable } = state;
     if (currentRouteTable === undefined) return refused({ kind: 'notCurrent', verdict: 'notRun' });
-    if (this.isRefusingRequests) return refused(stoppingError(!state.addresses.isEmpty));
-    const confirmedAgeMs = state.confirmedAgeMs(clock.now());
+    const confirmedAgeMs = state.confirmedAgeMs(now);
     const isConfirmed = confirmedAgeMs < MAX_CONFIRMED_AGE_MS && state.hasConfirmedPlan;
     const unknown = (kind: 'noRoute' | 'unknownKey'): Admission =>
       refused({ kind: isConfirmed ? kind : 'notCurrent', verdict: 'notRun' });
@@ -274,9 +253,19 @@
     if (team !== undefined && mayBeRevoked) {
       return refused({ kind: 'notCurrent', verdict: 'notRun' });
     }
+    const { isIdempotent } = route;
+    const { expectedMs } = state.durationEstimateOf(route);
+    const dueAt = tx.receivedAt + CallerServer.timeoutOf(head, route);
+    if (!state.shutdown.mayPassOn({ isIdempotent, dueAt, expectedMs }, now)) {
+      return refused(this.stoppingError());
+    }
     return { kind: 'admitted', admitted: { route, team } };
   }
 
+  private stoppingError(): ErrorResponse {
+    return stoppingError(!this.ctx.state.addresses.isEmpty);
+  }
+
   /** Returns the body, an error response, or undefined if the caller has disconnected. */
   private async readWholeBody(tx: Transaction): Promise<Buffer | ErrorResponse | undefined> {
     const { req, connection } = tx;
@@ -324,7 +313,7 @@
       dueAt: tx.receivedAt + timeoutMs,
       signal: tx.callerGone.signal,
     });
-    const outcome = await run.run();
+    const outcome = await this.active.track(tx, run, run.run());
     await this.finish(tx, head, route, outcome, run.trace);
   }
 
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -24,10 +24,6 @@
 /** Keep-alive of idle connections to targets, which is shorter than that of the targets. */
 const UPSTREAM_KEEP_ALIVE_MS = 4_000;
 
-/** Fractions of the grace period after which new requests are refused, and those in progress are given up. */
-const REFUSE_AT_FRACTION = 0.45;
-const GIVE_UP_AT_FRACTION = 0.95;
-
 const DRAIN_CHECK_MS = 25;
 
 /** Delay before the process ends, so that the socket buffers of the last responses are flushed. */
@@ -46,7 +42,7 @@
 
   private readonly listeners: Server[] = [];
 
-  private isStopping = false;
+  private stopped: Promise<void> | undefined;
 
   public constructor(
     private settings: GatewaySettings,
@@ -128,32 +124,39 @@
     this.settings = settings;
   }
 
-  /** Reports the entry as not ready, serves new requests for a while, then finishes those in progress. */
-  public async stop(): Promise<void> {
-    const { clock, settings } = this;
-    const startedAt = clock.now();
-    const { grace: graceMs } = settings.bounds;
-    this.isStopping = true;
-    if (settings.listen.caller !== undefined) this.state.addresses.withdraw(settings.listen.caller);
+  /** Stops once, however often it is called. */
+  public stop(): Promise<void> {
+    this.stopped ??= this.shutDown();
+    return this.stopped;
+  }
+
+  /** Reports the entry as not ready, serves new requests for a while, then finishes or answers those in progress. */
+  private async shutDown(): Promise<void> {
+    const { clock, settings, server, state } = this;
+    const { shutdown, addresses } = state;
+    shutdown.begin(clock.now(), settings.bounds.grace);
+    if (settings.listen.caller !== undefined) addresses.withdraw(settings.listen.caller);
     this.updateReadiness();
-    this.server.drain();
-    await delay(clock, graceMs * REFUSE_AT_FRACTION);
-    this.server.refuseNewRequests();
-    while (
-      this.server.inProgressCount > 0 &&
-      clock.now() - startedAt < graceMs * GIVE_UP_AT_FRACTION
-    ) {
+    server.drain();
+    const at = (time: number, fn: () => void): unknown =>
+      this.add(clock.setTimeout(fn, time - clock.now()));
+    at(shutdown.endWaitsAt, () => server.endWaits());
+    at(shutdown.answerBy, () => server.giveUp());
+    await delay(clock, shutdown.refuseAt - clock.now());
+    server.close();
+    while (server.inProgressCount > 0 && clock.now() < shutdown.endAt) {
       await delay(clock, DRAIN_CHECK_MS);
     }
     await delay(clock, FLUSH_DELAY_MS);
-    this.server.close();
-    this.listeners.forEach((server) => server.close());
+    this.listeners.forEach((listener) => listener.close());
     this.directory.close();
     this.dispose();
   }
 
   private updateReadiness(): void {
-    this.reporter.setReady(!this.isStopping && this.state.currentRouteTable !== undefined);
+    this.reporter.setReady(
+      !this.state.shutdown.isStopping && this.state.currentRouteTable !== undefined,
+    );
   }
 
   private addressesFor(dataCentre: string): string[] {
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -17,6 +17,7 @@
 import { TargetSelector } from '@marigoldbank/routing/TargetSelector';
 import { TeamRateLimiter } from '@marigoldbank/routing/TeamRateLimiter';
 import { AddressBook } from '../AddressBook.js';
+import { ShutdownSchedule } from './ShutdownSchedule.js';
 
 /** Time without contact to the budget holder after which an entry limits teams to a part of its even share. */
 const BUDGET_HOLDER_TIMEOUT_MS = 1_500;
@@ -63,6 +64,8 @@
 
   public readonly retryLimiter: RetryLimiter;
 
+  public readonly shutdown = new ShutdownSchedule();
+
   public readonly limits: TargetLimits;
 
   private readonly planEmitter = new Emitter<RouteTable>();
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -5,7 +5,7 @@
 import { pickService } from '@marigoldbank/routing/RouteTable';
 import { FAILING_THRESHOLD, type Selection } from '@marigoldbank/routing/TargetSelector';
 import type { EntryState } from './EntryState.js';
-import type { ErrorResponse } from './ErrorResponse.js';
+import { stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import type { RequestHead } from './requestHead.js';
 import { SendAttempt, type AttemptContext, type AttemptResult } from './SendAttempt.js';
 
@@ -73,6 +73,7 @@
   | { readonly kind: 'result'; readonly attempt: SendAttempt; readonly result: AttemptResult }
   | { readonly kind: 'stalled' }
   | { readonly kind: 'due' }
+  | { readonly kind: 'stopped' }
   | { readonly kind: 'gone' };
 
 const NEVER = new Promise<RunEvent>(() => {
@@ -110,6 +111,10 @@
 
   private hasReportedStall = false;
 
+  private hasGivenUp = false;
+
+  private onGiveUp: (() => void) | undefined;
+
   public constructor(
     private readonly ctx: RunContext,
     private readonly req: RunRequest,
@@ -124,6 +129,7 @@
 
   public async run(): Promise<RunOutcome> {
     if (this.req.signal.aborted) return { kind: 'callerGone' };
+    if (!this.mayPassOn()) return this.refusedByStop();
     const first = this.select();
     if (first === undefined) return RequestRun.refused(this.findLimits());
     const overload = this.findOverload(first);
@@ -139,6 +145,12 @@
     }
   }
 
+  /** Ends the run with what is known: the process stops, and an answer of a target could not be passed on any more. */
+  public giveUp(): void {
+    this.hasGivenUp = true;
+    this.onGiveUp?.();
+  }
+
   /** Waits for attempts and starts further ones until there is an outcome. */
   private async awaitOutcome(ended: Promise<RunEvent>): Promise<RunOutcome> {
     while (this.pending.size > 0) {
@@ -147,6 +159,7 @@
       stall.timer?.dispose();
       if (event.kind === 'gone') return { kind: 'callerGone' };
       if (event.kind === 'due') return this.timedOutOutcome();
+      if (event.kind === 'stopped') return this.stoppedOutcome();
       if (event.kind === 'stalled') this.hedge();
       if (event.kind === 'result') {
         const outcome = this.handleResult(event.attempt, event.result);
@@ -186,13 +199,14 @@
 
   private failedOutcome(): RunOutcome {
     const { errorResponse, mayHaveRun } = this.failures;
-    const isDue = this.ctx.clock.now() >= this.req.dueAt - TIMER_SLACK_MS;
+    const isDue = this.ctx.clock.now() >= this.dueAt - TIMER_SLACK_MS;
     if (isDue && mayHaveRun !== undefined) return this.timedOutOutcome();
     if (errorResponse !== undefined) return { kind: 'answered', ...errorResponse };
     if (mayHaveRun !== undefined) {
       const failed = { kind: 'upstreamFailed', verdict: 'mayHaveRun', detail: mayHaveRun } as const;
       return RequestRun.refused(failed);
     }
+    if (this.ctx.state.shutdown.isStopping) return this.refusedByStop();
     return RequestRun.refused({
       kind: 'notSent',
       verdict: 'notRun',
@@ -206,6 +220,36 @@
       : { kind: 'answered', ...this.failures.errorResponse };
   }
 
+  /** Cancels the attempts. Only those that were not sent are known not to have run. */
+  private async stoppedOutcome(): Promise<RunOutcome> {
+    const results = [...this.pending.values()];
+    this.pending.forEach((_, attempt) => attempt.cancel());
+    const events = await Promise.all(results);
+    const [outcome] = events.flatMap((event) =>
+      event.kind === 'result' ? (this.handleResult(event.attempt, event.result) ?? []) : [],
+    );
+    if (outcome !== undefined) return outcome;
+    return this.failures.mayHaveRun === undefined ? this.failedOutcome() : this.timedOutOutcome();
+  }
+
+  private refusedByStop(): RunOutcome {
+    return RequestRun.refused(stoppingError(!this.ctx.state.addresses.isEmpty));
+  }
+
+  /** Deadline of the final response in monotonic ms, which a planned stop may bring forward. */
+  private get dueAt(): number {
+    return this.ctx.state.shutdown.deadlineOf(this.req.dueAt);
+  }
+
+  /** Whether the request can be answered before the process ends, if it does. */
+  private mayPassOn(): boolean {
+    const { state, clock } = this.ctx;
+    const { route, dueAt } = this.req;
+    const { expectedMs } = state.durationEstimateOf(route);
+    const { isIdempotent } = route;
+    return state.shutdown.mayPassOn({ isIdempotent, dueAt, expectedMs }, clock.now());
+  }
+
   /** Reports the pending target as slow. If the route is idempotent, also sends the request to a second one. */
   private hedge(): void {
     [...this.pending.keys()].forEach((attempt) => attempt.recordStall());
@@ -238,11 +282,13 @@
     return { event, timer };
   }
 
-  /** Resolves at the deadline, or when the caller has disconnected. */
+  /** Resolves at the deadline, when the caller has disconnected, or when the run is given up. */
   private waitForEnd(timers: IDisposable[]): Promise<RunEvent> {
     const { clock } = this.ctx;
-    const { signal, dueAt } = this.req;
+    const { signal } = this.req;
+    const { dueAt } = this;
     return new Promise((resolve) => {
+      this.onGiveUp = () => resolve({ kind: 'stopped' });
       const remainingMs = Math.max(0, dueAt - clock.now());
       timers.push(clock.setTimeout(() => resolve({ kind: 'due' }), remainingMs));
       const onAbort = (): void => resolve({ kind: 'gone' });
@@ -254,8 +300,8 @@
 
   /** Refuses a request that, after its wait for a slot, would miss its deadline. The caller can try another entry. */
   private findOverload(selection: Selection): ErrorResponse | undefined {
-    const { route, dueAt } = this.req;
-    const remainingMs = dueAt - this.ctx.clock.now();
+    const { route } = this.req;
+    const remainingMs = this.dueAt - this.ctx.clock.now();
     const { expectedMs } = this.ctx.state.durationEstimateOf(route);
     const neededMs = selection.waitMs + expectedMs;
     if (neededMs <= remainingMs) return undefined;
@@ -273,7 +319,8 @@
 
   private select(): Selection | undefined {
     const { state, clock } = this.ctx;
-    const { route, dueAt } = this.req;
+    const { route } = this.req;
+    const { dueAt } = this;
     const now = clock.now();
     return state.selector.select(
       {
@@ -291,10 +338,11 @@
   /** Selects a further target if the limits of the route, the time left and the retry budget allow one. */
   private selectNext(): Selection | undefined {
     const { state, clock } = this.ctx;
-    const { route, dueAt, priority } = this.req;
+    const { route, priority } = this.req;
     const now = clock.now();
+    if (this.hasGivenUp || !this.mayPassOn()) return undefined;
     if (this.possibleRuns >= route.maxTargets || this.sends >= MAX_SENDS) return undefined;
-    if (dueAt - now < MIN_SEND_MS) return undefined;
+    if (this.dueAt - now < MIN_SEND_MS) return undefined;
     if (this.possibleArrivals === 0) return this.select();
     const isUrgent = priority <= URGENT_PRIORITY;
     const isConnected = state.isFollowingHub(now);
@@ -333,7 +381,7 @@
         ],
         body: req.body,
         requestId: req.head.requestId,
-        deadlineAt: req.dueAt,
+        deadlineAt: this.dueAt,
         signal: req.signal,
         checkDispatch: () => undefined,
       },
