Accept the connections that wait before an entry stops listening

What callers saw: in a planned stop under load, requests that had been sent more than half a second before the end of the process were neither answered nor passed on; their connections were reset.

Cause: Node.js accepts one connection in each turn of the event loop. With a saturated loop up to 511 connections wait in the queue of the socket, which nothing in the process counts. The stop ended as soon as no request was in progress, which is soon once all new ones are refused at once, and the close of the socket reset the queue. Callers cannot tell such a reset from that of a request that was passed on.

Ruled out: closing when the delay of the loop is short.

--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -9,6 +9,7 @@
 import type { RouteTable } from '@marigoldbank/routing/RouteTable';
 import { requestSeconds, requestsTotal } from '../metrics.js';
 import { ActiveRequests } from './ActiveRequests.js';
+import { ConnectionTracker } from './ConnectionTracker.js';
 import { ResponseWriter, type Transaction } from './ResponseWriter.js';
 import { encodeErrorResponse, stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import { PlanWait } from './PlanWait.js';
@@ -84,6 +85,8 @@
   /** Whether connections are closed after their next response. */
   private isDraining = false;
 
+  private readonly tracker: ConnectionTracker;
+
   private readonly active = new ActiveRequests();
 
   private readonly planWait: PlanWait;
@@ -91,6 +94,7 @@
   public constructor(private readonly ctx: ServerContext) {
     this.planWait = new PlanWait(ctx.clock, ctx.state);
     this.server = this.createServer();
+    this.tracker = new ConnectionTracker(this.server, ctx.clock);
     this.admission = new TeamAdmission(ctx);
     const { clock, names } = ctx;
     this.writer = new ResponseWriter({
@@ -123,8 +127,14 @@
     this.server.keepAliveTimeout = 1;
   }
 
-  /** Stops accepting connections and closes idle ones. */
-  public close(): void {
+  /** Number of open connections. A request may have arrived on them that the event loop has not read yet. */
+  public countConnections(): Promise<number> {
+    return this.tracker.countOpen();
+  }
+
+  /** Stops accepting connections and closes idle ones. Connections that have arrived until then are accepted first. */
+  public async close(until: number): Promise<void> {
+    await this.tracker.acceptPending(until);
     // The close method of the HTTP server would also stop the timeout checks, so that a connection on which no complete
     // request arrives would stay open.
     NetServer.prototype.close.call(this.server);
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -143,16 +143,25 @@
     at(shutdown.endWaitsAt, () => server.endWaits());
     at(shutdown.answerBy, () => server.giveUp());
     await delay(clock, shutdown.refuseAt - clock.now());
-    server.close();
-    while (server.inProgressCount > 0 && clock.now() < shutdown.endAt) {
-      await delay(clock, DRAIN_CHECK_MS);
-    }
+    await server.close(shutdown.answerBy);
+    // A request may have arrived on an open connection that the event loop has not read yet.
+    await this.waitWhile(async () => (await server.countConnections()) > 0, shutdown.endWaitsAt);
+    await this.waitWhile(() => server.inProgressCount > 0, shutdown.endAt);
     await delay(clock, FLUSH_DELAY_MS);
     this.listeners.forEach((listener) => listener.close());
     this.directory.close();
     this.dispose();
   }
 
+  /** Resolves when the condition no longer holds, at the latest at `until` in monotonic ms. */
+  private async waitWhile(
+    condition: () => boolean | Promise<boolean>,
+    until: number,
+  ): Promise<void> {
+    const { clock } = this;
+    while (clock.now() < until && (await condition())) await delay(clock, DRAIN_CHECK_MS);
+  }
+
   private updateReadiness(): void {
     this.reporter.setReady(
       !this.state.shutdown.isStopping && this.state.currentRouteTable !== undefined,
