Bench of an entry in a process of its own

Entries use three quarters of the processor time of a grown fleet and had never been profiled. `bench entry` runs one with a real hub, the evidence of the fleet, scripted targets and callers, and reports processor time, memory and new connections; `--profile` writes a profile of each point. Targets of `bench hub` announce themselves again, since they expired after 20 s, and the other hubs have entries, so that the measured ones do not move to them.

--- a/packages/bench/src/bin/bench.ts
+++ b/packages/bench/src/bin/bench.ts
@@ -2,6 +2,7 @@
 /** Command line of the experiments. */
 import { defineCommand, runMain } from 'citty';
 import { controlCommand } from '../control/controlCommand.js';
+import { entryCommand } from '../entry/entryCommand.js';
 import { decisionsCommand } from '../experiments/decisions.js';
 import { hubCommand } from '../hub/hubCommand.js';
 import { pathCommand } from '../path/path.js';
@@ -13,6 +14,7 @@
     path: pathCommand,
     control: controlCommand,
     hub: hubCommand,
+    entry: entryCommand,
   },
 });
 
--- a/packages/bench/src/hub/HubLoad.ts
+++ b/packages/bench/src/hub/HubLoad.ts
@@ -2,26 +2,37 @@
 import { fork, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import http2 from 'node:http2';
+import type { MessageInitShape } from '@bufbuild/protobuf';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { SystemClock, setPeriodic } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import { Random } from '@marigoldbank/base/random';
 import { testPorts } from '@marigoldbank/daemon/testing/PortAllocator';
+import type { Announcement } from '@marigoldbank/gateway/announcement';
 import type { EntryReportInit } from '@marigoldbank/gateway/entry/HubReporter';
 import { MessageQueue } from '@marigoldbank/gateway/sync/MessageQueue';
 import { SyncClients } from '@marigoldbank/gateway/sync/SyncClients';
-import { SyncService, type HubUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import {
+  SyncService,
+  type HubRelaySchema,
+  type HubUpdate,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { readUsage } from '../control/processUsage.js';
 import { ReportSource } from './ReportSource.js';
 
-const HUB_IP = '127.0.0.2';
-const PORTS = 3;
+export const HUB_IP = '127.0.0.2';
+const PORTS = 5;
 const STEP_MS = 5;
 const MS_PER_SECOND = 1_000;
 const DURATION_MS = 300;
+const ANNOUNCE_MS = 1_500;
 const ENTRY_FLUSH_MS = 60;
 const RELAY_FLUSH_MS = 40;
 const SEED = 1;
+const DATA_CENTRES = 3;
+
+type HubRelayInit = MessageInitShape<typeof HubRelaySchema>;
 
 export interface HubLoadPoint {
   /** Entries of the measured hub. */
@@ -34,6 +45,16 @@
   /** Of the whole fleet. */
   readonly requestsPerSecond: number;
   readonly failedShare: number;
+  /** Port of the targets, which listen on loopback addresses. Without it, their addresses are not used. */
+  readonly targetPort?: number;
+  /** Plan of the hub, which otherwise has none. */
+  readonly plan?: RoutingPlan;
+}
+
+/** What a hub is told at its start. */
+export interface HubSetup {
+  readonly announcements: readonly Announcement[];
+  readonly plan: RoutingPlan | undefined;
 }
 
 export interface HubLoadResult {
@@ -56,10 +77,14 @@
 
   private readonly targets: string[];
 
+  /** Sequence number of the last announcements. */
+  private seq = 0;
+
   private constructor(
     private readonly point: HubLoadPoint,
     private readonly hub: ChildProcess,
-    private readonly firstPort: number,
+    /** First internal port of the hub. */
+    public readonly firstPort: number,
   ) {
     super();
     this.targets = Array.from({ length: point.targets }, (_, i) => `i-${i.toString(16)}-target`);
@@ -72,7 +97,8 @@
     const hub = fork(script, [HUB_IP, String(firstPort)], { execArgv: [] });
     await once(hub, 'message');
     const load = new HubLoad(point, hub, firstPort);
-    load.announceTargets();
+    load.add(setPeriodic(new SystemClock(), () => load.announceTargets(), ANNOUNCE_MS));
+    load.announceTargets(point.plan);
     Array.from({ length: point.otherHubs }).forEach((_, i) => load.connectHub(i));
     Array.from({ length: point.entries }).forEach((_, i) => load.connectEntry(i));
     load.generateRequests();
@@ -104,21 +130,24 @@
     this.hub.kill('SIGKILL');
   }
 
-  private announceTargets(): void {
-    this.hub.send(
-      this.targets.map((id, i) => ({
-        id,
-        address: `10.128.${Math.floor(i / 250)}.${i % 250}:8080`,
-        service: `service-${i % 2}`,
-        dataCentre: 'dc-1',
-        slots: 6,
-        isDraining: false,
-        coldMs: 0,
-        born: 1,
-        seq: 1,
-        version: 'v1',
-      })),
-    );
+  private announceTargets(plan?: RoutingPlan): void {
+    const { targetPort } = this.point;
+    this.seq += 1;
+    const [network, port] = targetPort === undefined ? ['10.128', 8_080] : ['127.128', targetPort];
+    const announcements = this.targets.map((id, i) => ({
+      id,
+      address: `${network}.${Math.floor(i / 250)}.${1 + (i % 250)}:${port}`,
+      service: `service-${i % 2}`,
+      dataCentre: `dc-${1 + (Math.floor(i / 2) % DATA_CENTRES)}`,
+      slots: 6,
+      isDraining: false,
+      coldMs: 0,
+      born: 1,
+      seq: this.seq,
+      version: 'v1',
+    }));
+    const setup: HubSetup = { announcements, plan };
+    this.hub.send(setup);
   }
 
   private connectEntry(i: number): void {
@@ -162,8 +191,16 @@
     server.listen(this.firstPort + 1, address);
     this.add({ dispose: () => server.close() });
     const clients = this.add(new SyncClients());
-    const queue = new MessageQueue<Parameters<ReportSource['send']>[0] & { hello?: object }>();
-    queue.push({ hello: { address: `${address}:${this.firstPort + 1}`, dataCentre: 'dc-1' } });
+    const queue = new MessageQueue<HubRelayInit>();
+    const { fleetEntries, entries, otherHubs } = this.point;
+    const ownEntries = Math.round((fleetEntries - entries) / otherHubs);
+    queue.push({
+      hello: { address: `${address}:${this.firstPort + 1}`, dataCentre: 'dc-1' },
+      entries: Array.from({ length: ownEntries }, (_, j) => ({
+        identity: { vm: `entry-${i}-${j}`, address: `10.1.${i}.${j}:80`, dataCentre: 'dc-1' },
+        isReady: true,
+      })),
+    });
     this.sources.hubs.push(new ReportSource(RELAY_FLUSH_MS, (report) => queue.push(report)));
     clients
       .client(`${HUB_IP}:${this.firstPort + 1}`)
--- a/packages/bench/src/hub/hubProcess.ts
+++ b/packages/bench/src/hub/hubProcess.ts
@@ -3,15 +3,16 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { SystemClock } from '@marigoldbank/base/clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import { encodeCommand } from '@marigoldbank/gateway/control/commands';
 import { Hub } from '@marigoldbank/gateway/control/Hub';
 import { PlanStateMachine } from '@marigoldbank/gateway/control/PlanStateMachine';
 import { registerSyncService } from '@marigoldbank/gateway/control/sync-routes';
 import type { VoterManager } from '@marigoldbank/gateway/control/VoterManager';
-import type { Announcement } from '@marigoldbank/gateway/announcement';
 import { gatewaySettingsSchema, syncAddress } from '@marigoldbank/gateway/settings';
 import { BatchPace } from '@marigoldbank/gateway/sync/BatchPace';
 import { COMPRESS_MIN_BYTES, SyncClients } from '@marigoldbank/gateway/sync/SyncClients';
 import type { IReplicatedLog, LogStatus, ReadOutcome } from '@marigoldbank/replicated-log';
+import type { HubSetup } from './HubLoad.js';
 
 const [ip = '', firstPort = ''] = process.argv.slice(2);
 const port = Number(firstPort);
@@ -46,11 +47,12 @@
 const log = leadingLog as IReplicatedLog;
 const logger = new NullLogger();
 const clients = new SyncClients();
+const stateMachine = new PlanStateMachine();
 const hub = new Hub({
   clock: new SystemClock(),
   settings,
   log,
-  stateMachine: new PlanStateMachine(),
+  stateMachine,
   logger,
   pace: new BatchPace(new SystemClock()),
   clientOf: (address) => clients.client(address),
@@ -62,7 +64,10 @@
     routes: (router) => registerSyncService(router, hub, voterManager, log, logger),
   }),
 );
-process.on('message', (announcements: Announcement[]) => {
+process.on('message', ({ announcements, plan }: HubSetup) => {
   announcements.forEach((announcement) => hub.announce(announcement));
+  if (plan !== undefined) {
+    stateMachine.apply(1, encodeCommand({ kind: 'putPlan', document: '', plan }));
+  }
 });
 server.listen(Number(syncAddress(settings, ip).split(':')[1]), ip, () => process.send?.('ready'));
