--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -4,11 +4,9 @@
   HubUpdateSchema,
   type HubUpdate,
   type Target,
-  type TargetEvidence,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
-import type { TargetOutcome } from '@marigoldbank/routing/TargetBelief';
-import { decodeEvidenceBatch } from '../sync/evidence-batch.js';
+import { decodeEvidenceBatch, type EvidenceItem } from '../sync/evidence-batch.js';
 import { toLimitStatement } from '../sync/limit-codec.js';
 import { TargetRefs } from '../sync/TargetRefs.js';
 import { trueSince } from '../sync/timeEcho.js';
@@ -17,6 +15,8 @@
 
 const PERMILLE = 1_000;
 
+type OutcomeCounts = Pick<EvidenceItem, 'succeeded' | 'failed' | 'suspect'>;
+
 /** Adds what the snapshot of a first update contains. */
 function withSnapshot(update: HubUpdate): HubUpdate {
   if (update.snapshot.length === 0) return update;
@@ -60,7 +60,7 @@
     update.beliefs.forEach(({ id, failingProbability }) =>
       state.targets.get(id)?.belief.adopt(failingProbability, now),
     );
-    update.evidence.forEach((item) => this.applyEvidence(item, now));
+    update.evidence.forEach((item) => this.applyEvidence(item.id, item, item.inFlight, now));
     if (update.evidenceBatch.length > 0) this.applyEvidenceBatch(update.evidenceBatch, now);
     update.limits.forEach((limit) => state.limits.note(limit.id, toLimitStatement(limit, now)));
     update.teams.forEach(({ team, isTight }) => state.teamLimiter.setTight(team, isTight));
@@ -113,27 +113,30 @@
 
   private applyEvidenceBatch(batch: Uint8Array, now: number): void {
     const { targets } = this.ctx.state;
-    decodeEvidenceBatch(batch).forEach(({ ref, entryRef, inFlight, ...outcomes }) => {
-      const id = this.refs.idOf(ref);
+    decodeEvidenceBatch(batch).forEach((item) => {
+      const id = this.refs.idOf(item.ref);
       const target = id === undefined ? undefined : targets.get(id);
-      if (id === undefined || target === undefined) return;
-      const othersInFlight = Math.max(0, inFlight - target.ownInFlight);
-      if (entryRef === this.entryRef) target.othersInFlight = othersInFlight;
-      else this.applyEvidence({ id, inFlight: othersInFlight, ...outcomes }, now);
+      if (target === undefined) return;
+      const othersInFlight = Math.max(0, item.inFlight - target.ownInFlight);
+      if (item.entryRef === this.entryRef) target.othersInFlight = othersInFlight;
+      else this.applyEvidence(target.info.id, item, othersInFlight, now);
     });
   }
 
-  private applyEvidence(item: Omit<TargetEvidence, '$typeName'>, now: number): void {
+  private applyEvidence(
+    id: string,
+    { succeeded, suspect, failed }: OutcomeCounts,
+    othersInFlight: number,
+    now: number,
+  ): void {
     const { targets } = this.ctx.state;
-    const target = targets.get(item.id);
+    const target = targets.get(id);
     if (target === undefined) return;
-    const observe = (outcome: TargetOutcome, count: number): void =>
-      Array.from({ length: count }).forEach(() => targets.observe(item.id, outcome, now));
     // A rise shows that another entry has started a request.
-    if (item.inFlight > target.othersInFlight) target.lastTriedAt = now;
-    target.othersInFlight = item.inFlight;
-    observe('succeeded', item.succeeded);
-    observe('suspect', item.suspect);
-    observe('failed', item.failed);
+    if (othersInFlight > target.othersInFlight) target.lastTriedAt = now;
+    target.othersInFlight = othersInFlight;
+    targets.observe(id, 'succeeded', now, succeeded);
+    targets.observe(id, 'suspect', now, suspect);
+    targets.observe(id, 'failed', now, failed);
   }
 }
--- a/packages/gateway/src/sync/sync.test.ts
+++ b/packages/gateway/src/sync/sync.test.ts
@@ -1,7 +1,11 @@
 import { describe, it } from 'node:test';
+import { fromBinary } from '@bufbuild/protobuf';
+import { WireType } from '@bufbuild/protobuf/wire';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { EvidenceBatchSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { expect } from 'earl';
 import { Batcher } from './Batcher.js';
+import { decodeEvidenceBatch, encodeEvidenceBatch } from './evidence-batch.js';
 import { EvidenceBuffer } from './EvidenceBuffer.js';
 import { MessageQueue } from './MessageQueue.js';
 
@@ -48,6 +52,23 @@
   });
 });
 
+describe('evidence batch', () => {
+  // Entries and hubs of different releases exchange batches, so the bytes must remain those of the schema.
+  it('is decoded as the schema says, also with fields of a later release', () => {
+    const items = [
+      { ref: 1, entryRef: 0, succeeded: 2, failed: 0, suspect: 1, inFlight: 3 },
+      { ref: 300, entryRef: 70_000, succeeded: 0, failed: 2 ** 32 - 1, suspect: 0, inFlight: 0 },
+    ];
+    const bytes = encodeEvidenceBatch(items);
+    const laterField = Uint8Array.of(15 * 8 + WireType.LengthDelimited, 2, 7, 7);
+    expect(decodeEvidenceBatch(bytes)).toEqual(items);
+    expect(decodeEvidenceBatch(Buffer.concat([laterField, bytes]))).toEqual(items);
+    expect(fromBinary(EvidenceBatchSchema, bytes).values).toHaveLength(12);
+    expect(decodeEvidenceBatch(new Uint8Array())).toEqual([]);
+    expect(() => decodeEvidenceBatch(bytes.subarray(0, bytes.length - 1))).toThrow();
+  });
+});
+
 describe('MessageQueue', () => {
   it('delivers in order and ends after the pending messages', async () => {
     const queue = new MessageQueue<number>();
--- a/packages/routing/src/TargetBelief.test.ts
+++ b/packages/routing/src/TargetBelief.test.ts
@@ -47,4 +47,23 @@
     ).toBeLessThan(0.01);
     expect(healthy.failingProbability(later)).toBeGreaterThan(healthy.failingProbability(300));
   });
+
+  // A batch reports several outcomes of one target as a count, which must weigh as much as single ones.
+  it('takes a count of outcomes like that many single outcomes', () => {
+    (['succeeded', 'suspect', 'failed'] as const).forEach((outcome) => {
+      const [counted, single] = [makeHealthyBelief(), makeHealthyBelief()];
+      counted.observe(outcome, 300, 3);
+      [300, 300, 300].forEach((at) => single.observe(outcome, at));
+      const difference = counted.failingProbability(300) - single.failingProbability(300);
+      expect(Math.abs(difference)).toBeLessThan(1e-9);
+    });
+  });
+
+  it('remains a probability after any count', () => {
+    (['succeeded', 'suspect', 'failed'] as const).forEach((outcome) => {
+      const belief = makeHealthyBelief();
+      belief.observe(outcome, 300, 2 ** 32 - 1);
+      expect(Math.abs(belief.failingProbability(300) - 0.5)).toBeLessThan(0.5);
+    });
+  });
 });
--- a/packages/routing/src/TargetBelief.ts
+++ b/packages/routing/src/TargetBelief.ts
@@ -51,12 +51,12 @@
     return PRIOR + (this.probability - PRIOR) * retained;
   }
 
-  /** Updates the probability with one outcome. */
-  public observe(outcome: TargetOutcome, now: number): void {
+  /** Updates the probability with `count` equal outcomes. */
+  public observe(outcome: TargetOutcome, now: number, count = 1): void {
     const { healthy, failing } = LIKELIHOODS[outcome];
     const before = this.failingProbability(now);
-    const weight = before * failing;
-    const after = weight / (weight + (1 - before) * healthy);
+    const odds = (before / (1 - before)) * (failing / healthy) ** count;
+    const after = 1 / (1 + 1 / odds);
     this.probability = Math.min(MAX_PROBABILITY, Math.max(MIN_PROBABILITY, after));
     this.updatedAt = Math.max(this.updatedAt, now);
   }
--- a/packages/routing/src/TargetTable.ts
+++ b/packages/routing/src/TargetTable.ts
@@ -106,11 +106,11 @@
     return [...this.targets.values()];
   }
 
-  /** Updates the health estimate of a target with an outcome that any entry observed. */
-  public observe(id: string, outcome: TargetOutcome, now: number): void {
+  /** Updates the health estimate of a target with `count` equal outcomes that any entry observed. */
+  public observe(id: string, outcome: TargetOutcome, now: number, count = 1): void {
     const state = this.targets.get(id);
-    if (state === undefined) return;
-    state.belief.observe(outcome, now);
+    if (state === undefined || count === 0) return;
+    state.belief.observe(outcome, now, count);
     state.lastOutcomeAt = now;
   }
 
