--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -318,7 +318,7 @@
   }
 
   private select(): Selection | undefined {
-    const { state, clock } = this.ctx;
+    const { state, clock, upstream } = this.ctx;
     const { route } = this.req;
     const { dueAt } = this;
     const now = clock.now();
@@ -330,6 +330,7 @@
         excluded: this.triedTargets,
         expectedMs: state.durationEstimateOf(route).expectedMs,
         remainingMs: dueAt - now,
+        hasIdleConnection: (address) => upstream.hasIdleConnection(address),
       },
       now,
     );
