--- a/packages/gateway/src/control/log-confirmation.test.ts
+++ b/packages/gateway/src/control/log-confirmation.test.ts
@@ -30,6 +30,9 @@
 const STEP_MS = 5;
 
 class TestLog {
+  /** Nothing is confirmed by earlier messages, so that the follower depends on its own questions. */
+  public readonly confirmedState = (): undefined => undefined;
+
   public constructor(
     private readonly self: Member,
     private readonly leader: Member,
@@ -58,10 +61,6 @@
       );
     });
   }
-
-  public confirmedState(): undefined {
-    return undefined;
-  }
 }
 
 interface Fixture {
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -246,7 +246,9 @@
         const failedAt = this.logFailedAt.get(ip) ?? now;
         this.logFailedAt.set(ip, failedAt);
         const hasAnswered = log.confirmedAt > -Infinity;
-        if (hasAnswered && now - failedAt >= LOG_TIMEOUT_MS) log.isAnswering = false;
+        if (hasAnswered && now - failedAt >= LOG_TIMEOUT_MS) {
+          Object.assign(log, { isAnswering: false });
+        }
       });
     this.hubs
       .filter(({ isCutOff, isLogDown }) => !isCutOff && !isLogDown)
