Forget requests in progress when their connection closes

A trial showed that a pipelined request stayed in the set of active requests for good if its connection was lost before the turn of its response: 1 of 2 remained after the connection had been closed. The response of such a request never closes.

--- a/packages/gateway/src/entry/ActiveRequests.test.ts
+++ b/packages/gateway/src/entry/ActiveRequests.test.ts
@@ -7,13 +7,11 @@
 interface FakeTransaction {
   readonly tx: Transaction;
   readonly res: EventEmitter;
-  readonly socket: { destroyed: boolean };
 }
 
 function makeTransaction(): FakeTransaction {
-  const socket = { destroyed: false };
-  const res = Object.assign(new EventEmitter(), { destroyed: false });
-  return { tx: { req: { socket }, res } as unknown as Transaction, res, socket };
+  const res = new EventEmitter();
+  return { tx: { connection: {}, res } as unknown as Transaction, res };
 }
 
 const NEVER = new Promise<string>(() => {
@@ -22,11 +20,10 @@
 
 describe('ActiveRequests', () => {
   // The process ended while a response was still buffered because its caller read slowly.
-  it('counts a request until its response is written, and not only until its handler has ended', () => {
+  it('counts a request until its response is written, and not only until it has an outcome', () => {
     const active = new ActiveRequests();
     const { tx, res } = makeTransaction();
     active.add(tx);
-    active.handlerEnded(tx);
     expect(active.count).toEqual(1);
     res.emit('close');
     expect(active.count).toEqual(0);
@@ -34,10 +31,11 @@
 
   it('does not count a request whose connection is lost before the turn of its response', () => {
     const active = new ActiveRequests();
-    const { tx, socket } = makeTransaction();
+    const { tx } = makeTransaction();
     active.add(tx);
-    socket.destroyed = true;
-    expect(active.count).toEqual(0);
+    active.add(makeTransaction().tx);
+    active.removeConnection(tx.connection);
+    expect(active.count).toEqual(1);
   });
 
   it('ends the waits in progress and each later one', async () => {
--- a/packages/gateway/src/entry/ActiveRequests.ts
+++ b/packages/gateway/src/entry/ActiveRequests.ts
@@ -1,4 +1,5 @@
 /** Requests without a complete response, and how a planned stop ends them. */
+import type { CallerConnection } from '@marigoldbank/daemon/entry/CallerConnection';
 import type { Transaction } from './ResponseWriter.js';
 
 export type WaitResult<T> =
@@ -20,20 +21,21 @@
 
   private hasEndedWaits = false;
 
-  /** Number of requests whose response is not written completely and whose connection is still open. */
+  /** Number of requests whose response is not written completely. */
   public get count(): number {
-    return [...this.transactions].filter(({ req }) => !req.socket.destroyed).length;
+    return this.transactions.size;
   }
 
   public add(tx: Transaction): void {
     this.transactions.add(tx);
-    // The response of a pipelined request never closes if its connection is lost before its turn.
     tx.res.once('close', () => this.transactions.delete(tx));
   }
 
-  /** Removes a request whose handler has ended, unless its response is still being written. */
-  public handlerEnded(tx: Transaction): void {
-    if (tx.req.socket.destroyed || tx.res.destroyed) this.transactions.delete(tx);
+  /** Removes the requests of a closed connection. The response of a pipelined one never closes if it was not its turn. */
+  public removeConnection(connection: CallerConnection): void {
+    [...this.transactions]
+      .filter((tx) => tx.connection === connection)
+      .forEach((tx) => this.transactions.delete(tx));
   }
 
   /** Waits for something that precedes the run of a request, until `endWaits`. */
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -192,12 +192,10 @@
     });
     const tx: Transaction = { req, res, connection, requestNumber, receivedAt, callerGone };
     this.active.add(tx);
-    this.handle(tx)
-      .catch((err: unknown) => {
-        this.ctx.log.write(false, { outcome: 'error', error: String(err) });
-        res.destroy();
-      })
-      .finally(() => this.active.handlerEnded(tx));
+    this.handle(tx).catch((err: unknown) => {
+      this.ctx.log.write(false, { outcome: 'error', error: String(err) });
+      res.destroy();
+    });
   }
 
   private async handle(tx: Transaction): Promise<void> {
@@ -392,6 +390,7 @@
     const known = this.connections.get(socket);
     if (known !== undefined) return known;
     const created = new CallerConnection(socket);
+    socket.once('close', () => this.active.removeConnection(created));
     this.connections.set(socket, created);
     return created;
   }
