--- a/packages/gateway/src/control/log-confirmation.test.ts
+++ b/packages/gateway/src/control/log-confirmation.test.ts
@@ -17,7 +17,7 @@
 import { LogFeed } from './LogFeed.js';
 import { LogFollower } from './LogFollower.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
-import { StateConfirmation } from './StateConfirmation.js';
+import { StateConfirmation, type ConfirmationContext } from './StateConfirmation.js';
 
 /** Delay of a message between two VMs in different data centres. */
 const LINK_MS = 10;
@@ -30,9 +30,6 @@
 const STEP_MS = 5;
 
 class TestLog {
-  /** Nothing is confirmed by earlier messages, so that the follower depends on its own questions. */
-  public readonly confirmedState = (): undefined => undefined;
-
   public constructor(
     private readonly self: Member,
     private readonly leader: Member,
@@ -74,6 +71,15 @@
   readonly dropQuestion: () => void;
 }
 
+/** A log whose earlier messages confirm nothing, so that only answers to questions count. */
+function withoutOwnConfirmation(log: TestLog): ConfirmationContext['log'] {
+  return {
+    status: () => log.status(),
+    confirmedState: () => undefined,
+    confirmReadByHeartbeat: () => log.confirmReadByHeartbeat(),
+  };
+}
+
 function makeMember(vm: string): Member {
   return { vm, incarnation: '', address: `${vm}:1` };
 }
@@ -92,7 +98,7 @@
   const leaderLog = new TestLog(leader, leader, leaderClock, noteConfirmed, clock);
   const leading = new StateConfirmation({
     clock: leaderClock,
-    log: leaderLog,
+    log: withoutOwnConfirmation(leaderLog),
     logger,
     clientOf: () => ({ confirm: () => Promise.reject(new Error('not asked')) }),
   });
@@ -116,7 +122,7 @@
     });
   const confirmation = new StateConfirmation({
     clock,
-    log: followerLog,
+    log: withoutOwnConfirmation(followerLog),
     logger,
     clientOf: () => ({ confirm: (_, options) => ask(options?.timeoutMs ?? Infinity) }),
   });
