Let an entry have few reports under way, and send it evidence after all else

An entry sent a report for each failure and else every 60 ms, however many of them its hub had not handled. With several times the requests, or failures, they filled the hub's sockets, and plans, status and tokens waited behind them. Down the stream, evidence that an entry had not read waited in the same queue as plans.

Each update now names the last report that the hub has handled. An entry has two reports under way, three if one cannot wait, and adds up the rest: no count is dropped. Evidence goes after all other messages, and what was not read is merged by concatenating the encoded lists. A hub of an older release names no report; an entry does not limit itself there.

Ruled out: an interval that the hub sets by its utilisation, since that bounds the wait only if the cost of a report is known.

--- a/packages/gateway/src/control/EntrySession.test.ts
+++ b/packages/gateway/src/control/EntrySession.test.ts
@@ -3,6 +3,7 @@
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { expect } from 'earl';
 import type { AdvertisedEntry } from '../AddressBook.js';
+import { decodeEvidenceBatch, encodeEvidenceBatch } from '../sync/evidence-batch.js';
 import { EntrySession, type HubUpdateInit } from './EntrySession.js';
 import { PlanEncoder } from './PlanEncoder.js';
 import { CommittedPlan } from './CommittedPlan.js';
@@ -138,4 +139,30 @@
     clock.advance(2);
     expect(sent[0]?.teams?.length).toEqual(2);
   });
+
+  // Evidence filled the sockets of entries that read slowly, so that plans and tokens waited behind it.
+  it('sends a plan before evidence that the entry has not read, and that as one message', async () => {
+    const { clock, session, commit, sent } = makeSession();
+    const batchOf = (ref: number): Uint8Array =>
+      encodeEvidenceBatch([
+        { ref, entryRef: 0, succeeded: ref, failed: 0, suspect: 0, inFlight: 0 },
+      ]);
+    [1, 2, 3].forEach((ref) => session.sendEvidence(batchOf(ref)));
+    commit(makeCommitted(3));
+    clock.advance(10);
+    expect(versionsOf(sent)).toEqual([[0n, 3n]]);
+    const message = await session.queue[Symbol.asyncIterator]().next();
+    const { evidenceBatch } = message.value as HubUpdateInit;
+    expect(decodeEvidenceBatch(evidenceBatch!).map(({ succeeded }) => succeeded)).toEqual([
+      1, 2, 3,
+    ]);
+  });
+
+  it('tells the entry which of its reports was handled last, without other messages if there are none', () => {
+    const { clock, session, sent } = makeSession();
+    session.noteReport(clock.now(), 7);
+    session.noteReport(clock.now(), 8);
+    clock.advance(1_000);
+    expect(sent.map(({ handledReportMs }) => handledReportMs)).toEqual([8]);
+  });
 });
--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -24,6 +24,9 @@
 /** Minimum interval between two plans for one entry, so that a series of changes is sent as one update. */
 const PLAN_INTERVAL_MS = 150;
 
+/** An entry that has not read more batches is disconnected; it reconnects and gets a snapshot. */
+const MAX_UNREAD_BATCHES = 500;
+
 /** Messages as plain objects, which can be extended by a copy. */
 type Plain<T> = Exclude<T, { readonly $typeName: string }>;
 
@@ -40,13 +43,20 @@
   readonly advertised: () => ReadonlyMap<string, AdvertisedEntry>;
 }
 
+function isEmptyList(part: unknown): boolean {
+  return Array.isArray(part) && part.length === 0;
+}
+
 export class EntrySession implements IDisposable {
-  public readonly queue = new MessageQueue<HubUpdateInit>();
+  public readonly queue = new MessageQueue<HubUpdateInit>(() => this.takeEvidence());
 
   private reportedAt: number;
 
   private entryTime: PeerTime | undefined;
 
+  /** Time in the last report that the entry knows to be handled. */
+  private sentHandledMs = 0;
+
   private readonly targets = new Map<string, MessageInitShape<typeof TargetSchema>>();
 
   private readonly removedTargets = new Set<string>();
@@ -55,6 +65,9 @@
 
   private readonly tokenAnswers: MessageInitShape<typeof TokenAnswerSchema>[] = [];
 
+  /** Encoded batches that the entry has not read. */
+  private evidenceBatches: Uint8Array[] = [];
+
   private readonly teamModes = new Map<string, boolean>();
 
   private readonly retryStates = new Map<string, MessageInitShape<typeof RetryStateSchema>>();
@@ -88,7 +101,9 @@
   /** Notes a report, which the entry sent at `sentAtMs` of its own clock; 0 if it is of an older release. */
   public noteReport(now: number, sentAtMs: number): void {
     this.reportedAt = now;
-    if (sentAtMs > 0) this.entryTime = { sentAtMs, handledAt: now };
+    if (sentAtMs <= 0) return;
+    this.entryTime = { sentAtMs, handledAt: now };
+    this.batcher.request(FLUSH_MS);
   }
 
   /** Whether the entry runs an older release, which sends no time and reads no snapshots. */
@@ -105,7 +120,14 @@
 
   /** Sends a message at once, bypassing the batch. */
   public send(update: HubUpdateInit): void {
-    this.queue.push(update);
+    this.queue.push(this.withHandled(update));
+  }
+
+  /** Sends an encoded batch of evidence after all other messages, merged with those that the entry has not read. */
+  public sendEvidence(batch: Uint8Array): void {
+    this.evidenceBatches.push(batch);
+    if (this.evidenceBatches.length > MAX_UNREAD_BATCHES) this.queue.end();
+    this.queue.notify();
   }
 
   public setTarget(target: MessageInitShape<typeof TargetSchema> & { readonly id: string }): void {
@@ -157,6 +179,21 @@
     this.queue.end();
   }
 
+  /** Lists of encoded messages are concatenated by concatenating the messages. */
+  private takeEvidence(): HubUpdateInit | undefined {
+    const batches = this.evidenceBatches;
+    if (batches.length === 0) return undefined;
+    this.evidenceBatches = [];
+    const evidenceBatch = batches.length === 1 ? batches[0]! : Buffer.concat(batches);
+    return this.withHandled({ evidenceBatch });
+  }
+
+  private withHandled(update: HubUpdateInit): HubUpdateInit {
+    const handledReportMs = this.entryTime?.sentAtMs ?? 0;
+    this.sentHandledMs = handledReportMs;
+    return { ...update, handledReportMs };
+  }
+
   private flush(): void {
     const update: HubUpdateInit = {
       plan: this.takePlan(),
@@ -173,7 +210,9 @@
     this.teamModes.clear();
     this.limits.clear();
     this.retryStates.clear();
-    this.queue.push(update);
+    const isHandledSent = this.sentHandledMs === (this.entryTime?.sentAtMs ?? 0);
+    const isEmpty = Object.values(update).every((part) => part === undefined || isEmptyList(part));
+    if (!isEmpty || !isHandledSent) this.send(update);
   }
 
   private takeFleetUpdate(): HubUpdateInit['fleet'] {
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -142,7 +142,7 @@
         refOf: (target) => this.targets.refs.refOf(target),
         inFlight: (target) => this.evidence.inFlight(target),
         send: (evidenceBatch) =>
-          this.sessions.forEach((session) => session.send({ evidenceBatch })),
+          this.sessions.forEach((session) => session.sendEvidence(evidenceBatch)),
       }),
     );
     this.evidence = new EvidenceDistributor({
--- a/packages/gateway/src/control/hub-load.test.ts
+++ b/packages/gateway/src/control/hub-load.test.ts
@@ -125,6 +125,28 @@
   });
 });
 
+describe('hubs of entries that report much', () => {
+  // Entries sent a report for each failure and each 60 ms, however many of them waited at the hub.
+  [1, 4, 10].forEach((rateFactor) => {
+    SIZES.slice(rateFactor === 10 ? 0 : 1, rateFactor === 10 ? 3 : 2).forEach((size) => {
+      it(`send plans and status in time to ${size.entryCount} entries at ${rateFactor} times the rate`, async () => {
+        const fleet = startFleet(size);
+        await fleet.advance(15_000);
+        fleet.connectMs = CONNECT_MS;
+        fleet.reportMs = REPORT_MS;
+        await serve(fleet, 4_000, rateFactor);
+        fleet.commit(makeEmptyPlan(2));
+        await serve(fleet, CONFIG_APPLY_MS, rateFactor);
+        expect({
+          outdated: countOutdated(fleet, 2),
+          late: countLate(fleet),
+          unconfirmed: countUnconfirmed(fleet),
+        }).toEqual({ outdated: 0, late: 0, unconfirmed: 0 });
+      });
+    });
+  });
+});
+
 describe('hubs that remain while others are frozen', () => {
   // Each remaining hub got several times its entries at once, and its own waited for their snapshots.
   SIZES.forEach((size) => {
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -8,6 +8,7 @@
 import { Batcher } from '../sync/Batcher.js';
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import { toLimitMessage } from '../sync/limit-codec.js';
+import { SendWindow } from '../sync/SendWindow.js';
 import type { EntryState } from './EntryState.js';
 
 export type EntryReportInit = MessageInitShape<typeof EntryReportSchema>;
@@ -51,11 +52,19 @@
 
   private readonly batcher: Batcher;
 
+  private readonly window = new SendWindow();
+
+  /** Whether something is to be sent that cannot wait for the next batch. */
+  private isUrgent = false;
+
+  /** Whether a report waits until the hub has handled an earlier one. */
+  private isHeld = false;
+
   public constructor(
     private readonly clock: Clock,
     private readonly state: EntryState,
   ) {
-    this.batcher = new Batcher(clock, () => this.flush());
+    this.batcher = new Batcher(clock, () => this.flushIfOpen());
   }
 
   /** Whether this entry is ready, as reported to the hub. It still serves requests for a while when it stops. */
@@ -66,6 +75,7 @@
   /** Sends reports to a new stream, starting with the load of this entry at all targets. */
   public attach(send: (report: EntryReportInit) => void): void {
     this.send = send;
+    this.window.clear();
     this.state.targets
       .all()
       .filter(({ ownInFlight }) => ownInFlight > 0)
@@ -80,7 +90,7 @@
   public setReady(isReady: boolean): void {
     if (this.ready === isReady) return;
     this.ready = isReady;
-    this.batcher.request(URGENT_FLUSH_MS);
+    this.requestUrgent();
   }
 
   /** Reports that the number of requests in flight at a target has changed. */
@@ -97,7 +107,8 @@
       outcome === 'failed' ? 1 : 0,
       outcome === 'suspect' ? 1 : 0,
     );
-    this.batcher.request(outcome === 'succeeded' ? FLUSH_MS : URGENT_FLUSH_MS);
+    if (outcome === 'succeeded') this.batcher.request(FLUSH_MS);
+    else this.requestUrgent();
   }
 
   /** Records a failed connection to a target. Other entries may still reach it, so for them it is weak evidence. */
@@ -117,7 +128,7 @@
     const statement = { perSecond, at: this.clock.now() };
     if (!this.state.limits.note(id, statement)) return;
     this.limits.set(id, statement);
-    this.batcher.request(URGENT_FLUSH_MS);
+    this.requestUrgent();
   }
 
   /** Records that a target responded, so that it is reachable. */
@@ -147,7 +158,7 @@
     this.lastId += 1;
     const id = this.lastId;
     this.tokenRequests.push({ id, team });
-    this.batcher.request(URGENT_FLUSH_MS);
+    this.requestUrgent();
     return new Promise((resolve) => {
       const timer = this.clock.setTimeout(
         () => this.resolveToken(id, { kind: 'unanswered' }),
@@ -166,12 +177,22 @@
     settle?.(result);
   }
 
+  /** Notes the time in the last report that the hub has handled; 0 if it does not say. */
+  public noteHandled(sentAtMs: number): void {
+    this.window.noteHandled(sentAtMs);
+    if (this.isHeld) this.flushIfOpen();
+  }
+
   /** Sends all pending reports. Without any, the report serves as a heartbeat. */
   public flush(): void {
     if (this.send === undefined) return;
+    this.isHeld = false;
+    this.isUrgent = false;
+    const sentAtMs = this.clock.now();
+    this.window.noteSent(sentAtMs);
     const inFlightOf = (id: string): number => this.state.targets.get(id)?.ownInFlight ?? 0;
     this.send({
-      sentAtMs: this.clock.now(),
+      sentAtMs,
       isReady: this.ready,
       evidence: this.evidence.take(inFlightOf),
       uses: [...this.uses].map(([service, use]) => ({ service, ...use })),
@@ -189,6 +210,17 @@
     this.detach();
   }
 
+  private requestUrgent(): void {
+    this.isUrgent = true;
+    this.batcher.request(URGENT_FLUSH_MS);
+  }
+
+  /** Sends all pending reports unless the hub has not handled earlier ones, which would delay these as well. */
+  private flushIfOpen(): void {
+    if (this.window.isOpen(this.isUrgent)) this.flush();
+    else this.isHeld = true;
+  }
+
   private count(service: string, requests: number, retries: number): void {
     const use = this.uses.get(service) ?? { requests: 0, repeats: 0 };
     use.requests += requests;
--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -37,6 +37,7 @@
   public apply(stream: HubStream, message: HubUpdate): void {
     const update = withSnapshot(message);
     const { clock, state, hubs, reporter, seeds } = this.ctx;
+    reporter.noteHandled(update.handledReportMs);
     const now = clock.now();
     Object.assign(stream, { lastMessageAt: now });
     if (update.status !== undefined) {
--- a/packages/gateway/src/sync/MessageQueue.ts
+++ b/packages/gateway/src/sync/MessageQueue.ts
@@ -11,6 +11,11 @@
 
   private hasEnded = false;
 
+  public constructor(
+    /** Returns what may wait until the consumer has read all messages, as one message, if there is anything. */
+    private readonly takeDeferred: () => T | undefined = () => undefined,
+  ) {}
+
   public get isEnded(): boolean {
     return this.hasEnded;
   }
@@ -22,6 +27,11 @@
     this.wake?.();
   }
 
+  /** Lets the consumer ask for what may wait. */
+  public notify(): void {
+    this.wake?.();
+  }
+
   /** Ends the stream after the pending messages. */
   public end(): void {
     this.hasEnded = true;
@@ -30,7 +40,7 @@
 
   public async *[Symbol.asyncIterator](): AsyncIterator<T> {
     while (this.pending.length > 0 || !this.hasEnded) {
-      const message = this.pending.shift();
+      const message = this.pending.shift() ?? this.takeDeferred();
       if (message !== undefined) yield message;
       else await this.nextWake();
     }
