--- a/packages/gateway/src/sync/SendWindow.ts
+++ b/packages/gateway/src/sync/SendWindow.ts
@@ -22,7 +22,7 @@
   }
 
   public noteSent(sentAtMs: number): void {
-    this.unhandled.push(sentAtMs);
+    this.unhandled = [...this.unhandled, sentAtMs].slice(-MAX_UNHANDLED_URGENT);
   }
 
   /** Notes that the receiver has handled the message of this time and all before it; 0 if it does not say. */
