--- a/packages/bench/src/entry/EntryLoad.ts
+++ b/packages/bench/src/entry/EntryLoad.ts
@@ -15,7 +15,7 @@
 const BYTES_PER_MB = 2 ** 20;
 
 /** Flags of an entry in a deployment, which bound its memory. */
-const NODE_FLAGS = ['--max-semi-space-size=1', '--max-old-space-size=160'];
+const NODE_FLAGS = ['--max-semi-space-size=1', '--max-old-space-size=160', '--liftoff-only'];
 
 const ROUTES = 200;
 const HOSTS = 8;
