--- a/eslint.config.js
+++ b/eslint.config.js
@@ -126,6 +126,7 @@
       'platform/src/bin/**',
       'packages/cli/**',
       'packages/bench/**',
+      'platform/src/soak/**',
     ],
     rules: {
       'no-console': 'off',
