Log elections and changes of the voters

Calls that found no leader for seconds, and hubs without confirmation, could not be told from late processes: the log lines of a control VM named neither elections nor voters. Each change of role, term, leader and voters is now one line.

--- a/packages/gateway/src/control/StateConfirmation.ts
+++ b/packages/gateway/src/control/StateConfirmation.ts
@@ -51,6 +51,8 @@
 
   private isAsking = false;
 
+  private loggedState = '';
+
   public constructor(private readonly ctx: ConfirmationContext) {
     super();
     this.add(setPeriodic(ctx.clock, () => this.tick(), FIRST_INTERVAL_MS));
@@ -95,6 +97,7 @@
     const now = this.ctx.clock.now();
     const isFirst = this.confirmedAgeMs() === Infinity;
     const isDue = isFirst || now - this.askedAt >= ASK_INTERVAL_MS - FIRST_INTERVAL_MS / 2;
+    this.logChanges();
     const { role, leader } = this.ctx.log.status();
     if (this.isAsking || !isDue || role === 'leader' || leader === undefined) return;
     this.isAsking = true;
@@ -108,6 +111,21 @@
       });
   }
 
+  /** Elections and changes of the voters explain calls without an answer, and hubs that are not confirmed. */
+  private logChanges(): void {
+    const { role, term, leader, membership } = this.ctx.log.status();
+    const voters = membership.voters.map(({ vm }) => vm).join(',');
+    const state = [role, term, leader?.vm, voters].join(' ');
+    if (state === this.loggedState) return;
+    this.loggedState = state;
+    this.ctx.logger.info('state of the log changed', {
+      role,
+      term,
+      leader: leader?.vm ?? '',
+      voters,
+    });
+  }
+
   /** The answer counts from when it was asked for, so that a slow one does not make the state appear newer. */
   private async askLeader(leader: Member, askedAt: number): Promise<void> {
     const client = this.ctx.clientOf(leader.address);
