Reproduce orders without acknowledgement while log processes pause

An operator's order had no acknowledgement within 4 s although all control VMs ran and were connected. In virtual time, with 6 log processes that pause for up to 0.4 s again and again, 11 of 32 orders are later than 4 s or never acknowledged, and 62 terms begin: a leader steps down after 0.5 s without the answers of a majority, its followers start elections after 0.5 to 0.9 s, and the next leader pauses as well. With pauses of up to 0.2 s there is no election, and no order is late.

Redirects to silent leaders were ruled out as the only cause: they cost 2.3 s at most.

--- /dev/null
+++ b/packages/gateway/src/control/late-logs.test.ts
@@ -0,0 +1,57 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { FakeControlGroup } from '../testing/FakeControlGroup.js';
+import { OperatorClient, type OperatorCallResult } from '../testing/OperatorClient.js';
+import { PUT_TARGET } from '../testing/VersionAdapter.js';
+
+const VMS = 6;
+const SEEDS = [1, 2, 3, 4];
+const ORDERS = [1, 2, 3, 4, 5, 6, 7, 8];
+
+/** Bound within which a valid configuration is acknowledged. */
+const ACK_MS = 4_000;
+
+const GIVE_UP_MS = 12_000;
+const MAX_FREE_MS = 200;
+
+async function inTurn(
+  items: readonly number[],
+  work: (item: number) => Promise<void>,
+): Promise<void> {
+  await items.reduce((earlier, item) => earlier.then(() => work(item)), Promise.resolve());
+}
+
+/** Orders that are acknowledged late, while each log process pauses for up to `maxPauseMs` again and again. */
+async function findLateOrders(maxPauseMs: number): Promise<string[]> {
+  const late: string[] = [];
+  const isLate = ({ reply, tookMs }: OperatorCallResult): boolean =>
+    reply?.status !== 200 || tookMs > ACK_MS;
+  await inTurn(SEEDS, async (seed) => {
+    const group = await FakeControlGroup.start(VMS, seed);
+    const { clock, random } = group;
+    const operator = new OperatorClient({
+      clock,
+      random,
+      addresses: () => group.vms.map(({ address }) => address),
+      send: (address, target, body) => group.send(address, target, body),
+    });
+    group.keepBusy(maxPauseMs, MAX_FREE_MS);
+    await group.advance(3_000);
+    await inTurn(ORDERS, async (version) => {
+      const result = await group.settle(operator.call(PUT_TARGET, String(version), GIVE_UP_MS));
+      if (isLate(result)) late.push(`seed ${seed}, ${version}: ${Math.round(result.tookMs)} ms`);
+    });
+  });
+  return late;
+}
+
+// Guards against elections one after the other, in which no leader lasts long enough to commit an order.
+describe('log processes that pause', () => {
+  it('acknowledge orders within 4 s with pauses of up to 200 ms', async () => {
+    expect(await findLateOrders(200)).toEqual([]);
+  });
+
+  it('acknowledge orders within 4 s with pauses of up to 400 ms', async () => {
+    expect(await findLateOrders(400)).toEqual([]);
+  });
+});
--- a/packages/gateway/src/testing/FakeControlGroup.ts
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -123,6 +123,18 @@
     this.network.thaw(logAddress(vm.ip));
   }
 
+  /** Keeps the process of each VM busy for a random part of the time, up to `maxBusyMs` at once. */
+  public keepBusy(maxBusyMs: number, maxFreeMs: number): void {
+    const occupy = (vm: FakeControlVm): void => {
+      this.freeze(vm);
+      this.clock.setTimeout(() => {
+        this.thaw(vm);
+        this.clock.setTimeout(() => occupy(vm), this.random.int(maxFreeMs));
+      }, this.random.int(maxBusyMs));
+    };
+    this.vms.forEach(occupy);
+  }
+
   /** Sends one request of an operator. Rejects without an answer within a second. */
   public async send(address: string, target: string, body: string): Promise<ControlReply> {
     const vm = this.vms.find((other) => other.address === address)!;
