Election timeouts of 0.7 to 1.1 s

Orders found no leader for seconds although all control VMs ran and were connected: with log processes that pause for up to 0.4 s again and again, leaders step down after 0.5 s without the answers of a majority, and the next one pauses as well. A call waits 0.85 s for a leader instead of 0.7 s, still less than the second after which callers give up.

--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -20,9 +20,9 @@
 
 /**
  * Time for which a call waits for a leader that answers, during an election or while the leader may be frozen. Callers
- * give up after a second; one that is redirected to a frozen leader loses that second.
+ * give up after a second; one that is redirected to a frozen leader loses that second. An election takes about as long.
  */
-const LEADER_WAIT_MS = 700;
+const LEADER_WAIT_MS = 850;
 
 const LEADER_CHECK_MS = 20;
 
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -34,10 +34,11 @@
 
 /** There are few control VMs, each with a core of its own. The election timeout must exceed a slow disk sync. */
 export const TUNING = {
-  // Each heartbeat costs the leader processor time for each member; three fit into the shortest election timeout.
+  // Each heartbeat costs the leader processor time for each member. Four fit into the shortest election timeout, so that
+  // processes that pause for some tenths of a second do not start elections one after the other.
   heartbeatIntervalMs: 150,
-  electionTimeoutMinMs: 500,
-  electionTimeoutMaxMs: 900,
+  electionTimeoutMinMs: 700,
+  electionTimeoutMaxMs: 1_100,
   firstElectionTimeoutMinMs: 120,
   firstElectionTimeoutMaxMs: 400,
   resendAfterMs: 250,
