Compare a sample of the targets instead of all

Callers of a fleet of hundreds of entries were refused by targets that had no free slot, while others were idle: all entries ranked all targets by the same state, which is some tenths of a second old, and took the cheapest one.

An entry now compares six random targets of its data centre, two others, and up to four to which it has an idle connection, and four times as many if the cheapest of these is most likely failing.

--- a/packages/base/src/random.ts
+++ b/packages/base/src/random.ts
@@ -38,12 +38,18 @@
 
   /** A shuffled copy. */
   public shuffle<T>(items: readonly T[]): T[] {
+    return this.sample(items, items.length);
+  }
+
+  /** `count` different items in random order, or all of them if there are fewer. */
+  public sample<T>(items: readonly T[], count: number): T[] {
     const copy = [...items];
-    copy.forEach((_, i) => {
+    const size = Math.min(count, copy.length);
+    Array.from({ length: size }, (_, i) => i).forEach((i) => {
       const j = i + this.int(copy.length - i);
       [copy[i], copy[j]] = [copy[j]!, copy[i]!];
     });
-    return copy;
+    return copy.slice(0, size);
   }
 
   /** Exponentially distributed with the given mean. */
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -1,5 +1,8 @@
 /** Target selection for services whose targets each receive only a few requests per second. */
 import type { Random } from '@marigoldbank/base/random';
+import type { ChoicePolicy } from './choice/ChoicePolicy.js';
+import { LowestCost } from './choice/LowestCost.js';
+import { LowestOfSample } from './choice/LowestOfSample.js';
 import type { TargetLimits } from './TargetLimits.js';
 import type { TargetTable, TargetState } from './TargetTable.js';
 
@@ -71,9 +74,6 @@
 /** A new connection costs processor time at both ends and a round trip. Small, so that it decides only among equals. */
 const IDLE_CONNECTION_VALUE = 0.01;
 
-/** Random part of the cost. It breaks ties, so that entries do not all select the same target. */
-const JITTER = 0.01;
-
 /** Expected wait for a slot at a target, in milliseconds. */
 export function expectedWaitMs(target: TargetState, expectedMs: number, now: number): number {
   const { slots } = target.info;
@@ -118,29 +118,42 @@
   return failureCost + dataCentreCost + loadCost + unreachableCost - value - connectionValue;
 }
 
-/** Selects the target with the lowest expected cost. */
+/** Selects a target with a low expected cost. */
 export class TargetSelector {
+  private readonly anyTarget: ChoicePolicy;
+
   public constructor(
     private readonly targets: TargetTable,
-    private readonly random: Random,
+    random: Random,
     private readonly limits: Pick<TargetLimits, 'admits'> = { admits: () => true },
-  ) {}
+    private readonly policy: ChoicePolicy = new LowestOfSample(random),
+  ) {
+    this.anyTarget = new LowestCost(random);
+  }
 
   /** Returns undefined if the service has no target left, or if all of them have limits that are used up. */
   public select(req: SelectionRequest, now: number): Selection | undefined {
     const candidates = this.targets
       .candidates(req.service)
-      .filter(({ info }) => !req.excluded.has(info.id) && this.limits.admits(info.id, now));
-    const scored = candidates.map((target) => ({
-      target,
-      cost: expectedCost(target, req, now) + JITTER * this.random.float(),
-    }));
-    const best = scored.reduce<(typeof scored)[number] | undefined>(
-      (least, item) => (least === undefined || item.cost < least.cost ? item : least),
-      undefined,
-    );
+      .filter(({ info }) => !req.excluded.has(info.id));
+    const { dataCentre, expectedMs } = req;
+    // Asked once for each target and request: a limit that does not admit the request has used up its share.
+    const admitted = new Map<string, boolean>();
+    const isAdmitted = ({ info: { id } }: TargetState): boolean => {
+      const known = admitted.get(id) ?? this.limits.admits(id, now);
+      admitted.set(id, known);
+      return known;
+    };
+    const ctx = {
+      dataCentre,
+      expectedMs,
+      isConnected: ({ info }: TargetState) => req.hasIdleConnection?.(info.address) === true,
+      costOf: (target: TargetState) =>
+        isAdmitted(target) ? expectedCost(target, req, now) : Infinity,
+    };
+    const best = this.policy.choose(candidates, ctx) ?? this.anyTarget.choose(candidates, ctx);
     if (best === undefined) return undefined;
-    const waitMs = expectedWaitMs(best.target, req.expectedMs, now);
+    const waitMs = expectedWaitMs(best.target, expectedMs, now);
     return { ...best, waitMs, candidates: candidates.length };
   }
 }
