Tell entries which hub to follow without a stream

Half of the entries of a fleet of 276 followed no hub when traffic started: all of them went through the hubs of three seeds, which were saturated for 10 s while seven others were idle. An entry without a hub has no holder of the team budgets and refuses nearly all requests.

The log process of a control VM now names the hubs to entries in one call, those with room in the data centre of the entry first, and counts those it has sent to each. Entries ask it at their start and whenever they have lost their hub; each opens one stream, where it stays. Hubs also connect to the voters that their log names. A hub refuses waiting streams for balance only after 1.5 s, when the numbers that it has heard of the others are current; a hub whose log hears a leader does not count as cut off; entries are patient with a hub that has just started.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -26,6 +26,7 @@
   type GatewaySettings,
 } from '../settings.js';
 import { ControlApi } from './ControlApi.js';
+import { HubDirectory } from './HubDirectory.js';
 import { LogFeed } from './LogFeed.js';
 import { registerLogService, type LogServiceParts } from './log-routes.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
@@ -101,7 +102,14 @@
     this.confirmation = confirmation;
     this.feed = feed;
     this.voterManager = voterManager;
-    await this.serveLog(log, { log, feed, confirmation, voterManager });
+    const directory = new HubDirectory({
+      clock,
+      memberCount: () => {
+        const { voters, learners } = log.status().membership;
+        return voters.length + learners.length;
+      },
+    });
+    await this.serveLog(log, { log, feed, directory, confirmation, voterManager });
     this.api = new ControlApi({
       clock,
       protocol,
--- a/packages/gateway/src/control/EntryStream.ts
+++ b/packages/gateway/src/control/EntryStream.ts
@@ -16,6 +16,8 @@
     public readonly identity: EntryIdentity,
     /** The first report of the entry. */
     public readonly hello: EntryReport,
+    /** Monotonic ms. */
+    public readonly openedAt: number,
   ) {}
 
   /** The session, undefined while the stream waits. */
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -352,6 +352,7 @@
     this.sendRetryUses(now);
     this.ticks += 1;
     if (this.ticks % TICKS_PER_STATUS !== 0) return;
+    this.peers.connectToVoters();
     if (this.freshness.maySendPlan) this.sessions.forEach((session) => session.planChanged());
     this.sendStatus(now);
     this.peers.sendHubs(now);
--- a/packages/gateway/src/control/HubFreshness.ts
+++ b/packages/gateway/src/control/HubFreshness.ts
@@ -79,10 +79,12 @@
 
   /**
    * Whether messages of a majority of the voters do not arrive. Not known, and so false, shortly after the start and
-   * before the log has named the voters.
+   * before the log has named the voters. Messages of the hubs also stay out if this one or the others are busy; then the
+   * log of this VM still hears a leader, and its entries gain nothing elsewhere.
    */
   public isCutOff(now: number): boolean {
     const { log, reachesMajority } = this.ctx;
+    if (now - log.leaderSeenAt <= OVERDUE_MS && !this.isWithoutLog) return false;
     const isKnown = log.voters.length > 0 && this.uptimeMs() > STARTUP_GRACE_MS;
     return isKnown && !reachesMajority(now);
   }
--- a/packages/gateway/src/control/HubPeers.ts
+++ b/packages/gateway/src/control/HubPeers.ts
@@ -157,6 +157,12 @@
     Object.assign(peer, { report: { isLate: own.isLate, entries: own.entries, trueAt } });
   }
 
+  /** Connects to the hubs of the voters, so that a hub finds the others if all seeds are gone. */
+  public connectToVoters(): void {
+    const { log, settings } = this.ctx;
+    log.voters.forEach((vm) => this.connect(syncAddress(settings, vm), ''));
+  }
+
   /** Connects to a hub that is not known yet. */
   public connect(address: string, dataCentre: string): void {
     if (address === this.ownAddress || this.peers.has(address) || address === '') return;
--- a/packages/gateway/src/control/LogFollower.test.ts
+++ b/packages/gateway/src/control/LogFollower.test.ts
@@ -100,6 +100,7 @@
   };
   stateMachine.onDidChangePlan(({ plan }) => fixture.versions!.push(plan.version));
   const follower = new LogFollower({
+    hubs: () => [],
     clock,
     logger: new NullLogger(),
     stateMachine,
@@ -126,6 +127,7 @@
   const stateMachine = new PlanStateMachine();
   const requests: WatchRequest[] = [];
   const follower = new LogFollower({
+    hubs: () => [],
     clock,
     logger: new NullLogger(),
     stateMachine,
--- a/packages/gateway/src/control/LogFollower.ts
+++ b/packages/gateway/src/control/LogFollower.ts
@@ -6,6 +6,7 @@
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { LogService, WatchResponse } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { Announcement } from '../announcement.js';
+import type { HubCandidate } from '../sync/HubCandidate.js';
 import type { ILogView } from './LogView.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import { toAnnouncement } from './targets-codec.js';
@@ -38,6 +39,8 @@
   readonly logger: Logger;
   readonly stateMachine: PlanStateMachine;
   readonly client: Pick<Client<typeof LogService>, 'watch'>;
+  /** The hubs that are known here, this one first. The log process names them to entries. */
+  readonly hubs: () => readonly HubCandidate[];
 }
 
 export class LogFollower extends DisposableStore implements ILogView {
@@ -113,6 +116,7 @@
           afterIndex: this.state?.index ?? 0n,
           afterAnnouncement: this.state?.announcement ?? 0n,
           maxWaitMs: MAX_WAIT_MS,
+          hubs: [...this.ctx.hubs()],
         },
         { timeoutMs: ANSWER_TIMEOUT_MS },
       );
--- a/packages/gateway/src/control/StreamAdmission.ts
+++ b/packages/gateway/src/control/StreamAdmission.ts
@@ -18,6 +18,12 @@
 /** An entry that another hub serves is refused while this many wait. It goes on following that hub meanwhile. */
 const MAX_WAITING_TO_MOVE = 3;
 
+/**
+ * A stream is refused for the sake of balance only after it has waited for this long. Before, the numbers of entries that
+ * this hub has heard of the others are too old: streams that start together would be sent from hub to hub.
+ */
+const MIN_WAIT_MS = 1_500;
+
 /** An entry that does not answer for this long, such as one that was stopped, does not keep others waiting. */
 const SETUP_TIMEOUT_MS = 1_000;
 
@@ -54,7 +60,7 @@
     if (this.isStopped) return undefined;
     if (hello.hasOtherHub && (isBusy || this.ctx.isLate())) return undefined;
     this.waiting.filter((other) => other.identity.vm === identity.vm).forEach((s) => this.drop(s));
-    const stream = new EntryStream(identity, hello);
+    const stream = new EntryStream(identity, hello, this.ctx.clock.now());
     this.waiting.push(stream);
     this.waiting.sort((a, b) => Number(a.hello.hasOtherHub) - Number(b.hello.hasOtherHub));
     this.openNext();
@@ -75,7 +81,7 @@
 
   /** Refuses streams that other hubs have room for, and gives up waiting for entries that do not answer. */
   public tick(now: number): void {
-    this.refuseExcess();
+    this.refuseExcess(now);
     [...this.setups]
       .filter(([, since]) => now - since > SETUP_TIMEOUT_MS)
       .forEach(([session]) => this.noteAnswer(session));
@@ -108,17 +114,20 @@
     }
   }
 
-  private refuseExcess(): void {
-    if (this.waiting.length === 0) return;
+  private refuseExcess(now: number): void {
+    const refusable = this.waiting.filter(({ openedAt }) => now - openedAt >= MIN_WAIT_MS);
+    if (refusable.length === 0) return;
     const [own, ...others] = this.ctx.hubs();
     const usable = others.filter(({ isSilent, isLate }) => !isSilent && !isLate);
     if (own === undefined || usable.length === 0) return;
     const limit = maxEntriesOf([own, ...usable]);
     const room = usable.reduce((sum, { entries }) => sum + Math.max(0, limit - entries), 0);
-    const excess = Math.min(own.entries - limit, room, this.waiting.length);
+    const excess = Math.min(own.entries - limit, room, refusable.length);
     if (excess <= 0) return;
     const hubs = [own, ...others];
-    this.waiting.splice(-excess).forEach((stream) => {
+    const refused = refusable.slice(-excess);
+    this.waiting = this.waiting.filter((stream) => !refused.includes(stream));
+    refused.forEach((stream) => {
       stream.sendNotice(hubs);
       stream.refuse();
     });
--- a/packages/gateway/src/control/log-confirmation.test.ts
+++ b/packages/gateway/src/control/log-confirmation.test.ts
@@ -129,6 +129,7 @@
   const stateMachine = new PlanStateMachine();
   const feed = new LogFeed({ clock, log: followerLog, stateMachine, confirmation, lifetime: 'a' });
   const hubLog = new LogFollower({
+    hubs: () => [],
     clock,
     logger,
     stateMachine: new PlanStateMachine(),
--- a/packages/gateway/src/control/log-routes.ts
+++ b/packages/gateway/src/control/log-routes.ts
@@ -1,7 +1,8 @@
-/** Serves the log service of a control VM. */
+/** Serves the log of a control VM, and the list of the hubs. */
 import type { ConnectRouter } from '@connectrpc/connect';
-import { LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import { DirectoryService, LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { IReplicatedLog } from '@marigoldbank/replicated-log';
+import type { HubDirectory } from './HubDirectory.js';
 import type { LogFeed } from './LogFeed.js';
 import type { StateConfirmation } from './StateConfirmation.js';
 import type { VoterManager } from './VoterManager.js';
@@ -10,15 +11,19 @@
 export interface LogServiceParts {
   readonly log: Pick<IReplicatedLog, 'status'>;
   readonly feed: Pick<LogFeed, 'watch'>;
+  readonly directory: Pick<HubDirectory, 'setHubs' | 'list'>;
   readonly confirmation: Pick<StateConfirmation, 'confirmLeadership'>;
   readonly voterManager: Pick<VoterManager, 'admit'>;
 }
 
-/** Registers the service with a router. */
+/** Registers the services with a router. */
 export function registerLogService(router: ConnectRouter, parts: LogServiceParts): void {
-  const { log, feed, confirmation, voterManager } = parts;
+  const { log, feed, directory, confirmation, voterManager } = parts;
   router.service(LogService, {
-    watch: (req) => feed.watch(req),
+    watch: (req) => {
+      directory.setHubs(req.hubs);
+      return feed.watch(req);
+    },
 
     confirm: async () => {
       const index = await confirmation.confirmLeadership();
@@ -37,4 +42,11 @@
       };
     },
   });
+
+  router.service(DirectoryService, {
+    listHubs: async ({ dataCentre, canWait }) => {
+      const { hubs, isSettled } = await directory.list(dataCentre, canWait);
+      return { hubs: [...hubs], isSettled };
+    },
+  });
 }
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -4,17 +4,27 @@
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import { UpstreamClient } from '@marigoldbank/daemon/entry/UpstreamClient';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import { Channels } from '@marigoldbank/daemon/transport/Channels';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
+import { DirectoryService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { ProtocolAdapter } from '../ProtocolAdapter.js';
 import { DirectoryServer } from '../DirectoryServer.js';
 import type { GatewayProcess } from '../GatewayProcess.js';
 import { metricsHandler } from '../metrics.js';
-import { ipOf, metricsAddress, syncAddress, type GatewaySettings } from '../settings.js';
+import {
+  consensusAddress,
+  INTERNAL_SECRET,
+  ipOf,
+  metricsAddress,
+  syncAddress,
+  type GatewaySettings,
+} from '../settings.js';
 import { SyncClients } from '../sync/SyncClients.js';
 import { CallerServer } from './CallerServer.js';
 import { EntryState } from './EntryState.js';
 import { HubSelector } from './HubSelector.js';
 import { HubFollower } from './HubFollower.js';
+import { HubLocator } from './HubLocator.js';
 import { HubReporter } from './HubReporter.js';
 import { RequestLog } from './RequestLog.js';
 
@@ -53,6 +63,9 @@
     super();
     const { retryRatio, retrySlack, retryWindow } = settings.bounds;
     const clients = this.add(new SyncClients());
+    const channels = this.add(
+      new Channels({ secret: INTERNAL_SECRET, outgoingAddress: undefined }),
+    );
     this.state = new EntryState({
       ratio: retryRatio,
       slack: retrySlack,
@@ -97,6 +110,15 @@
           dataCentre: settings.dataCentre,
         },
         seeds: () => this.seedAddresses(),
+        locator: new HubLocator({
+          clock,
+          random: this.state.random,
+          logger,
+          dataCentre: settings.dataCentre,
+          seeds: () => this.settings.seeds.map((seed) => this.logAddress(ipOf(seed))),
+          clientOf: (address) => channels.client(DirectoryService, address),
+        }),
+        logAddressOf: (hub) => this.logAddress(ipOf(hub)),
         clientOf: (address) => clients.client(address),
       }),
     );
@@ -177,6 +199,10 @@
     return this.settings.seeds.map((seed) => syncAddress(this.settings, ipOf(seed)));
   }
 
+  private logAddress(ip: string): string {
+    return consensusAddress(this.settings, ip);
+  }
+
   private serveReadiness(address: string): Promise<void> {
     return this.serve(address, (req, res) => {
       const isReady = req.url === this.protocol.readyPath && this.reporter.isReady;
--- a/packages/gateway/src/entry/HubFollower.test.ts
+++ b/packages/gateway/src/entry/HubFollower.test.ts
@@ -34,6 +34,8 @@
     },
   } as unknown as Client<typeof SyncService>;
   const follower = new HubFollower({
+    locator: { locate: () => Promise.resolve(undefined) },
+    logAddressOf: (hub) => hub,
     clock,
     state,
     reporter: new HubReporter(clock, state),
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -7,6 +7,7 @@
 import { hubConfirmedAge } from '../metrics.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
 import type { EntryState } from './EntryState.js';
+import type { HubLocator } from './HubLocator.js';
 import type { HubSelector } from './HubSelector.js';
 import type { HubStream } from './HubStream.js';
 import { HubSwitchPolicy, isSilent, type LeaveReason } from './HubSwitchPolicy.js';
@@ -37,6 +38,9 @@
     readonly dataCentre: string;
   };
   readonly seeds: () => readonly string[];
+  readonly locator: Pick<HubLocator, 'locate'>;
+  /** Address of the log process of the VM of a hub. */
+  readonly logAddressOf: (hub: string) => string;
   readonly clientOf: (address: string) => Client<typeof SyncService>;
 }
 
@@ -68,6 +72,7 @@
   public async run(): Promise<void> {
     const { clock, hubs, state } = this.ctx;
     while (!this.isDisposed) {
+      await this.locate();
       const address = hubs.next(clock.now(), state.random.float());
       if (address !== undefined) {
         const unfollowed = new Promise<void>((resolve) => {
@@ -86,6 +91,13 @@
     this.candidate?.abort.abort();
   }
 
+  /** Learns which hubs there are, and which one to follow. Without an answer the entry goes on with those it knows. */
+  private async locate(): Promise<void> {
+    const { clock, hubs, locator, logAddressOf, seeds } = this.ctx;
+    const located = await locator.locate(hubs.addresses.map(logAddressOf));
+    if (located !== undefined) hubs.assign(located.hubs, seeds(), clock.now());
+  }
+
   private open(address: string): void {
     const { clock, state, reporter, identity } = this.ctx;
     const now = clock.now();
@@ -197,7 +209,7 @@
   /** Gives a candidate up that does not answer. */
   private checkCandidate(candidate: HubStream, now: number): void {
     const { state, hubs, logger } = this.ctx;
-    if (!isSilent(candidate.lastMessageAt, state.planVersion > 0, now)) return;
+    if (!isSilent(candidate.lastMessageAt, state.planVersion === 0, now)) return;
     logger.info('hub does not answer', { hub: candidate.address });
     hubs.recordFailure(candidate.address, now);
     this.postponeMove(now);
@@ -221,6 +233,7 @@
         hasAlternative: hubs.hasAlternative(address, now),
         betterHubReason: hubs.reasonForBetterHub(address, now),
         hasPlan: state.planVersion > 0,
+        isStarting: state.isHubStarting,
       },
       now,
     );
--- a/packages/gateway/src/entry/HubSelector.ts
+++ b/packages/gateway/src/entry/HubSelector.ts
@@ -41,6 +41,9 @@
 
   private hasHubList = false;
 
+  /** The hub that a control VM has named for this entry, until it is selected. */
+  private assigned: string | undefined;
+
   /** `fraction` is a random number in [0, 1) that picks the initial seed. */
   public constructor(
     private readonly dataCentre: string,
@@ -67,6 +70,12 @@
     this.hubs = [...announced, ...otherSeeds.map(unannouncedSeed)];
   }
 
+  /** Sets the hubs as a control VM lists them, of which this entry is to follow the first one. */
+  public assign(listed: readonly HubCandidate[], seeds: readonly string[], now: number): void {
+    this.setHubs(listed, seeds, now);
+    this.assigned = listed[0]?.address;
+  }
+
   public recordFailure(address: string, now: number): void {
     this.failedAt.set(address, now);
   }
@@ -84,6 +93,12 @@
    * undefined for an entry that still follows the hub `current`, which is never returned.
    */
   public next(now: number, fraction: number, current?: string): string | undefined {
+    const { assigned } = this;
+    this.assigned = undefined;
+    const isAssignable = assigned !== undefined && assigned !== current;
+    if (isAssignable && now - (this.failedAt.get(assigned) ?? -Infinity) > FAILURE_BACKOFF_MS) {
+      return assigned;
+    }
     if (!this.hasHubList && now < this.initialSeed.until) return this.initialSeed.address;
     const usable = this.hubs.filter((hub) => hub.address !== current && !this.hasFailed(hub, now));
     const heard = usable.filter(({ isSilent }) => !isSilent);
@@ -106,6 +121,11 @@
     return byFailure[0]?.address;
   }
 
+  /** Addresses of all hubs that have been announced. */
+  public get addresses(): string[] {
+    return this.hubs.filter(({ dataCentre }) => dataCentre !== '').map(({ address }) => address);
+  }
+
   /** Returns why an entry that follows this hub should change to another one that has room, or undefined. */
   public reasonForBetterHub(address: string, now: number): BetterHubReason | undefined {
     const current = this.hubs.find((hub) => hub.address === address);
--- a/packages/gateway/src/entry/HubSwitchPolicy.test.ts
+++ b/packages/gateway/src/entry/HubSwitchPolicy.test.ts
@@ -21,6 +21,7 @@
     isCutOff: false,
     hasAlternative: true,
     hasPlan: true,
+    isStarting: false,
     betterHubReason: undefined,
     ...overrides,
   };
--- a/packages/gateway/src/entry/HubSwitchPolicy.ts
+++ b/packages/gateway/src/entry/HubSwitchPolicy.ts
@@ -6,7 +6,7 @@
 /** A hub sends a message at least every 400 ms. An entry leaves a hub that sends nothing for this long. */
 const SILENCE_TIMEOUT_MS = 900;
 
-/** Timeout without a plan: most likely the hub has just started as well and is busy with all its entries. */
+/** Timeout without a plan, or of a hub that has just started: most likely it is busy with the streams of its entries. */
 const STARTUP_SILENCE_TIMEOUT_MS = 2_500;
 
 /**
@@ -42,6 +42,8 @@
   readonly confirmedAgeMs: number;
   /** Whether the entry has a plan, which can become outdated. */
   readonly hasPlan: boolean;
+  /** Whether the hub had just started when it sent its last message. */
+  readonly isStarting: boolean;
   readonly isLeaderless: boolean;
   /** Whether it does not reach a majority of the voters. */
   readonly isCutOff: boolean;
@@ -53,9 +55,9 @@
 
 export type LeaveReason = 'silent' | 'unconfirmed' | BetterHubReason;
 
-/** Whether a hub that has sent nothing since a time (monotonic ms) counts as silent. */
-export function isSilent(since: number, hasPlan: boolean, now: number): boolean {
-  return now - since > (hasPlan ? SILENCE_TIMEOUT_MS : STARTUP_SILENCE_TIMEOUT_MS);
+/** Whether a hub that has sent nothing since a time (monotonic ms) counts as silent. It has longer if it `isStarting`. */
+export function isSilent(since: number, isStarting: boolean, now: number): boolean {
+  return now - since > (isStarting ? STARTUP_SILENCE_TIMEOUT_MS : SILENCE_TIMEOUT_MS);
 }
 
 export class HubSwitchPolicy {
@@ -81,7 +83,7 @@
 
   /** Returns why the entry should leave the hub now, or undefined if it should stay. */
   public reasonToLeave(hub: FollowedHub, now: number): LeaveReason | undefined {
-    if (isSilent(hub.lastMessageAt, hub.hasPlan, now)) return 'silent';
+    if (isSilent(hub.lastMessageAt, hub.isStarting || !hub.hasPlan, now)) return 'silent';
     if (hub.firstMessageAt === undefined) return undefined;
     const stayedMs = now - hub.firstMessageAt;
     if (hub.confirmedAgeMs <= MAX_CONFIRMED_AGE_MS) {
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -1,7 +1,7 @@
 /** Hubs and entries in virtual time, connected by a network that delays the messages of busy hubs. */
 import { create } from '@bufbuild/protobuf';
 import type { Client } from '@connectrpc/connect';
-import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import { delay, setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
@@ -13,16 +13,23 @@
   type HubUpdate,
   type SyncService,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import {
+  ListHubsResponseSchema,
+  type DirectoryService,
+  type ListHubsResponse,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { encodeCommand } from '../control/commands.js';
 import type { EntryStream } from '../control/EntryStream.js';
 import { Hub } from '../control/Hub.js';
+import { HubDirectory } from '../control/HubDirectory.js';
 import { LOG_TIMEOUT_MS } from '../control/LogFollower.js';
 import type { ILogView } from '../control/LogView.js';
 import type { PeerHub } from '../control/PeerHub.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
 import { EntryState } from '../entry/EntryState.js';
 import { HubFollower } from '../entry/HubFollower.js';
+import { HubLocator } from '../entry/HubLocator.js';
 import { HubReporter, type EntryReportInit } from '../entry/HubReporter.js';
 import { HubSelector } from '../entry/HubSelector.js';
 import { gatewaySettingsSchema, syncAddress, type GatewaySettings } from '../settings.js';
@@ -42,6 +49,9 @@
 /** Work for a stream that a hub refuses, as a share of that for one that it accepts. */
 const REFUSED_SHARE = 0.25;
 
+/** Time for a call to the log process of a VM. */
+const CALL_MS = 2;
+
 const FIRST_PORT = 7_600;
 
 const LEADER_IP = '10.0.0.1';
@@ -60,6 +70,8 @@
   /** Data centre of each entry. */
   readonly entries: readonly string[];
   readonly seed?: number;
+  /** The entries start within this time. */
+  readonly startWithinMs?: number;
 }
 
 export interface FakeHub {
@@ -69,6 +81,10 @@
   /** Clock of the hub's process. */
   readonly clock: Clock;
   readonly stateMachine: PlanStateMachine;
+  /** Part of the log process of the VM. */
+  readonly directory: HubDirectory;
+  /** Before this time the log process of the VM does not answer. */
+  logFrozenUntil: number;
   /** Time that each message waits at this hub, in either direction. */
   delayMs: number;
   /** The hub handles and sends no message before this time. */
@@ -147,7 +163,7 @@
 
   private commitIndex = 0;
 
-  public constructor(options: FakeFleetOptions) {
+  public constructor(private readonly options: FakeFleetOptions) {
     this.random = new Random(options.seed ?? 1);
     this.ips = options.hubs.map((_, i) => `10.0.0.${i + 1}`);
     this.hubs = options.hubs.map((dataCentre, i) => this.createHub(this.ips[i]!, dataCentre));
@@ -181,6 +197,12 @@
     );
   }
 
+  /** Freezes the VM of a hub: neither the hub nor the log process answers. */
+  public freeze(hub: FakeHub, durationMs: number): void {
+    Object.assign(hub, { logFrozenUntil: this.clock.now() + durationMs });
+    this.occupy(hub, durationMs);
+  }
+
   /** Keeps a hub busy for a while, so that its messages wait. */
   public occupy(hub: FakeHub, durationMs: number): void {
     Object.assign(hub, { busyUntil: Math.max(this.clock.now(), hub.busyUntil) + durationMs });
@@ -215,6 +237,11 @@
       clock,
       log,
       stateMachine,
+      directory: new HubDirectory({
+        clock: this.clock,
+        memberCount: () => this.ips.length,
+      }),
+      logFrozenUntil: 0,
       delayMs: 0,
       busyUntil: 0,
       connections: 0,
@@ -242,6 +269,10 @@
     this.hubs
       .filter(({ isCutOff, isLogDown }) => !isCutOff && !isLogDown)
       .forEach((hub) => {
+        this.clock.setTimeout(
+          () => hub.directory.setHubs(hub.hub.peers.addresses(hub.clock.now())),
+          this.waitMs(hub),
+        );
         const ageMs = hub.ip === LEADER_IP ? 0 : CONFIRMATION_AGE_MS;
         const askedAt = hub.clock.now();
         const learn = (): void => {
@@ -282,13 +313,41 @@
       logger: new NullLogger(),
       identity: { vm, address: `${vm}:80`, dataCentre },
       seeds: () => seeds,
+      locator: new HubLocator({
+        clock,
+        random: this.random.fork(),
+        logger: new NullLogger(),
+        dataCentre,
+        seeds: () => seeds,
+        clientOf: (address) => this.directoryClient(address),
+      }),
+      logAddressOf: (hub) => hub,
       clientOf: (address) => this.client(address, vm),
     });
     reporter.setReady(true);
-    follower.run().catch(() => undefined);
+    const delayMs = this.random.float() * (this.options.startWithinMs ?? 0);
+    this.clock.setTimeout(() => {
+      follower.run().catch(() => undefined);
+    }, delayMs);
     return entry;
   }
 
+  /** Client for the log process of the VM with the hub at `address`. */
+  private directoryClient(address: string): Pick<Client<typeof DirectoryService>, 'listHubs'> {
+    const listHubs = async (
+      { dataCentre, canWait }: { dataCentre: string; canWait: boolean },
+      { timeoutMs }: { timeoutMs: number },
+    ): Promise<ListHubsResponse> => {
+      const { directory, isLogDown, logFrozenUntil } = this.hubAt(address);
+      const isAnswering = !isLogDown && this.clock.now() >= logFrozenUntil;
+      await delay(this.clock, isAnswering ? CALL_MS : timeoutMs);
+      if (!isAnswering) throw new Error('timed out');
+      const { hubs, isSettled } = await directory.list(dataCentre, canWait);
+      return create(ListHubsResponseSchema, { hubs: [...hubs], isSettled });
+    };
+    return { listHubs } as unknown as Client<typeof DirectoryService>;
+  }
+
   /** Client of the process `from` for the hub at `address`. */
   private client(address: string, from: string): Client<typeof SyncService> {
     return {
