Admit requests by probability where a share of a team's rate is below a token

Without a budget holder an entry kept a bucket with its even share of each team's rate, and a hub without a leader one with the share of its entries. With hundreds of entries such a bucket holds far less than one token, so that nearly all requests of teams within their rates were refused.

Such shares now admit with the probability by which the demand exceeds them, estimated from the requests seen and from whether the team had tokens left when the holder was last heard. Shares of a token or more keep their buckets.

A small team whose load rises while no hub is reached at all is limited only once its entries have seen several requests each.

The change of the modes of all teams is one log line with counts.

--- a/packages/gateway/src/control/TeamBudgets.ts
+++ b/packages/gateway/src/control/TeamBudgets.ts
@@ -2,6 +2,7 @@
  * Token budgets of teams at one hub. The leader grants tokens to all entries; a hub that has lost its leader grants
  * tokens to the entries connected to it.
  */
+import { Random } from '@marigoldbank/base/random';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { Team } from '@marigoldbank/routing/plan';
 import {
@@ -14,6 +15,11 @@
 /** A leader without a message for this long counts as lost; hubs send a message every 400 ms. */
 const LEADER_TIMEOUT_MS = 1_200;
 
+/** Names of teams in one log line. */
+const MAX_LOGGED_TEAMS = 5;
+
+const MAX_SEED = 0x7fffffff;
+
 /** State that the role of this hub depends on, and receivers of mode changes. */
 export interface TeamBudgetsContext {
   readonly logger: Logger;
@@ -37,7 +43,7 @@
 type Role = 'none' | 'whole' | 'substitute';
 
 export class TeamBudgets {
-  private readonly buckets = new TeamBuckets();
+  private readonly buckets = new TeamBuckets(new Random(Math.floor(Math.random() * MAX_SEED)));
 
   /** Whether teams are short of tokens, as last sent by the leader. */
   private readonly leaderModes = new Map<string, boolean>();
@@ -93,7 +99,7 @@
     if (!this.isGranting) return;
     const modes = this.buckets.takeModeChanges(now);
     if (modes.length === 0) return;
-    modes.forEach((mode) => this.ctx.logger.info('team budget mode', { ...mode, role: this.role }));
+    this.logModes(modes);
     this.publish(modes);
   }
 
@@ -102,6 +108,21 @@
     return this.buckets.take(team, now);
   }
 
+  /** One line for all teams, and their names if they are few: each change of role changes the modes of all. */
+  private logModes(modes: readonly TeamMode[]): void {
+    const tight = modes.filter(({ isTight }) => isTight).map(({ team }) => team);
+    const relaxed = modes.filter(({ isTight }) => !isTight).map(({ team }) => team);
+    const namesOf = (teams: readonly string[]): string =>
+      teams.slice(0, MAX_LOGGED_TEAMS).join(',');
+    this.ctx.logger.info('team budget modes', {
+      role: this.role,
+      tightCount: tight.length,
+      tight: namesOf(tight),
+      relaxedCount: relaxed.length,
+      relaxed: namesOf(relaxed),
+    });
+  }
+
   private updateRole(now: number): void {
     const { ctx, role: before } = this;
     const isLeader = ctx.isLeader();
@@ -132,6 +153,7 @@
     if (!this.isGranting) return;
     this.buckets.configure(this.teams, now, {
       rateFraction: this.share,
+      isPart: this.role === 'substitute',
       wasTight: (team) => this.leaderModes.get(team),
     });
   }
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -58,7 +58,7 @@
 
   public readonly selector: TargetSelector;
 
-  public readonly teamLimiter = new TeamRateLimiter();
+  public readonly teamLimiter: TeamRateLimiter;
 
   public readonly addresses = new AddressBook();
 
@@ -91,6 +91,7 @@
     this.targets.onDidRemove((id) => this.limits.remove(id));
     this.selector = new TargetSelector(this.targets, random, this.limits);
     this.retryLimiter = new RetryLimiter(bounds);
+    this.teamLimiter = new TeamRateLimiter(random);
   }
 
   /** Lookup tables of the plan in effect, undefined before the first one. */
--- a/packages/routing/src/TeamBuckets.ts
+++ b/packages/routing/src/TeamBuckets.ts
@@ -2,6 +2,8 @@
  * Rate limits of teams at the budget holder, which is the hub that grants tokens to the entries. There is one token
  * bucket for each team. Entries report the tokens that they used, or ask for each token when a team is low on them.
  */
+import { Random } from '@marigoldbank/base/random';
+import { DemandShare, usualDemandOf } from './DemandShare.js';
 import type { Team } from './plan.js';
 import { TokenBucket } from './TokenBucket.js';
 
@@ -32,9 +34,14 @@
  */
 export const ISOLATED_RATE_FRACTION = 0.9;
 
+/** A holder whose part of a burst is smaller admits with a probability instead of from a bucket. */
+const MIN_BUCKET_TOKENS = 2;
+
 export interface BucketOptions {
   /** Fraction of all rates and bursts that this holder may grant, in (0, 1]. */
   readonly rateFraction: number;
+  /** Whether other holders grant the rest, each on its own. */
+  readonly isPart?: boolean;
   /** Whether a team was low on tokens according to the previous holder; undefined if unknown. */
   readonly wasTight: (team: string) => boolean | undefined;
 }
@@ -46,17 +53,28 @@
 
   private readonly tightModes = new Map<string, boolean>();
 
+  /** Parts of rates that are too small for buckets. */
+  private readonly shares = new Map<string, DemandShare>();
+
+  public constructor(private readonly random = new Random(1)) {}
+
   /** Applies the teams of a plan. Keeps the levels of known teams, capped at their new burst. */
   public configure(teams: readonly Team[], now: number, options = DEFAULT_OPTIONS): void {
     const limited = teams.filter(({ ratePerSecond }) => ratePerSecond > 0);
     const names = new Set(limited.map(({ name }) => name));
-    [...this.buckets.keys()]
+    [...this.buckets.keys(), ...this.shares.keys()]
       .filter((name) => !names.has(name))
       .forEach((name) => this.remove(name));
     limited.forEach((team) => {
       const { name } = team;
       const rate = team.ratePerSecond * options.rateFraction;
       const burst = team.burst * options.rateFraction;
+      if (options.isPart === true && burst < MIN_BUCKET_TOKENS) {
+        this.buckets.delete(name);
+        this.configureShare(name, rate, options.wasTight(name) === false, now);
+        return;
+      }
+      this.shares.delete(name);
       const known = this.buckets.get(name);
       if (known !== undefined) {
         known.configure(rate, burst, now);
@@ -72,16 +90,24 @@
   /** Removes all buckets, so that a holder that was replaced and takes over again starts like a new one. */
   public clear(): void {
     this.buckets.clear();
+    this.shares.clear();
     this.tightModes.clear();
   }
 
   /** Deducts tokens for requests that entries have already admitted. */
   public charge(team: string, admitted: number, now: number): void {
     this.buckets.get(team)?.charge(admitted, now);
+    this.shares.get(team)?.charge(admitted, now);
   }
 
   /** Takes one token, or says when the next one is available. */
   public take(team: string, now: number): TokenDecision {
+    const share = this.shares.get(team);
+    if (share !== undefined) {
+      return share.admits(now)
+        ? { kind: 'granted' }
+        : { kind: 'refused', retryAfterMs: share.retryAfterMs };
+    }
     const bucket = this.buckets.get(team);
     if (bucket === undefined || bucket.tryTake(now)) return { kind: 'granted' };
     return { kind: 'refused', retryAfterMs: bucket.waitMs(now) };
@@ -104,8 +130,23 @@
     return [...this.tightModes].map(([team, isTight]) => ({ team, isTight }));
   }
 
+  private configureShare(name: string, rate: number, isRelaxed: boolean, now: number): void {
+    const options = {
+      perSecond: rate,
+      usualDemand: usualDemandOf(isRelaxed),
+    };
+    const known = this.shares.get(name);
+    if (known !== undefined) {
+      known.configure(options);
+      return;
+    }
+    this.shares.set(name, new DemandShare(this.random, options, now));
+    this.tightModes.set(name, true);
+  }
+
   private remove(name: string): void {
     this.buckets.delete(name);
+    this.shares.delete(name);
     this.tightModes.delete(name);
   }
 }
--- a/packages/routing/src/TeamRateLimiter.ts
+++ b/packages/routing/src/TeamRateLimiter.ts
@@ -1,4 +1,6 @@
 /** Rate limiting of teams at one entry. */
+import { Random } from '@marigoldbank/base/random';
+import { DemandShare, usualDemandOf } from './DemandShare.js';
 import type { Team } from './plan.js';
 import { TokenBucket } from './TokenBucket.js';
 import { ISOLATED_RATE_FRACTION } from './TeamBuckets.js';
@@ -24,6 +26,9 @@
   readonly initialLevel: number;
 }
 
+/** An entry whose even share of the burst is smaller admits with a probability instead of from a bucket. */
+const MIN_BUCKET_TOKENS = 1;
+
 /** Burst of an entry that decides locally, as a multiple of its even share: at least 1 token, at most the maximum. */
 const ISOLATED_BURST_MULTIPLE = 1.6;
 const MAX_ISOLATED_TOKENS = 2;
@@ -52,6 +57,10 @@
 
   private readonly localBuckets = new Map<string, TokenBucket>();
 
+  private readonly localShares = new Map<string, DemandShare>();
+
+  public constructor(private readonly random = new Random(1)) {}
+
   /** Sets whether a team is low on tokens, so that each of its requests needs one from the budget holder. */
   public setTight(team: string, isTight: boolean): void {
     this.tightModes.set(team, isTight);
@@ -77,6 +86,7 @@
     if (team.ratePerSecond === 0) return ADMITTED;
     if (!hasHolder) return this.decideLocally(team, entryCount, maxWaitMs, now);
     this.capLocalBucket(team, entryCount, now);
+    this.localShares.delete(team.name);
     const until = this.refusedUntil.get(team.name) ?? 0;
     if (until > now) return { kind: 'refused', retryAfterMs: until - now };
     return this.tightModes.get(team.name) === false ? ADMITTED : { kind: 'ask' };
@@ -91,6 +101,7 @@
   ): Exclude<TeamDecision, { kind: 'ask' }> {
     const { rate, initialLevel } = this.isolatedLimits(team, entryCount);
     const evenBurst = team.burst / Math.max(1, entryCount);
+    if (evenBurst < MIN_BUCKET_TOKENS) return this.decideByShare(team, entryCount, now);
     const burst = Math.max(1, Math.min(MAX_ISOLATED_TOKENS, ISOLATED_BURST_MULTIPLE * evenBurst));
     const known = this.localBuckets.get(team.name);
     const bucket = known ?? new TokenBucket(rate, burst, initialLevel, now);
@@ -103,6 +114,23 @@
     return { kind: 'refused', retryAfterMs: bucket.waitMs(now) };
   }
 
+  private decideByShare(
+    team: Team,
+    entryCount: number,
+    now: number,
+  ): Exclude<TeamDecision, { kind: 'ask' }> {
+    const isRelaxed = this.tightModes.get(team.name) === false;
+    const options = {
+      perSecond: team.ratePerSecond / Math.max(1, entryCount),
+      usualDemand: usualDemandOf(isRelaxed),
+    };
+    const share = this.localShares.get(team.name) ?? new DemandShare(this.random, options, now);
+    this.localShares.set(team.name, share);
+    share.configure(options);
+    if (share.admits(now)) return ADMITTED;
+    return { kind: 'refused', retryAfterMs: share.retryAfterMs };
+  }
+
   /** Caps the local bucket at its initial level while the holder is reachable, so that each outage adds little. */
   private capLocalBucket(team: Team, entryCount: number, now: number): void {
     const { rate, initialLevel } = this.isolatedLimits(team, entryCount);
