Entries heed Server-Leaving and the Retry-After of a target's 503

Callers lost requests at targets that were about to end, and targets that asked for a pause got more load: nothing read either header. An entry now sends a target nothing from the answer on in which it says that it leaves, and nothing for the time that it names with a 503, at most 30 s. Both hold for the incarnation, whatever hubs announce. If all targets of a service pause, requests are refused at once, with a time to come back that is spread.

Hubs do not pass the notices on: each entry learns them from its own answers.

--- a/packages/bench/src/entry/BenchAdapter.ts
+++ b/packages/bench/src/entry/BenchAdapter.ts
@@ -15,6 +15,7 @@
     expectedTarget: 'x-expected-target',
     notRun: 'x-not-run',
     rateLimit: 'x-rate-limit',
+    leaving: 'x-leaving',
     key: 'x-key',
   };
 
--- a/packages/gateway/src/ProtocolAdapter.ts
+++ b/packages/gateway/src/ProtocolAdapter.ts
@@ -17,6 +17,8 @@
   readonly notRun: string;
   /** Set by an upstream that limits the requests a second that it takes from all entries together, a decimal number. */
   readonly rateLimit: string;
+  /** Set by an upstream on all its responses once it is about to end. */
+  readonly leaving: string;
   /** API key of the caller. */
   readonly key: string;
 }
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -71,7 +71,7 @@
       slack: retrySlack,
       windowMs: retryWindow,
     });
-    this.reporter = this.add(new HubReporter(clock, this.state));
+    this.reporter = this.add(new HubReporter(clock, this.state, logger));
     const names = protocol.headers;
     const upstream = this.add(
       new UpstreamClient(clock, {
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -14,6 +14,7 @@
 import { RouteTable } from '@marigoldbank/routing/RouteTable';
 import { TargetLimits } from '@marigoldbank/routing/TargetLimits';
 import { TargetTable } from '@marigoldbank/routing/TargetTable';
+import { TargetNotices } from '@marigoldbank/routing/TargetNotices';
 import { TargetSelector } from '@marigoldbank/routing/TargetSelector';
 import { TeamRateLimiter } from '@marigoldbank/routing/TeamRateLimiter';
 import { AddressBook } from '../AddressBook.js';
@@ -68,6 +69,8 @@
 
   public readonly limits: TargetLimits;
 
+  public readonly notices = new TargetNotices();
+
   private readonly planEmitter = new Emitter<RouteTable>();
 
   /** Fires when a plan has taken effect, also if its version is the previous one. */
@@ -89,7 +92,7 @@
   ) {
     this.limits = new TargetLimits(random, () => this.entryCount);
     this.targets.onDidRemove((id) => this.limits.remove(id));
-    this.selector = new TargetSelector(this.targets, random, this.limits);
+    this.selector = new TargetSelector(this.targets, random, this.limits, undefined, this.notices);
     this.retryLimiter = new RetryLimiter(bounds);
     this.teamLimiter = new TeamRateLimiter(random);
   }
--- a/packages/gateway/src/entry/HubFollower.test.ts
+++ b/packages/gateway/src/entry/HubFollower.test.ts
@@ -38,7 +38,7 @@
     logAddressOf: (hub) => hub,
     clock,
     state,
-    reporter: new HubReporter(clock, state),
+    reporter: new HubReporter(clock, state, new NullLogger()),
     hubs: new HubSelector('dc-1', ['h1:1'], 0, 0),
     logger: new NullLogger(),
     identity: { vm: 'e1', address: 'e1:80', dataCentre: 'dc-1' },
--- a/packages/gateway/src/entry/HubReporter.test.ts
+++ b/packages/gateway/src/entry/HubReporter.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test';
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { expect } from 'earl';
 import { EntryState } from './EntryState.js';
 import { HubReporter, type EntryReportInit } from './HubReporter.js';
@@ -19,7 +20,7 @@
   const clock = new VirtualClock();
   clock.advance(1_000);
   const state = new EntryState({ ratio: 0.2, slack: 188, windowMs: 10_000 }, new Random(1));
-  const reporter = new HubReporter(clock, state);
+  const reporter = new HubReporter(clock, state, new NullLogger());
   const sent: EntryReportInit[] = [];
   reporter.attach((report) => sent.push(report));
   return { clock, reporter, sent, handle: () => reporter.noteHandled(sent.at(-1)!.sentAtMs!) };
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -3,8 +3,12 @@
 import type { Clock } from '@marigoldbank/base/clock';
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
 import type { EntryReportSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import { parseRetryAfter } from '@marigoldbank/routing/TargetNotices';
+import type { TargetInfo } from '@marigoldbank/routing/TargetTable';
 import type { TargetOutcome } from '@marigoldbank/routing/TargetBelief';
 import type { LimitStatement } from '@marigoldbank/routing/LimitTable';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import { targetNoticesTotal } from '../metrics.js';
 import { Batcher } from '../sync/Batcher.js';
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import { toLimitMessage } from '../sync/limit-codec.js';
@@ -63,6 +67,7 @@
   public constructor(
     private readonly clock: Clock,
     private readonly state: EntryState,
+    private readonly logger: Logger,
   ) {
     this.batcher = new Batcher(clock, () => this.flushIfOpen());
   }
@@ -131,6 +136,29 @@
     this.requestUrgent();
   }
 
+  /** Records that a target said that it leaves. */
+  public recordLeaving(target: TargetInfo): void {
+    if (!this.state.notices.noteLeaving(target, this.clock.now())) return;
+    targetNoticesTotal.inc({ service: target.service, notice: 'leaving' });
+    this.logger.info('target says that it leaves', { target: target.id });
+  }
+
+  /** Records that a target turned a request away with a time to come back, the value of its Retry-After header. */
+  public recordPause(target: TargetInfo, retryAfter: string): void {
+    const { id, service } = target;
+    const pauseMs = parseRetryAfter(retryAfter, Date.now());
+    if (pauseMs === undefined) {
+      this.logger.warn('unreadable time to come back', {
+        target: id,
+        value: retryAfter.slice(0, 64),
+      });
+      return;
+    }
+    if (!this.state.notices.notePause(target, pauseMs, this.clock.now())) return;
+    targetNoticesTotal.inc({ service, notice: 'pause' });
+    this.logger.info('target wants a pause', { target: id, pauseMs: Math.round(pauseMs) });
+  }
+
   /** Records that a target responded, so that it is reachable. */
   public recordConnected(id: string): void {
     this.state.targets.recordConnected(id);
--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -104,10 +104,10 @@
   }
 
   private applyTarget(target: Target, now: number): void {
-    const { id, address, service, dataCentre, slots, isDraining, coldMs, ref } = target;
+    const { id, address, service, dataCentre, slots, isDraining, coldMs, born, ref } = target;
     this.refs.set(id, ref);
     this.ctx.state.targets.upsert(
-      { id, address, service, dataCentre, slots, isDraining, coldMs },
+      { id, address, service, dataCentre, slots, isDraining, coldMs, born: Number(born) },
       now,
     );
   }
--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { after, describe, it } from 'node:test';
 import { SystemClock, delay } from '@marigoldbank/base/clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { UpstreamClient } from '@marigoldbank/daemon/entry/UpstreamClient';
 import { makePlan, makeTarget } from '@marigoldbank/routing/fixtures';
 import { diffPlanItems, toPlanItems } from '@marigoldbank/routing/plan-items';
@@ -35,7 +36,7 @@
     trueAt: clock.now(),
   });
   state.retryLimiter.setFleetUse('orders', 1, clock.now());
-  const reporter = new HubReporter(clock, state);
+  const reporter = new HubReporter(clock, state, new NullLogger());
   const uses = { requests: 0, repeats: 0 };
   reporter.attach((report) =>
     (report.uses ?? []).forEach((use) => {
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -7,6 +7,7 @@
 import type { EntryState } from './EntryState.js';
 import { stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import type { RequestHead } from './requestHead.js';
+import { noTargetError, overloadError } from './refusals.js';
 import { SendAttempt, type AttemptContext, type AttemptResult } from './SendAttempt.js';
 
 /** Maximum number of attempts for one request, including those that targets did not run. */
@@ -30,9 +31,6 @@
 /** Requests with a priority up to this number may use the part of the retry budget that is kept for urgent ones. */
 const URGENT_PRIORITY = 1;
 
-/** Maximum Retry-After of a request whose targets all have limits: another entry may have a share left sooner. */
-const MAX_LIMIT_RETRY_MS = 1_000;
-
 /** The connections to one target are divided among the entries, but each may open at least this many. */
 const MIN_CONNECTIONS = 4;
 
@@ -131,8 +129,12 @@
     if (this.req.signal.aborted) return { kind: 'callerGone' };
     if (!this.mayPassOn()) return this.refusedByStop();
     const first = this.select();
-    if (first === undefined) return RequestRun.refused(this.findLimits());
-    const overload = this.findOverload(first);
+    if (first === undefined) return RequestRun.refused(this.findNoTarget());
+    const overload = overloadError(
+      first.waitMs,
+      this.expectedMs,
+      this.dueAt - this.ctx.clock.now(),
+    );
     if (overload !== undefined) return RequestRun.refused(overload);
     const timers: IDisposable[] = [];
     const ended = this.waitForEnd(timers);
@@ -298,23 +300,13 @@
     });
   }
 
-  /** Refuses a request that, after its wait for a slot, would miss its deadline. The caller can try another entry. */
-  private findOverload(selection: Selection): ErrorResponse | undefined {
-    const { route } = this.req;
-    const remainingMs = this.dueAt - this.ctx.clock.now();
-    const { expectedMs } = this.ctx.state.durationEstimateOf(route);
-    const neededMs = selection.waitMs + expectedMs;
-    if (neededMs <= remainingMs) return undefined;
-    return { kind: 'overloaded', verdict: 'notRun', retryAfterMs: Math.ceil(selection.waitMs) };
+  /** Expected duration of the request at a healthy target, in ms. */
+  private get expectedMs(): number {
+    return this.ctx.state.durationEstimateOf(this.req.route).expectedMs;
   }
 
-  /** The refusal of a request for which there is no target: all of them may have limits that are used up. */
-  private findLimits(): ErrorResponse {
-    const { targets, limits } = this.ctx.state;
-    const waitMs = limits.waitMs(targets.candidates(this.service).map(({ info }) => info.id));
-    if (waitMs === undefined) return { kind: 'noTarget', verdict: 'notRun' };
-    const retryAfterMs = Math.min(MAX_LIMIT_RETRY_MS, Math.ceil(waitMs));
-    return { kind: 'overloaded', verdict: 'notRun', retryAfterMs };
+  private findNoTarget(): ErrorResponse {
+    return noTargetError(this.ctx.state, this.service, this.ctx.clock.now());
   }
 
   private select(): Selection | undefined {
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -18,6 +18,9 @@
 /** Largest body that is read only to reuse its connection. */
 const MAX_DISCARDED_BYTES = 65_536;
 
+/** Value of the header by which a target says that it leaves. */
+const IS_LEAVING = '1';
+
 const FIRST_ERROR_STATUS = 500;
 
 /** Result of an attempt. */
@@ -104,7 +107,7 @@
     if (head.kind === 'failed') return this.fail(head);
     const { status, headers } = head;
     reporter.recordConnected(id);
-    if (status !== 421) this.recordLimit(headers);
+    if (status !== 421) this.recordNotices(status, headers);
     if (headers[names.notRun] !== undefined) {
       this.discardBody();
       this.end('notRun');
@@ -127,6 +130,16 @@
     return this.collect(status, headers);
   }
 
+  /** Records what an answer of the target says about the target itself. */
+  private recordNotices(status: number, headers: ResponseHeaders): void {
+    const { names, reporter } = this.ctx;
+    const { info } = this.target;
+    this.recordLimit(headers);
+    if (headers[names.leaving] === IS_LEAVING) reporter.recordLeaving(info);
+    const retryAfter = headers['retry-after'];
+    if (status === 503 && typeof retryAfter === 'string') reporter.recordPause(info, retryAfter);
+  }
+
   /** Records the limit that an answer of the target names, or that it names none. A value that is no number says nothing. */
   private recordLimit(headers: ResponseHeaders): void {
     const { names, reporter } = this.ctx;
--- a/packages/gateway/src/entry/TeamAdmission.test.ts
+++ b/packages/gateway/src/entry/TeamAdmission.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { makeTeam } from '@marigoldbank/routing/fixtures';
 import { expect } from 'earl';
 import type { ErrorResponse } from './ErrorResponse.js';
@@ -21,7 +22,7 @@
 function makeEntry(): Fixture {
   const clock = new VirtualClock();
   const state = new EntryState({ ratio: 0.2, slack: 60, windowMs: 10_000 });
-  const reporter = new HubReporter(clock, state);
+  const reporter = new HubReporter(clock, state, new NullLogger());
   const tokenRequestIds: number[] = [];
   reporter.attach((report) =>
     tokenRequestIds.push(...(report.tokens ?? []).map(({ id }) => id ?? 0)),
--- /dev/null
+++ b/packages/gateway/src/entry/refusals.ts
@@ -0,0 +1,44 @@
+/** Refusals of requests that no target could answer in time, decided before anything is sent. */
+import type { EntryState } from './EntryState.js';
+import type { ErrorResponse } from './ErrorResponse.js';
+
+/** Maximum Retry-After of a request whose targets all have limits: another entry may have a share left sooner. */
+const MAX_LIMIT_RETRY_MS = 1_000;
+
+/** Callers that are refused until the first target of a service ends its pause return over a longer time, by this share. */
+const PAUSE_SPREAD = 0.3;
+
+/** What a refusal depends on. */
+type RefusalState = Pick<EntryState, 'targets' | 'limits' | 'notices' | 'random'>;
+
+/**
+ * The refusal of a request that, after its wait for a slot, would miss its deadline, or undefined. The caller can try
+ * another entry. All times in ms.
+ */
+export function overloadError(
+  waitMs: number,
+  expectedMs: number,
+  remainingMs: number,
+): ErrorResponse | undefined {
+  if (waitMs + expectedMs <= remainingMs) return undefined;
+  return { kind: 'overloaded', verdict: 'notRun', retryAfterMs: Math.ceil(waitMs) };
+}
+
+/** The refusal of a request for which no target can be selected: all may pause, or have limits that are used up. */
+export function noTargetError(
+  { targets, limits, notices, random }: RefusalState,
+  service: string,
+  now: number,
+): ErrorResponse {
+  const infos = targets.candidates(service).map(({ info }) => info);
+  const waits = infos.map((info) => notices.waitMs(info, now)).filter((ms) => ms < Infinity);
+  const pauseMs = waits.length === 0 ? 0 : Math.min(...waits);
+  if (pauseMs > 0) {
+    const retryAfterMs = Math.ceil(pauseMs * (1 + PAUSE_SPREAD * random.float()));
+    return { kind: 'overloaded', verdict: 'notRun', retryAfterMs };
+  }
+  const limitWaitMs = limits.waitMs(infos.map(({ id }) => id));
+  if (limitWaitMs === undefined) return { kind: 'noTarget', verdict: 'notRun' };
+  const retryAfterMs = Math.min(MAX_LIMIT_RETRY_MS, Math.ceil(limitWaitMs));
+  return { kind: 'overloaded', verdict: 'notRun', retryAfterMs };
+}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,6 +20,13 @@
   registers: [registry],
 });
 
+export const targetNoticesTotal = new Counter({
+  name: 'marigoldbank_target_notices_total',
+  help: 'Times that a target said that it leaves or wants a pause, by service and notice',
+  labelNames: ['service', 'notice'] as const,
+  registers: [registry],
+});
+
 export const requestSeconds = new Histogram({
   name: 'marigoldbank_request_duration_seconds',
   help: 'Time from the head of a request to its answer',
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -294,7 +294,7 @@
       { ratio: 0.2, slack: 188, windowMs: 10_000 },
       new Random(this.random.int(MAX_SEED)),
     );
-    const reporter = new HubReporter(clock, state);
+    const reporter = new HubReporter(clock, state, new NullLogger());
     const seeds = this.hubs.slice(0, 3).map(({ address }) => address);
     const entry: FakeEntry = {
       vm,
--- a/packages/gateway/src/testing/FakeUpstream.ts
+++ b/packages/gateway/src/testing/FakeUpstream.ts
@@ -17,6 +17,8 @@
   readonly durationMs: number;
   /** Headers of the answers of a target at this time. */
   readonly headersOf: (target: string) => Record<string, string>;
+  /** Status of the answers of a target at this time, 200 if omitted. */
+  readonly statusOf?: (target: string) => number;
 }
 
 export class FakeUpstream {
@@ -34,11 +36,11 @@
   }
 
   private exchange(target: string, entry: string): UpstreamExchange {
-    const { clock, durationMs, headersOf } = this.options;
+    const { clock, durationMs, headersOf, statusOf } = this.options;
     this.arrivals.push({ target, entry, at: clock.now() });
     const head = new Promise((resolve) => {
       clock.setTimeout(() => {
-        resolve({ kind: 'head', status: OK, headers: headersOf(target) });
+        resolve({ kind: 'head', status: statusOf?.(target) ?? OK, headers: headersOf(target) });
       }, durationMs);
     });
     const exchange = {
--- a/packages/gateway/src/testing/fixtures.ts
+++ b/packages/gateway/src/testing/fixtures.ts
@@ -12,6 +12,7 @@
   expectedTarget: 'x-target',
   notRun: 'x-not-run',
   rateLimit: 'x-rate-limit',
+  leaving: 'x-leaving',
   key: 'x-key',
 };
 
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -4,6 +4,7 @@
 import { LowestCost } from './choice/LowestCost.js';
 import { LowestOfSample } from './choice/LowestOfSample.js';
 import type { TargetLimits } from './TargetLimits.js';
+import type { TargetNotices } from './TargetNotices.js';
 import type { TargetTable, TargetState } from './TargetTable.js';
 
 /** Properties of a request that the selection depends on. */
@@ -127,15 +128,16 @@
     random: Random,
     private readonly limits: Pick<TargetLimits, 'admits'> = { admits: () => true },
     private readonly policy: ChoicePolicy = new LowestOfSample(random),
+    private readonly notices: Pick<TargetNotices, 'isUsable'> = { isUsable: () => true },
   ) {
     this.anyTarget = new LowestCost(random);
   }
 
-  /** Returns undefined if the service has no target left, or if all of them have limits that are used up. */
+  /** Returns undefined if no target of the service may get the request: each leaves, pauses, or has used up its limit. */
   public select(req: SelectionRequest, now: number): Selection | undefined {
     const candidates = this.targets
       .candidates(req.service)
-      .filter(({ info }) => !req.excluded.has(info.id));
+      .filter(({ info }) => !req.excluded.has(info.id) && this.notices.isUsable(info, now));
     const { dataCentre, expectedMs } = req;
     // Asked once for each target and request: a limit that does not admit the request has used up its share.
     const admitted = new Map<string, boolean>();
--- a/packages/routing/src/TargetTable.ts
+++ b/packages/routing/src/TargetTable.ts
@@ -14,6 +14,8 @@
   readonly isDraining: boolean;
   /** Remaining time for which the target is slow after its start. */
   readonly coldMs: number;
+  /** Unix ms of the start of this incarnation, 0 or undefined if unknown. */
+  readonly born?: number;
 }
 
 /** Time for which a target is avoided after a failed connection or a timeout. It doubles with each further one. */
