Keep a member of the log running while its disk is full

A full disk refuses every write. The log process ended at the first one, was restarted and ended again; a VM whose processes end by themselves three times is a fault, and the group lost a voter that held all that it had acknowledged.

A refused write is now repeated until there is space. Meanwhile the member acknowledges nothing new, does not ask for votes, answers heartbeats about what it has stored, and confirms reads; as a leader it steps down once another voter has stored what it cannot. The rest of a refused write is cut off before the next one. A process whose disk is full at its start waits for space. Log lines say when space runs out and is back.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -12,6 +12,7 @@
 import { LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import {
   FileLogStorage,
+  FullDiskError,
   openReplicatedLog,
   type ReplicatedLog,
 } from '@marigoldbank/replicated-log';
@@ -47,6 +48,9 @@
   retainedEntries: 100,
 };
 
+/** Interval of attempts to open the log on a full disk. */
+const FULL_DISK_RETRY_MS = 500;
+
 /** Time for calls in progress to be answered before the process ends. */
 const FINISH_MS = 300;
 
@@ -142,7 +146,8 @@
 
   private async openLog(stateMachine: PlanStateMachine): Promise<ReplicatedLog> {
     const { settings } = this;
-    if (settings.dataFolder === undefined) throw new Error('the role control needs dataFolder');
+    const { dataFolder } = settings;
+    if (dataFolder === undefined) throw new Error('the role control needs dataFolder');
     // In the replicated log, the `vm` of a member is its IP address, not the id in the settings.
     const seedIps = settings.seeds.map(ipOf);
     const isFounder = settings.bootstrap && seedIps.includes(settings.ip);
@@ -151,15 +156,23 @@
       address: consensusAddress(settings, ip),
       incarnation: '',
     }));
-    const log = await openReplicatedLog({
-      vm: settings.ip,
-      address: consensusAddress(settings, settings.ip),
-      storage: new FileLogStorage(settings.dataFolder),
-      transport: new ConnectConsensusTransport(this.channels),
-      stateMachine,
-      bootstrap: isFounder ? founders : undefined,
-      clock: this.clock,
-      tuning: TUNING,
+    const open = (): Promise<ReplicatedLog> =>
+      openReplicatedLog({
+        vm: settings.ip,
+        address: consensusAddress(settings, settings.ip),
+        storage: new FileLogStorage(dataFolder),
+        transport: new ConnectConsensusTransport(this.channels),
+        stateMachine,
+        bootstrap: isFounder ? founders : undefined,
+        clock: this.clock,
+        tuning: TUNING,
+      });
+    const log = await this.openWithSpace(open);
+    log.onDidChangeSpace((hasSpace) => {
+      if (hasSpace) this.logger.info('the data folder has space again');
+      else {
+        this.logger.error('the data folder has no space left, changes are not acknowledged here');
+      }
     });
     log.onFailure((err) => {
       this.logger.error('storage in the data folder failed, stopping the process', {
@@ -172,6 +185,18 @@
     return log;
   }
 
+  /** Opens the log once the disk has space for what the start writes. A process that ended would only be restarted. */
+  private async openWithSpace(open: () => Promise<ReplicatedLog>): Promise<ReplicatedLog> {
+    try {
+      return await open();
+    } catch (err) {
+      if (!(err instanceof FullDiskError)) throw err;
+      this.logger.error('the data folder has no space left, the log is not opened yet');
+      await delay(this.clock, FULL_DISK_RETRY_MS);
+      return this.openWithSpace(open);
+    }
+  }
+
   private async serveLog(log: ReplicatedLog, parts: LogServiceParts): Promise<void> {
     const server = new InternalServer({
       address: consensusAddress(this.settings, this.settings.ip),
--- a/packages/replicated-log/src/DurableWriter.ts
+++ b/packages/replicated-log/src/DurableWriter.ts
@@ -1,9 +1,14 @@
 /** Writes the state in memory to the storage. Changes made during one write are batched into the next one. */
+import { delay, type Clock } from '@marigoldbank/base/clock';
 import { Emitter } from '@marigoldbank/base/events';
 import type { ConsensusState } from './ConsensusState.js';
+import { FullDiskError } from './FullDiskError.js';
 import { StoppedError } from './StoppedError.js';
 import type { LogStorage } from './LogStorage.js';
 
+/** Interval at which a write is repeated while the disk has no space. */
+const FULL_DISK_RETRY_MS = 200;
+
 interface Deferred {
   readonly promise: Promise<void>;
   resolve(): void;
@@ -34,6 +39,13 @@
   /** Fires once, when the member cannot continue. `flush` then rejects, also for callers that are waiting. */
   public readonly onFailure = this.failureEmitter.event;
 
+  private readonly spaceEmitter = new Emitter<boolean>();
+
+  /** Fires with false when a write is refused for lack of space, and with true when it has succeeded after all. */
+  public readonly onDidChangeSpace = this.spaceEmitter.event;
+
+  private isFull = false;
+
   private isVoteDirty = false;
 
   private isIdentityDirty = false;
@@ -55,10 +67,16 @@
   public constructor(
     private readonly storage: LogStorage,
     private readonly state: ConsensusState,
+    private readonly clock: Clock,
   ) {
     this.durableTo = state.log.lastIndex;
   }
 
+  /** Whether writes wait for space on the disk. */
+  public get isDiskFull(): boolean {
+    return this.isFull;
+  }
+
   /** Highest index up to which the log in memory is stored. */
   public get durableIndex(): number {
     return this.durableTo;
@@ -129,7 +147,8 @@
       // Changes made in the same turn of the event loop join this batch.
       await Promise.resolve();
       this.next = undefined;
-      await this.writeBatch();
+      await this.writeWhenPossible();
+      if (this.stopped !== undefined) return;
       this.current.resolve();
       this.current = undefined;
       this.durableEmitter.fire();
@@ -137,15 +156,44 @@
     this.isRunning = false;
   }
 
+  /** Repeats the batch, with what was marked meanwhile, until the disk has space for it. */
+  private async writeWhenPossible(): Promise<void> {
+    while (this.stopped === undefined) {
+      try {
+        await this.writeBatch();
+        this.setFull(false);
+        return;
+      } catch (err) {
+        if (!(err instanceof FullDiskError)) throw err;
+        this.setFull(true);
+        await delay(this.clock, FULL_DISK_RETRY_MS);
+      }
+    }
+  }
+
+  private setFull(isFull: boolean): void {
+    if (this.isFull === isFull) return;
+    this.isFull = isFull;
+    this.spaceEmitter.fire(!isFull);
+  }
+
   private async writeBatch(): Promise<void> {
     if (this.isIdentityDirty) {
       this.isIdentityDirty = false;
-      await this.storage.saveIdentity(this.state.identity);
+      await this.storage.saveIdentity(this.state.identity).catch((err: unknown) => {
+        this.isIdentityDirty = true;
+        throw err;
+      });
     }
     // The term on disk must not be older than the entries written in it.
     if (this.isVoteDirty) {
       this.isVoteDirty = false;
-      await this.storage.saveVote({ term: this.state.term, votedFor: this.state.votedFor });
+      await this.storage
+        .saveVote({ term: this.state.term, votedFor: this.state.votedFor })
+        .catch((err: unknown) => {
+          this.isVoteDirty = true;
+          throw err;
+        });
     }
     if (this.isSnapshotDirty) {
       await this.writeSnapshot();
@@ -161,7 +209,10 @@
     this.isSnapshotDirty = false;
     this.dirtyFrom = undefined;
     if (snapshot === undefined) return;
-    await this.storage.saveSnapshot(snapshot, retained);
+    await this.storage.saveSnapshot(snapshot, retained).catch((err: unknown) => {
+      this.isSnapshotDirty = true;
+      throw err;
+    });
     this.advanceDurable(lastIndex);
   }
 
@@ -170,7 +221,12 @@
     const { lastIndex } = log;
     const entries = log.slice(from);
     this.dirtyFrom = undefined;
-    if (entries.length > 0) await this.storage.append(entries);
+    if (entries.length > 0) {
+      await this.storage.append(entries).catch((err: unknown) => {
+        this.dirtyFrom = Math.min(this.dirtyFrom ?? from, from);
+        throw err;
+      });
+    }
     this.advanceDurable(lastIndex);
   }
 
--- a/packages/replicated-log/src/FileLogStorage.ts
+++ b/packages/replicated-log/src/FileLogStorage.ts
@@ -3,6 +3,7 @@
 import { open, type FileHandle } from 'node:fs/promises';
 import path from 'node:path';
 import { entriesMatchingSnapshot } from './entriesMatchingSnapshot.js';
+import { asFullDiskError } from './FullDiskError.js';
 import { StorageError } from './StorageError.js';
 import { createFolder, readFileIfExists, replaceFile, writeFully } from './files.js';
 import { encodeFrame, scanFrames, type Frame } from './frames.js';
@@ -34,6 +35,9 @@
 
   private logEnd = 0;
 
+  /** Whether a write to the log has failed, which may have left a part of it behind the end. */
+  private hasRest = false;
+
   /** The folder is created if it does not exist. It must not be used by two processes at once. */
   public constructor(private readonly folder: string) {
     super();
@@ -60,8 +64,15 @@
   public override async append(entries: readonly LogEntry[]): Promise<void> {
     const handle = this.logHandle!;
     const frame = encodeFrame(encodeEntries(entries));
-    await writeFully(handle, frame, this.logEnd);
-    await handle.datasync();
+    try {
+      if (this.hasRest) await handle.truncate(this.logEnd);
+      this.hasRest = true;
+      await writeFully(handle, frame, this.logEnd);
+      await handle.datasync();
+    } catch (err) {
+      throw asFullDiskError(err);
+    }
+    this.hasRest = false;
     this.logEnd += frame.length;
   }
 
@@ -70,7 +81,11 @@
     retained: readonly LogEntry[],
   ): Promise<void> {
     await this.replace('snapshot', encodeSnapshot(snapshot));
-    await this.rewriteLog(retained);
+    try {
+      await this.rewriteLog(retained);
+    } catch (err) {
+      throw asFullDiskError(err);
+    }
   }
 
   public override async close(): Promise<void> {
@@ -83,7 +98,11 @@
   }
 
   private async replace(name: string, payload: Uint8Array): Promise<void> {
-    await replaceFile(this.fileOf(name), encodeFrame(payload));
+    try {
+      await replaceFile(this.fileOf(name), encodeFrame(payload));
+    } catch (err) {
+      throw asFullDiskError(err);
+    }
   }
 
   /** The identity is written last, so a folder with an identity has all files. */
@@ -158,6 +177,7 @@
     await this.logHandle?.close();
     this.logHandle = await open(this.fileOf('log'), 'r+');
     this.logEnd = end;
+    this.hasRest = false;
   }
 
   private decodeFrame<T>(name: string, frame: Frame, decode: (payload: Uint8Array) => T): T {
--- a/packages/replicated-log/src/Follower.ts
+++ b/packages/replicated-log/src/Follower.ts
@@ -37,7 +37,9 @@
     const matchIndex = req.previousIndex + req.entries.length;
     this.storeEntries(req.entries);
     applier.commitTo(Math.min(req.commitIndex, matchIndex));
-    await writer.flush();
+    // A heartbeat about entries that are stored is also answered while the disk is full: the leader needs it for reads.
+    const isStored = req.entries.length === 0 && matchIndex <= writer.durableIndex;
+    if (!isStored || !writer.isDiskFull) await writer.flush();
     // A newer leader may have replaced the entries during the write.
     if (state.term !== req.term) return { term: state.term, success: false, matchIndex: 0 };
     return { term: state.term, success: true, matchIndex };
--- a/packages/replicated-log/src/Leader.ts
+++ b/packages/replicated-log/src/Leader.ts
@@ -78,6 +78,7 @@
     store.add(ctx.applier.onApplied((applied) => this.onApplied(applied)));
     store.add(ctx.writer.onDurable(() => this.advanceCommit()));
     store.add(setPeriodic(ctx.clock, () => this.onHeartbeat(), ctx.tuning.heartbeatIntervalMs));
+    store.add(setPeriodic(ctx.clock, () => this.checkDisk(), ctx.tuning.heartbeatIntervalMs));
     this.updateReplicators();
     this.noopIndex = log.lastIndex + 1;
     this.append('noop', NO_DATA);
@@ -252,6 +253,19 @@
     this.removedReplicators.forEach((replicator) => replicator.replicate());
   }
 
+  /**
+   * Lets another member lead if the disk here is full and a voter has stored what this one cannot. If all disks are full,
+   * this member goes on to confirm reads.
+   */
+  private checkDisk(): void {
+    const { state, writer } = this.ctx;
+    if (!writer.isDiskFull || this.store.isDisposed) return;
+    const isBehind = state.membership.voters.some(
+      (voter) => (this.replicatorOf(voter)?.matchIndex ?? 0) > writer.durableIndex,
+    );
+    if (isBehind) this.listener.stepDown();
+  }
+
   private broadcast(): void {
     this.replicators.forEach((replicator) => replicator.heartbeat());
   }
--- a/packages/replicated-log/src/LogStorage.ts
+++ b/packages/replicated-log/src/LogStorage.ts
@@ -36,7 +36,8 @@
 
 /**
  * Durable storage. Every promise resolves only when the write survives a crash. The caller waits for one write before
- * it starts the next. After a rejected write the storage must not be used any more.
+ * it starts the next. After a rejected write the storage must not be used any more, except that one rejected with
+ * `FullDiskError` can be repeated.
  */
 export abstract class LogStorage {
   /** Reads the state; the first time it creates a new incarnation. */
--- a/packages/replicated-log/src/MemoryLogStorage.ts
+++ b/packages/replicated-log/src/MemoryLogStorage.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@marigoldbank/base/clock';
 import type { Random } from '@marigoldbank/base/random';
 import { entriesMatchingSnapshot } from './entriesMatchingSnapshot.js';
+import { FullDiskError } from './FullDiskError.js';
 import { LogStorage } from './LogStorage.js';
 import type { Identity, Snapshot, StoredState, VoteRecord } from './LogStorage.js';
 import type { MemoryDisk } from './MemoryDisk.js';
@@ -16,6 +17,9 @@
   /** Makes every later write fail, as on a full or broken disk. */
   public isFailing = false;
 
+  /** Makes later writes fail for lack of space. */
+  public isFull = false;
+
   /** Batches of entries appended so far. */
   public appends = 0;
 
@@ -72,6 +76,7 @@
   /** Resolves when the steps are synced; never after a crash. */
   protected write(steps: (() => void)[]): Promise<void> {
     if (this.isFailing) return Promise.reject(new Error('the disk failed'));
+    if (this.isFull) return Promise.reject(new FullDiskError(new Error('ENOSPC')));
     this.unsynced.push(steps);
     return new Promise((resolve) => {
       this.clock.setTimeout(() => {
--- a/packages/replicated-log/src/ReplicatedLog.ts
+++ b/packages/replicated-log/src/ReplicatedLog.ts
@@ -1,5 +1,5 @@
 /** One member of a replicated log. */
-import { Emitter } from '@marigoldbank/base/events';
+import { Emitter, type Event } from '@marigoldbank/base/events';
 import { SystemClock, type Clock } from '@marigoldbank/base/clock';
 import { Random } from '@marigoldbank/base/random';
 import { randomInt } from 'node:crypto';
@@ -78,6 +78,12 @@
   /** Fires once if the storage or the state machine fails. The member has then stopped; restart the process. */
   public readonly onFailure = this.failureEmitter.event;
 
+  /**
+   * Fires with false when the disk has no space left, and with true when writes succeed again. Meanwhile the member keeps
+   * what it has acknowledged, acknowledges nothing new, and does not ask for votes.
+   */
+  public readonly onDidChangeSpace: Event<boolean>;
+
   private readonly roles: RoleManager;
 
   private readonly follower: Follower;
@@ -93,6 +99,7 @@
     this.roles = new RoleManager(ctx);
     this.follower = new Follower(ctx, this.roles);
     this.bootstrap = new GroupBootstrap(ctx);
+    this.onDidChangeSpace = ctx.writer.onDidChangeSpace;
     ctx.writer.onFailure((err) => this.onMemberFailure(err));
     this.bootstrap.start();
   }
@@ -113,10 +120,10 @@
     const state = new ConsensusState(self, identity, log);
     state.term = stored.vote.term;
     state.votedFor = stored.vote.votedFor;
-    const writer = new DurableWriter(storage, state);
+    const clock = options.clock ?? new SystemClock();
+    const writer = new DurableWriter(storage, state, clock);
     const tuning = { ...DEFAULT_TUNING, ...options.tuning };
     const applier = new Applier(state, writer, stateMachine, tuning);
-    const clock = options.clock ?? new SystemClock();
     const random = options.random ?? new Random(randomInt(MAX_SEED));
     const ctx = { state, writer, applier, transport, clock, random, tuning, rules };
     return new ReplicatedLog(ctx, storage);
--- a/packages/replicated-log/src/RoleManager.ts
+++ b/packages/replicated-log/src/RoleManager.ts
@@ -151,7 +151,8 @@
       this.postponeElection();
       if (state.role !== 'leader') {
         state.leader = undefined;
-        if (rules.mayCampaign(state)) this.startPreVote();
+        // A candidate whose vote cannot be stored would only raise the term.
+        if (rules.mayCampaign(state) && !this.ctx.writer.isDiskFull) this.startPreVote();
       }
     }
     this.armTimer();
--- a/packages/replicated-log/src/api.ts
+++ b/packages/replicated-log/src/api.ts
@@ -7,6 +7,7 @@
 export { LogStorage } from './LogStorage.js';
 export type { Identity, Snapshot, StoredState, VoteRecord } from './LogStorage.js';
 export { FileLogStorage } from './FileLogStorage.js';
+export { FullDiskError } from './FullDiskError.js';
 export { StorageError, type StorageProblem } from './StorageError.js';
 export { StoppedError } from './StoppedError.js';
 export type { Tuning } from './context.js';
--- a/packages/replicated-log/src/simulation/SimulatedVm.ts
+++ b/packages/replicated-log/src/simulation/SimulatedVm.ts
@@ -97,6 +97,11 @@
     this.disk = this.createDisk();
   }
 
+  /** Lets the disk run out of space, or have it again. */
+  public setDiskFull(isFull: boolean): void {
+    Object.assign(this.storage!, { isFull });
+  }
+
   public freeze(): void {
     this.processClock.freeze();
     this.ctx.network.freeze(this.address);
