Name hubs to entries by datagrams, and ask until the hubs are complete

A question and its answer are now one datagram each. An entry without a list asks for up to 5 s, until no further hub is found, and does not go to the seeds before. Pings between hubs may take 3 s: hubs notice silence by their messages.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -27,6 +27,7 @@
   type GatewaySettings,
 } from '../settings.js';
 import { ControlApi } from './ControlApi.js';
+import { DirectoryListener } from './DirectoryListener.js';
 import { HubDirectory } from './HubDirectory.js';
 import { LogFeed } from './LogFeed.js';
 import { registerLogService, type LogServiceParts } from './log-routes.js';
@@ -77,6 +78,8 @@
 
   private server: InternalServer | undefined;
 
+  private listener: DirectoryListener | undefined;
+
   public constructor(
     private settings: GatewaySettings,
     private readonly protocol: ProtocolAdapter,
@@ -114,6 +117,8 @@
       },
     });
     await this.serveLog(log, { log, feed, directory, confirmation, voterManager });
+    this.listener = new DirectoryListener(directory, logger);
+    await this.listener.listen(consensusAddress(settings, settings.ip));
     this.api = new ControlApi({
       clock,
       protocol,
@@ -141,6 +146,7 @@
     this.feed?.dispose();
     await this.log?.close();
     this.channels.dispose();
+    this.listener?.close();
     await this.server?.close();
   }
 
--- a/packages/gateway/src/control/HubDirectory.ts
+++ b/packages/gateway/src/control/HubDirectory.ts
@@ -2,7 +2,7 @@
  * The hubs as the log process of a control VM knows them from the hub of the VM. It tells entries which one to follow, so
  * that an entry opens its one stream where it will stay, and an answer costs neither a stream nor time of the hub.
  */
-import { delay, type Clock } from '@marigoldbank/base/clock';
+import type { Clock } from '@marigoldbank/base/clock';
 import { maxEntriesOf } from '../sync/hub-share.js';
 import type { HubCandidate } from '../sync/HubCandidate.js';
 
@@ -12,11 +12,6 @@
 /** The same while members of the replicated log are missing among the hubs: they may be down. */
 const SETTLE_WITH_MISSING_MS = 1_000;
 
-/** Longest time for which a call waits until the hubs have settled. */
-const MAX_HOLD_MS = 600;
-
-const HOLD_CHECK_MS = 50;
-
 /** An entry that was sent to a hub counts there until it does in what that hub says of itself. */
 const ASSIGNMENT_MS = 2_000;
 
@@ -68,11 +63,8 @@
     this.reportedAt = now;
   }
 
-  /** Returns the hubs for an entry. If it `canWait`, waits a short time until they are likely to be complete. */
-  public async list(dataCentre: string, canWait: boolean): Promise<HubList> {
-    const { clock } = this.ctx;
-    const until = clock.now() + MAX_HOLD_MS;
-    while (canWait && !this.isSettled && clock.now() < until) await delay(clock, HOLD_CHECK_MS);
+  /** Returns the hubs for an entry, and counts it as one of those of the first hub. */
+  public list(dataCentre: string): HubList {
     const hubs = this.rank(dataCentre);
     const [first] = hubs;
     if (first !== undefined && this.isSettled) this.noteAssignment(first.address);
--- a/packages/gateway/src/control/log-routes.ts
+++ b/packages/gateway/src/control/log-routes.ts
@@ -1,6 +1,6 @@
-/** Serves the log of a control VM, and the list of the hubs. */
+/** Serves the log service of a control VM. */
 import type { ConnectRouter } from '@connectrpc/connect';
-import { DirectoryService, LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import { LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { IReplicatedLog } from '@marigoldbank/replicated-log';
 import type { HubDirectory } from './HubDirectory.js';
 import type { LogFeed } from './LogFeed.js';
@@ -11,12 +11,12 @@
 export interface LogServiceParts {
   readonly log: Pick<IReplicatedLog, 'status'>;
   readonly feed: Pick<LogFeed, 'watch'>;
-  readonly directory: Pick<HubDirectory, 'setHubs' | 'list'>;
+  readonly directory: Pick<HubDirectory, 'setHubs'>;
   readonly confirmation: Pick<StateConfirmation, 'confirmLeadership'>;
   readonly voterManager: Pick<VoterManager, 'admit'>;
 }
 
-/** Registers the services with a router. */
+/** Registers the service with a router. */
 export function registerLogService(router: ConnectRouter, parts: LogServiceParts): void {
   const { log, feed, directory, confirmation, voterManager } = parts;
   router.service(LogService, {
@@ -42,11 +42,4 @@
       };
     },
   });
-
-  router.service(DirectoryService, {
-    listHubs: async ({ dataCentre, canWait }) => {
-      const { hubs, isSettled } = await directory.list(dataCentre, canWait);
-      return { hubs: [...hubs], isSettled };
-    },
-  });
 }
--- /dev/null
+++ b/packages/gateway/src/entry/DirectoryClient.ts
@@ -0,0 +1,78 @@
+/** Asks control VMs by datagrams which hubs there are. */
+import { createSocket, type Socket } from 'node:dgram';
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import type { Clock } from '@marigoldbank/base/clock';
+import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
+import {
+  ListHubsRequestSchema,
+  ListHubsResponseSchema,
+  type ListHubsResponse,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+
+export interface IDirectoryClient {
+  /** Resolves to the answer of one control VM, or to undefined if none arrives in time. */
+  ask(
+    address: string,
+    dataCentre: string,
+    timeoutMs: number,
+  ): Promise<ListHubsResponse | undefined>;
+}
+
+export class DirectoryClient implements IDirectoryClient, IDisposable {
+  private readonly socket: Socket = createSocket('udp4');
+
+  private readonly waiting = new Map<number, (res: ListHubsResponse) => void>();
+
+  private lastId = 0;
+
+  public constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    this.socket.on('message', (bytes) => this.receive(bytes));
+    this.socket.on('error', (err) =>
+      logger.warn('datagrams cannot be received', { error: String(err) }),
+    );
+    // Alone it does not keep the process running.
+    this.socket.unref();
+  }
+
+  public ask(
+    address: string,
+    dataCentre: string,
+    timeoutMs: number,
+  ): Promise<ListHubsResponse | undefined> {
+    this.lastId += 1;
+    const id = this.lastId;
+    const req = create(ListHubsRequestSchema, { id, dataCentre });
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve) => {
+      let timer: IDisposable | undefined;
+      const settle = (res: ListHubsResponse | undefined): void => {
+        timer?.dispose();
+        this.waiting.delete(id);
+        resolve(res);
+      };
+      timer = this.clock.setTimeout(() => settle(undefined), timeoutMs);
+      this.waiting.set(id, settle);
+      this.socket.send(toBinary(ListHubsRequestSchema, req), port, host, (err) => {
+        if (err !== null) settle(undefined);
+      });
+    });
+  }
+
+  public dispose(): void {
+    this.socket.close();
+  }
+
+  private receive(bytes: Uint8Array): void {
+    try {
+      const res = fromBinary(ListHubsResponseSchema, bytes);
+      this.waiting.get(res.id)?.(res);
+    } catch (err) {
+      this.logger.debug('unreadable datagram', { error: String(err) });
+    }
+  }
+}
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -4,16 +4,13 @@
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import { UpstreamClient } from '@marigoldbank/daemon/entry/UpstreamClient';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import { Channels } from '@marigoldbank/daemon/transport/Channels';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
-import { DirectoryService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { ProtocolAdapter } from '../ProtocolAdapter.js';
 import { DirectoryServer } from '../DirectoryServer.js';
 import type { GatewayProcess } from '../GatewayProcess.js';
 import { metricsHandler } from '../metrics.js';
 import {
   consensusAddress,
-  INTERNAL_SECRET,
   ipOf,
   metricsAddress,
   syncAddress,
@@ -21,6 +18,7 @@
 } from '../settings.js';
 import { SyncClients } from '../sync/SyncClients.js';
 import { CallerServer } from './CallerServer.js';
+import { DirectoryClient } from './DirectoryClient.js';
 import { EntryState } from './EntryState.js';
 import { HubSelector } from './HubSelector.js';
 import { HubFollower } from './HubFollower.js';
@@ -63,9 +61,6 @@
     super();
     const { retryRatio, retrySlack, retryWindow } = settings.bounds;
     const clients = this.add(new SyncClients());
-    const channels = this.add(
-      new Channels({ secret: INTERNAL_SECRET, outgoingAddress: undefined }),
-    );
     this.state = new EntryState({
       ratio: retryRatio,
       slack: retrySlack,
@@ -116,7 +111,7 @@
           logger,
           dataCentre: settings.dataCentre,
           seeds: () => this.settings.seeds.map((seed) => this.logAddress(ipOf(seed))),
-          clientOf: (address) => channels.client(DirectoryService, address),
+          client: this.add(new DirectoryClient(clock, logger)),
         }),
         logAddressOf: (hub) => this.logAddress(ipOf(hub)),
         clientOf: (address) => clients.client(address),
--- a/packages/gateway/src/entry/HubLocator.ts
+++ b/packages/gateway/src/entry/HubLocator.ts
@@ -1,30 +1,25 @@
-/** Asks control VMs which hubs there are, without a stream. */
-import type { Client } from '@connectrpc/connect';
+/** Finds out which hubs there are from the log processes of control VMs, without a stream. */
 import { delay, type Clock } from '@marigoldbank/base/clock';
 import type { Random } from '@marigoldbank/base/random';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import type {
-  DirectoryService,
-  ListHubsResponse,
-} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { ListHubsResponse } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { IDirectoryClient } from './DirectoryClient.js';
 
-/** Timeout of a call for an entry that has no list yet: the control VM waits up to 0.6 s until it knows all hubs. */
-const FIRST_TIMEOUT_MS = 900;
+/** Timeouts of one question, for an entry that has just started as its control VMs may have, and for all others. */
+const FIRST_TIMEOUT_MS = 250;
+const TIMEOUT_MS = 80;
 
-/** Timeout of all other calls, which are answered at once. */
-const TIMEOUT_MS = 300;
+/** Time until an entry asks again while control VMs still find further hubs. */
+const REPEAT_MS = 150;
 
 /** An address that did not answer is asked last for this long. */
 const FAILURE_BACKOFF_MS = 3_000;
 
-/** Calls to different addresses before the entry goes on with what it knows. Half of them may be frozen. */
-const MAX_CALLS = 6;
+/** An entry without a list goes on asking for this long, until the hubs are likely to be complete. */
+const FIRST_LIMIT_MS = 5_000;
 
-/** The next address is asked as well if one has not answered for this long. */
-const STAGGER_MS = 60;
-
-/** An entry without a list asks again for this long while control VMs still find further hubs. */
-const SETTLE_MS = 3_000;
+/** Time after which an entry with a list goes on with what it knows. Half of the control VMs may be frozen. */
+const LIMIT_MS = 600;
 
 export interface LocatorContext {
   readonly clock: Clock;
@@ -33,7 +28,7 @@
   readonly dataCentre: string;
   /** Addresses of the log processes of the control VMs in the settings. */
   readonly seeds: () => readonly string[];
-  readonly clientOf: (address: string) => Pick<Client<typeof DirectoryService>, 'listHubs'>;
+  readonly client: IDirectoryClient;
 }
 
 export class HubLocator {
@@ -45,63 +40,49 @@
 
   /**
    * Returns the hubs in the order in which this entry should try them. `known` are the addresses of the log processes of
-   * further control VMs. Returns undefined if none of those asked answers.
+   * further control VMs. Returns undefined if none answers in time.
    */
   public async locate(known: readonly string[]): Promise<ListHubsResponse | undefined> {
-    const { clock } = this.ctx;
-    const until = clock.now() + SETTLE_MS;
-    let answer = await this.ask(known);
-    while (!this.hasList && answer !== undefined && !answer.isSettled && clock.now() < until) {
-      answer = await this.ask(known);
+    const { clock, logger } = this.ctx;
+    const startedAt = clock.now();
+    const until = startedAt + (this.hasList ? LIMIT_MS : FIRST_LIMIT_MS);
+    let best: ListHubsResponse | undefined;
+    while (best?.isSettled !== true && clock.now() < until) {
+      const answer = await this.ask(known);
+      if (answer !== undefined && answer.hubs.length > 0) best = answer;
+      if (this.hasList && best !== undefined) break;
+      if (answer !== undefined && !answer.isSettled) await delay(clock, REPEAT_MS);
     }
-    if (answer === undefined || answer.hubs.length === 0) return undefined;
-    this.hasList = true;
-    return answer;
-  }
-
-  /** Asks one control VM after the other, and returns the first answer. */
-  private ask(known: readonly string[]): Promise<ListHubsResponse | undefined> {
-    const { clock } = this.ctx;
-    const abort = new AbortController();
-    const calls = this.addresses(known)
-      .slice(0, MAX_CALLS)
-      .map(async (address, i) => {
-        await delay(clock, i * STAGGER_MS);
-        return abort.signal.aborted ? undefined : this.call(address, abort.signal);
-      });
-    const none = Promise.all(calls).then(() => undefined);
-    const answers = calls.map(async (call) => {
-      const answer = await call;
-      if (answer === undefined) return none;
-      abort.abort();
-      return answer;
+    logger.info('hubs are located', {
+      hubs: best?.hubs.length ?? 0,
+      first: best?.hubs[0]?.address ?? '',
+      isSettled: best?.isSettled ?? false,
+      tookMs: Math.round(clock.now() - startedAt),
     });
-    return Promise.race(answers);
+    this.hasList ||= best !== undefined;
+    return best;
   }
 
-  private async call(address: string, signal: AbortSignal): Promise<ListHubsResponse | undefined> {
-    const { clock, logger, clientOf, dataCentre } = this.ctx;
-    try {
-      return await clientOf(address).listHubs(
-        { dataCentre, canWait: !this.hasList },
-        { timeoutMs: this.hasList ? TIMEOUT_MS : FIRST_TIMEOUT_MS, signal },
-      );
-    } catch (err) {
-      if (signal.aborted) return undefined;
-      this.failedAt.set(address, clock.now());
-      logger.debug('list of hubs not received', { address, error: String(err) });
-      return undefined;
-    }
+  private async ask(known: readonly string[]): Promise<ListHubsResponse | undefined> {
+    const { clock, client, dataCentre } = this.ctx;
+    const [address] = this.addresses(known);
+    if (address === undefined) return undefined;
+    const timeoutMs = this.hasList ? TIMEOUT_MS : FIRST_TIMEOUT_MS;
+    const answer = await client.ask(address, dataCentre, timeoutMs);
+    if (answer === undefined) this.failedAt.set(address, clock.now());
+    return answer;
   }
 
   /** The seeds and all known control VMs in random order, those that failed recently last. */
   private addresses(known: readonly string[]): string[] {
     const { clock, random, seeds } = this.ctx;
     const now = clock.now();
-    const hasFailed = (address: string): number =>
-      Number(now - (this.failedAt.get(address) ?? -Infinity) < FAILURE_BACKOFF_MS);
+    const failureOf = (address: string): number => {
+      const at = this.failedAt.get(address) ?? -Infinity;
+      return now - at < FAILURE_BACKOFF_MS ? at : 0;
+    };
     return random
       .shuffle([...new Set([...seeds(), ...known])])
-      .sort((a, b) => hasFailed(a) - hasFailed(b));
+      .sort((a, b) => failureOf(a) - failureOf(b));
   }
 }
--- a/packages/gateway/src/sync/StateSessionManager.ts
+++ b/packages/gateway/src/sync/StateSessionManager.ts
@@ -5,9 +5,13 @@
 import type { Clock } from '@marigoldbank/base/clock';
 import { DisposableStore, type IDisposable } from '@marigoldbank/base/lifecycle';
 
-/** Pings detect network partitions, which do not close connections. */
+/**
+ * Pings detect network partitions, which do not close connections. A busy process answers them late: at 1 s, seven streams
+ * to one hub that was saturated at its start ended together, and their snapshots kept it saturated. Silence of a hub is
+ * noticed sooner, by its messages.
+ */
 const PING_INTERVAL_MS = 1_000;
-const PING_TIMEOUT_MS = 1_000;
+const PING_TIMEOUT_MS = 3_000;
 
 /**
  * Connections within a region take milliseconds. The system sends an opening packet that was lost again after 1, 3, 7 and
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -13,11 +13,7 @@
   type HubUpdate,
   type SyncService,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import {
-  ListHubsResponseSchema,
-  type DirectoryService,
-  type ListHubsResponse,
-} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import { ListHubsResponseSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { encodeCommand } from '../control/commands.js';
 import type { EntryStream } from '../control/EntryStream.js';
@@ -27,6 +23,7 @@
 import type { ILogView } from '../control/LogView.js';
 import type { PeerHub } from '../control/PeerHub.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
+import type { IDirectoryClient } from '../entry/DirectoryClient.js';
 import { EntryState } from '../entry/EntryState.js';
 import { HubFollower } from '../entry/HubFollower.js';
 import { HubLocator } from '../entry/HubLocator.js';
@@ -319,7 +316,7 @@
         logger: new NullLogger(),
         dataCentre,
         seeds: () => seeds,
-        clientOf: (address) => this.directoryClient(address),
+        client: this.directoryClient(),
       }),
       logAddressOf: (hub) => hub,
       clientOf: (address) => this.client(address, vm),
@@ -332,20 +329,18 @@
     return entry;
   }
 
-  /** Client for the log process of the VM with the hub at `address`. */
-  private directoryClient(address: string): Pick<Client<typeof DirectoryService>, 'listHubs'> {
-    const listHubs = async (
-      { dataCentre, canWait }: { dataCentre: string; canWait: boolean },
-      { timeoutMs }: { timeoutMs: number },
-    ): Promise<ListHubsResponse> => {
-      const { directory, isLogDown, logFrozenUntil } = this.hubAt(address);
-      const isAnswering = !isLogDown && this.clock.now() >= logFrozenUntil;
-      await delay(this.clock, isAnswering ? CALL_MS : timeoutMs);
-      if (!isAnswering) throw new Error('timed out');
-      const { hubs, isSettled } = await directory.list(dataCentre, canWait);
-      return create(ListHubsResponseSchema, { hubs: [...hubs], isSettled });
+  /** Client for the log processes, which are named by the addresses of the hubs of their VMs. */
+  private directoryClient(): IDirectoryClient {
+    return {
+      ask: async (address, dataCentre, timeoutMs) => {
+        const { directory, isLogDown, logFrozenUntil } = this.hubAt(address);
+        const isAnswering = !isLogDown && this.clock.now() >= logFrozenUntil;
+        await delay(this.clock, isAnswering ? CALL_MS : timeoutMs);
+        if (!isAnswering) return undefined;
+        const { hubs, isSettled } = directory.list(dataCentre);
+        return create(ListHubsResponseSchema, { hubs: [...hubs], isSettled });
+      },
     };
-    return { listHubs } as unknown as Client<typeof DirectoryService>;
   }
 
   /** Client of the process `from` for the hub at `address`. */
