Count the time for which the VM of an entry was suspended

Report of other operators: a paused process acted on a permission that had run out. The monotonic clock of a suspended VM stands still, so that after some seconds an entry took its last confirmation for a fresh one: it served withdrawn keys where refuseKeysAfter is set, answered 404 by an old plan, and admitted requests as if the budget holder had just been heard.

The time of day that passed since the last status beyond the monotonic time now counts as age. EntryState.test.ts: an age of 400 ms before, 5,700 ms now after a suspension of 5 s. A step of the time of day looks the same until the next status, 0.4 s.

--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -72,7 +72,7 @@
       isCutOff: false,
       isStarting: false,
     };
-    state.setStatus({ ...status, planVersion: 7, trueAt: 0 });
+    state.setStatus({ ...status, planVersion: 7, trueAt: 0 }, 0);
     expect(state.hasConfirmedPlan).toEqual(false);
     state.applyPlan(0, 7, wholePlan(makePlan(7, 1_000)));
     expect(state.hasConfirmedPlan).toEqual(true);
@@ -83,15 +83,18 @@
     const state = new EntryState(BOUNDS);
     const countAt = (trueAt: number, entries: number): number => {
       const ages = { confirmedAgeMs: 0, budgetAgeMs: 0 };
-      state.setStatus({
-        ...ages,
-        entries,
-        isLeaderless: false,
-        isCutOff: false,
-        isStarting: false,
-        planVersion: 0,
+      state.setStatus(
+        {
+          ...ages,
+          entries,
+          isLeaderless: false,
+          isCutOff: false,
+          isStarting: false,
+          planVersion: 0,
+          trueAt,
+        },
         trueAt,
-      });
+      );
       return state.entryCount;
     };
     const counts = [
@@ -107,18 +110,47 @@
   it('adds the time since the status was received to its ages', () => {
     const state = new EntryState(BOUNDS);
     expect(state.confirmedAgeMs(0)).toEqual(Infinity);
-    state.setStatus({
+    state.setStatus(
+      {
+        confirmedAgeMs: 100,
+        budgetAgeMs: 1_200,
+        entries: 4,
+        isLeaderless: false,
+        isCutOff: false,
+        isStarting: false,
+        planVersion: 0,
+        trueAt: 1_000,
+      },
+      1_000,
+    );
+    expect(state.confirmedAgeMs(1_500)).toEqual(600);
+    expect([state.hasBudgetHolder(1_100), state.hasBudgetHolder(1_400)]).toEqual([true, false]);
+    expect([state.isFollowingHub(1_400), state.isFollowingHub(9_000)]).toEqual([true, false]);
+  });
+
+  // The monotonic clock of a VM that was suspended stands still, so that a withdrawn key or an old plan seemed to be in force.
+  it('counts the time for which the VM was suspended, and no small correction of the time of day', () => {
+    let timeOfDay = 1_000_000;
+    const state = new EntryState(BOUNDS, undefined, () => timeOfDay);
+    const status = {
       confirmedAgeMs: 100,
-      budgetAgeMs: 1_200,
+      budgetAgeMs: 100,
       entries: 4,
       isLeaderless: false,
       isCutOff: false,
       isStarting: false,
       planVersion: 0,
-      trueAt: 1_000,
-    });
-    expect(state.confirmedAgeMs(1_500)).toEqual(600);
-    expect([state.hasBudgetHolder(1_100), state.hasBudgetHolder(1_400)]).toEqual([true, false]);
-    expect([state.isFollowingHub(1_400), state.isFollowingHub(9_000)]).toEqual([true, false]);
+      trueAt: 0,
+    };
+    state.setStatus(status, 0);
+    timeOfDay += 600;
+    expect([state.confirmedAgeMs(300), state.hasBudgetHolder(300)]).toEqual([400, true]);
+    timeOfDay += 5_000;
+    expect(state.confirmedAgeMs(300)).toEqual(5_700);
+    expect([state.hasBudgetHolder(300), state.isFollowingHub(300)]).toEqual([false, false]);
+    state.setStatus({ ...status, trueAt: 350 }, 400);
+    expect([state.confirmedAgeMs(400), state.hasBudgetHolder(400)]).toEqual([150, true]);
+    timeOfDay -= 8_000;
+    expect(state.confirmedAgeMs(400)).toEqual(150);
   });
 });
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -54,6 +54,9 @@
   readonly trueAt: number;
 }
 
+/** Smaller differences between the two clocks are corrections of the time of day. */
+const MIN_SUSPENSION_MS = 500;
+
 export class EntryState {
   public readonly targets = new TargetTable();
 
@@ -82,6 +85,9 @@
 
   private status: HubStatus | undefined;
 
+  /** Time of day less monotonic time when the status arrived. */
+  private clockOffsetMs = 0;
+
   private largestCount = { entries: 1, at: -Infinity };
 
   private readonly durations = new Map<string, DurationEstimate>();
@@ -89,6 +95,7 @@
   public constructor(
     bounds: RetryBudgetLimits,
     public readonly random = new Random(Math.floor(Math.random() * MAX_SEED)),
+    private readonly timeOfDay: () => number = Date.now,
   ) {
     this.limits = new TargetLimits(random, () => this.entryCount);
     this.targets.onDidRemove((id) => this.limits.remove(id));
@@ -123,8 +130,10 @@
     this.planEmitter.fire(this.routeTable);
   }
 
-  public setStatus(status: HubStatus): void {
+  /** Sets the status that arrived at `now` (monotonic ms). */
+  public setStatus(status: HubStatus, now: number): void {
     this.status = status;
+    this.clockOffsetMs = this.timeOfDay() - now;
     const { entries, trueAt } = status;
     const isExpired = trueAt - this.largestCount.at > ENTRY_COUNT_MEMORY_MS;
     if (isExpired || entries >= this.largestCount.entries) {
@@ -135,7 +144,17 @@
   /** Milliseconds since a majority of the voters confirmed the plan. Infinity without a status. */
   public confirmedAgeMs(now: number): number {
     if (this.status === undefined) return Infinity;
-    return this.status.confirmedAgeMs + now - this.status.trueAt;
+    return this.status.confirmedAgeMs + now - this.status.trueAt + this.suspendedMs(now);
+  }
+
+  /**
+   * Time for which this VM was suspended since the last status. The monotonic clock stands still meanwhile, so that what the
+   * status permits would seem to be in force after it has run out. A step of the time of day looks the same, until the
+   * next status.
+   */
+  private suspendedMs(now: number): number {
+    const suspendedMs = this.timeOfDay() - now - this.clockOffsetMs;
+    return suspendedMs < MIN_SUSPENSION_MS ? 0 : suspendedMs;
   }
 
   /** Whether the plan in effect is at least as new as the confirmed one. A status may arrive before its plan. */
@@ -160,13 +179,16 @@
 
   /** Whether the entry follows a hub, which counts the retries of the fleet. */
   public isFollowingHub(now: number): boolean {
-    return this.status !== undefined && now - this.status.trueAt < HUB_TIMEOUT_MS;
+    return (
+      this.status !== undefined && now - this.status.trueAt + this.suspendedMs(now) < HUB_TIMEOUT_MS
+    );
   }
 
   /** Whether the hub has had contact to the holder of the team budgets recently. */
   public hasBudgetHolder(now: number): boolean {
     if (this.status === undefined) return false;
-    return this.status.budgetAgeMs + now - this.status.trueAt < BUDGET_HOLDER_TIMEOUT_MS;
+    const { budgetAgeMs, trueAt } = this.status;
+    return budgetAgeMs + now - trueAt + this.suspendedMs(now) < BUDGET_HOLDER_TIMEOUT_MS;
   }
 
   /** The duration estimate of a route, which is created on first use. */
--- a/packages/gateway/src/entry/HubFollower.test.ts
+++ b/packages/gateway/src/entry/HubFollower.test.ts
@@ -25,7 +25,9 @@
 
 async function makeFollower(): Promise<Fixture> {
   const clock = new VirtualClock();
-  const state = new EntryState({ ratio: 0.2, slack: 60, windowMs: 10_000 });
+  const state = new EntryState({ ratio: 0.2, slack: 60, windowMs: 10_000 }, undefined, () =>
+    clock.now(),
+  );
   let updates = new MessageQueue<HubUpdate>();
   const client = {
     follow: () => {
--- a/packages/gateway/src/entry/HubReporter.test.ts
+++ b/packages/gateway/src/entry/HubReporter.test.ts
@@ -19,7 +19,9 @@
 function makeSetup(): Setup {
   const clock = new VirtualClock();
   clock.advance(1_000);
-  const state = new EntryState({ ratio: 0.2, slack: 188, windowMs: 10_000 }, new Random(1));
+  const state = new EntryState({ ratio: 0.2, slack: 188, windowMs: 10_000 }, new Random(1), () =>
+    clock.now(),
+  );
   const reporter = new HubReporter(clock, state, new NullLogger());
   const sent: EntryReportInit[] = [];
   reporter.attach((report) => sent.push(report));
--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -43,7 +43,7 @@
     if (update.status !== undefined) {
       const planVersion = Number(update.status.planVersion);
       const trueAt = trueSince(update.status.echo, now);
-      if (trueAt !== undefined) state.setStatus({ ...update.status, planVersion, trueAt });
+      if (trueAt !== undefined) state.setStatus({ ...update.status, planVersion, trueAt }, now);
     }
     if (update.hubs.length > 0) hubs.setHubs(update.hubs, seeds(), now);
     if (update.plan !== undefined) {
--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -25,16 +25,19 @@
   const state = new EntryState({ ratio: 0.2, slack: 0, windowMs: 10_000 });
   const items = toPlanItems(makePlan());
   state.applyPlan(0, 1, diffPlanItems(new Map(), items));
-  state.setStatus({
-    confirmedAgeMs: 0,
-    budgetAgeMs: 0,
-    entries: 1,
-    isLeaderless: false,
-    isCutOff: false,
-    isStarting: false,
-    planVersion: 0,
-    trueAt: clock.now(),
-  });
+  state.setStatus(
+    {
+      confirmedAgeMs: 0,
+      budgetAgeMs: 0,
+      entries: 1,
+      isLeaderless: false,
+      isCutOff: false,
+      isStarting: false,
+      planVersion: 0,
+      trueAt: clock.now(),
+    },
+    clock.now(),
+  );
   state.retryLimiter.setFleetUse('orders', 1, clock.now());
   const reporter = new HubReporter(clock, state, new NullLogger());
   const uses = { requests: 0, repeats: 0 };
--- a/packages/gateway/src/entry/TeamAdmission.test.ts
+++ b/packages/gateway/src/entry/TeamAdmission.test.ts
@@ -21,22 +21,27 @@
 /** An entry that has just received a status from its hub. */
 function makeEntry(): Fixture {
   const clock = new VirtualClock();
-  const state = new EntryState({ ratio: 0.2, slack: 60, windowMs: 10_000 });
+  const state = new EntryState({ ratio: 0.2, slack: 60, windowMs: 10_000 }, undefined, () =>
+    clock.now(),
+  );
   const reporter = new HubReporter(clock, state, new NullLogger());
   const tokenRequestIds: number[] = [];
   reporter.attach((report) =>
     tokenRequestIds.push(...(report.tokens ?? []).map(({ id }) => id ?? 0)),
   );
-  state.setStatus({
-    confirmedAgeMs: 0,
-    budgetAgeMs: 0,
-    entries: ENTRIES,
-    isLeaderless: false,
-    isCutOff: false,
-    isStarting: false,
-    planVersion: 0,
-    trueAt: clock.now(),
-  });
+  state.setStatus(
+    {
+      confirmedAgeMs: 0,
+      budgetAgeMs: 0,
+      entries: ENTRIES,
+      isLeaderless: false,
+      isCutOff: false,
+      isStarting: false,
+      planVersion: 0,
+      trueAt: clock.now(),
+    },
+    clock.now(),
+  );
   return {
     clock,
     reporter,
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -290,6 +290,7 @@
     const state = new EntryState(
       { ratio: 0.2, slack: 188, windowMs: 10_000 },
       new Random(this.random.int(MAX_SEED)),
+      () => clock.now(),
     );
     const reporter = new HubReporter(clock, state, new NullLogger());
     const seeds = this.hubs.slice(0, 3).map(({ address }) => address);
