--- a/packages/gateway/src/control/HubDirectory.ts
+++ b/packages/gateway/src/control/HubDirectory.ts
@@ -7,7 +7,7 @@
 import type { HubCandidate } from '../sync/HubCandidate.js';
 
 /** Time without a further hub after which no more are expected. All control VMs start within some tenths of a second. */
-const SETTLE_MS = 400;
+const SETTLE_MS = 300;
 
 /** The same while members of the replicated log are missing among the hubs: they may be down. */
 const SETTLE_WITH_MISSING_MS = 1_000;
