--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { after, describe, it } from 'node:test';
@@ -130,6 +131,38 @@
     expect(outcome.kind === 'refused' && outcome.error.kind).toEqual('notSent');
   });
 
+  // Report of other operators: after a lost answer, work that had run was run again, or the caller was told that it had not.
+  ['before the head', 'in the body'].forEach((place) => {
+    it(`does not send a request that may run once again after its answer was lost ${place}`, async () => {
+      const arrivals = { first: 0, second: 0 };
+      const lossy = createServer((req, res) => {
+        arrivals.first += 1;
+        req.resume();
+        if (place === 'in the body') {
+          res.writeHead(200, { 'x-request-id': 'id-1', 'x-seal': 's', 'content-length': '100' });
+          res.write('part');
+        }
+        setTimeout(() => res.destroy(), 20);
+      });
+      const good = createServer((_req, res) => {
+        arrivals.second += 1;
+        res.writeHead(200, { 'x-request-id': 'id-1', 'x-seal': 's' });
+        res.end('done');
+      });
+      await Promise.all(
+        [lossy, good].map(async (server) => {
+          server.listen(0, HOST);
+          await once(server, 'listening');
+        }),
+      );
+      const fixture = await makeCase(addressOf(lossy), good);
+      closers.push(() => lossy.close());
+      const outcome = await run(fixture);
+      expect(arrivals).toEqual({ first: 1, second: 0 });
+      expect(outcome.kind === 'refused' && outcome.error.verdict).toEqual('mayHaveRun');
+    });
+  });
+
   // A limit that cannot be read would have counted as the end of the limit.
   ['many', '', '2, 2', '-1', '1e9'].forEach((value) => {
     it(`keeps the limit that a target has named when an answer says "${value}"`, async () => {
