Directory of hubs: lists of use, several hubs after a loss, few refusals

While half of the hubs are frozen, entries were sent to others that froze at the same time, all log processes named the same least loaded hub, and streams that had waited 2 s were refused for balance and waited anew. A control VM on the smaller side of a split named only hubs of its side.

Entries ask on until a list begins with a hub that is heard and not late. Hubs without a message for 0.7 s are named last. The load has a random part, and a hub has room up to the mean and four entries. Waiting streams are refused only at a hub with 1.5 times its share.

The fake fleet's types and starting state are in a file of their own.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -2,8 +2,9 @@
  * Process of the control role: the replicated log, and the interface for operators and targets. The hub of the VM is a
  * process of its own, so that its streams delay neither votes and confirmations nor the answers to operators.
  */
-import { randomUUID } from 'node:crypto';
+import { randomInt, randomUUID } from 'node:crypto';
 import { delay, type Clock } from '@marigoldbank/base/clock';
+import { Random } from '@marigoldbank/base/random';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import { Channels } from '@marigoldbank/daemon/transport/Channels';
 import { ConnectConsensusTransport } from '@marigoldbank/daemon/transport/ConnectConsensusTransport';
@@ -49,6 +50,8 @@
   retainedEntries: 100,
 };
 
+const MAX_SEED = 0x7fffffff;
+
 /** Interval of attempts to open the log on a full disk. */
 const FULL_DISK_RETRY_MS = 500;
 
@@ -111,6 +114,7 @@
     this.voterManager = voterManager;
     const directory = new HubDirectory({
       clock,
+      random: new Random(randomInt(MAX_SEED)),
       memberCount: () => {
         const { voters, learners } = log.status().membership;
         return voters.length + learners.length;
--- a/packages/gateway/src/control/HubDirectory.test.ts
+++ b/packages/gateway/src/control/HubDirectory.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { SystemClock } from '@marigoldbank/base/clock';
+import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { expect } from 'earl';
@@ -23,7 +24,10 @@
 
 function makeDirectory(memberCount = 10): { clock: VirtualClock; directory: HubDirectory } {
   const clock = new VirtualClock();
-  return { clock, directory: new HubDirectory({ clock, memberCount: () => memberCount }) };
+  return {
+    clock,
+    directory: new HubDirectory({ clock, random: new Random(1), memberCount: () => memberCount }),
+  };
 }
 
 describe('HubDirectory', () => {
@@ -77,7 +81,7 @@
   it('answers datagrams, and not those that cannot be read', async () => {
     const logger = new NullLogger();
     const clock = new SystemClock();
-    const directory = new HubDirectory({ clock, memberCount: () => 0 });
+    const directory = new HubDirectory({ clock, random: new Random(1), memberCount: () => 0 });
     directory.setHubs(makeHubs(40));
     const listener = new DirectoryListener(directory, logger);
     const address = '127.0.0.1:17961';
--- a/packages/gateway/src/control/HubDirectory.ts
+++ b/packages/gateway/src/control/HubDirectory.ts
@@ -3,7 +3,7 @@
  * that an entry opens its one stream where it will stay, and an answer costs neither a stream nor time of the hub.
  */
 import type { Clock } from '@marigoldbank/base/clock';
-import { maxEntriesOf } from '../sync/hub-share.js';
+import type { Random } from '@marigoldbank/base/random';
 import type { HubCandidate } from '../sync/HubCandidate.js';
 
 /** Time without a further hub after which no more are expected. All control VMs start within some tenths of a second. */
@@ -18,11 +18,21 @@
 /** Without news of the hub of this VM for longer, entries are sent to others. It reports at least every 300 ms. */
 const OWN_HUB_TIMEOUT_MS = 2_000;
 
-/** Further entries that a hub may have, so that the first ones stay in their data centres while the mean is still small. */
-const MIN_ROOM = 4;
+/**
+ * A hub has room for an entry of its data centre up to the mean and this many entries more. When many hubs are lost at once,
+ * those that remain in a data centre would have streams to open for longer than the others.
+ */
+const ROOM = 4;
+
+/**
+ * Random part of the load of a hub, as a share of the mean: each log process knows only of the entries that it has sent
+ * itself, and all would send those of a hub that was lost to the same one.
+ */
+const SPREAD = 0.4;
 
 export interface HubDirectoryContext {
   readonly clock: Clock;
+  readonly random: Random;
   /** Number of members of the replicated log, as far as this VM knows. Each of their VMs runs a hub. */
   readonly memberCount: () => number;
 }
@@ -80,9 +90,15 @@
 
   /** Hubs with room in the data centre of the entry come first, then those elsewhere, and last those of no use now. */
   private rank(dataCentre: string): HubCandidate[] {
-    const ranked = this.hubs.map((hub) => ({ hub, load: hub.entries + this.assignedTo(hub) }));
+    const reported = this.hubs.reduce((sum, { entries }) => sum + entries, 0);
+    const spread = (SPREAD * reported) / Math.max(1, this.hubs.length);
+    const ranked = this.hubs.map((hub) => ({
+      hub,
+      load: hub.entries + this.assignedTo(hub) + spread * this.ctx.random.float(),
+    }));
     const usable = ranked.filter(({ hub }) => this.isUsable(hub));
-    const limit = MIN_ROOM + maxEntriesOf(usable.map(({ load }) => ({ entries: load })));
+    const total = usable.reduce((sum, { load }) => sum + load, 0);
+    const limit = ROOM + total / Math.max(1, usable.length);
     const groupOf = ({ hub, load }: RankedHub): number => {
       if (!this.isUsable(hub)) return 3;
       if (load >= limit) return 2;
--- a/packages/gateway/src/control/HubPeers.ts
+++ b/packages/gateway/src/control/HubPeers.ts
@@ -16,6 +16,12 @@
 /** A hub without a message for this long does not count as reached; hubs send a message every 400 ms. */
 const REACHABLE_TIMEOUT_MS = 1_000;
 
+/**
+ * Entries are not sent to a hub without a message for this long. They leave a frozen hub after 0.9 s, and would be sent to
+ * others that froze at the same time.
+ */
+const LISTED_TIMEOUT_MS = 700;
+
 export interface HubPeersContext {
   readonly clock: Clock;
   readonly settings: GatewaySettings;
@@ -69,8 +75,13 @@
     );
   }
 
-  /** Addresses of this hub and of the hubs that are alive. */
-  public addresses(now: number): HubCandidate[] {
+  /** The hubs as the log process of this VM names them to entries: frozen ones are left out sooner. */
+  public listForEntries(now: number): HubCandidate[] {
+    return this.addresses(now, LISTED_TIMEOUT_MS);
+  }
+
+  /** Addresses of this hub and of the hubs that are alive, which count as silent without a message for a time. */
+  public addresses(now: number, silentAfterMs = REACHABLE_TIMEOUT_MS): HubCandidate[] {
     const { settings, entriesOf } = this.ctx;
     const isOwnStateLate = this.ctx.isLate();
     return [
@@ -85,7 +96,7 @@
         address: peer.address,
         dataCentre: peer.dataCentre,
         entries: Math.max(entriesOf(peer.address), peer.report?.entries ?? 0),
-        isSilent: now - peer.lastMessageAt >= REACHABLE_TIMEOUT_MS,
+        isSilent: now - peer.lastMessageAt >= silentAfterMs,
         isLate: isLate(peer, now),
       })),
     ];
--- a/packages/gateway/src/control/HubProcess.ts
+++ b/packages/gateway/src/control/HubProcess.ts
@@ -58,7 +58,7 @@
       logger,
       stateMachine,
       client: this.channels.client(LogService, consensusAddress(settings, settings.ip)),
-      hubs: () => this.hub.peers.addresses(clock.now()),
+      hubs: () => this.hub.peers.listForEntries(clock.now()),
     });
     this.hub = new Hub({
       clock,
--- a/packages/gateway/src/control/HubTargets.test.ts
+++ b/packages/gateway/src/control/HubTargets.test.ts
@@ -2,27 +2,12 @@
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { expect } from 'earl';
-import type { Announcement } from '../announcement.js';
+import { makeAnnouncement } from '../testing/fixtures.js';
 import { HubTargets } from './HubTargets.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
 
 const HEARTBEAT_MS = 1_500;
 
-function makeAnnouncement(seq: number, isDraining = false): Announcement {
-  return {
-    id: 't1',
-    address: '10.0.0.1:80',
-    service: 'orders',
-    dataCentre: 'dc-1',
-    version: 'v1',
-    slots: 6,
-    isDraining,
-    coldMs: 0,
-    seq,
-    born: 1,
-  };
-}
-
 describe('HubTargets', () => {
   // Each hub told all others of each heartbeat of each target, which was a third of the bytes between data centres.
   it('has other hubs told of a target that does not change every 5 s, and of changes at once', () => {
@@ -33,7 +18,7 @@
       logger: new NullLogger(),
     });
     const isToldOf = (seq: number, isDraining = false): boolean =>
-      targets.register(makeAnnouncement(seq, isDraining), clock.now());
+      targets.register(makeAnnouncement({ seq, isDraining }), clock.now());
     const told = Array.from({ length: 9 }, (_, i) => {
       const result = isToldOf(i + 1);
       clock.advance(HEARTBEAT_MS);
--- a/packages/gateway/src/control/StreamAdmission.ts
+++ b/packages/gateway/src/control/StreamAdmission.ts
@@ -24,6 +24,12 @@
  */
 const MIN_WAIT_MS = 1_500;
 
+/**
+ * Streams are refused only at a hub with this multiple of the entries that it should have. Entries are sent to hubs with room,
+ * and one that is refused waits anew elsewhere.
+ */
+const CROWDED = 1.5;
+
 /** An entry that does not answer for this long, such as one that was stopped, does not keep others waiting. */
 const SETUP_TIMEOUT_MS = 1_000;
 
@@ -122,6 +128,7 @@
     if (own === undefined || usable.length === 0) return;
     const limit = maxEntriesOf([own, ...usable]);
     const room = usable.reduce((sum, { entries }) => sum + Math.max(0, limit - entries), 0);
+    if (own.entries <= CROWDED * limit) return;
     const excess = Math.min(own.entries - limit, room, refusable.length);
     if (excess <= 0) return;
     const hubs = [own, ...others];
--- a/packages/gateway/src/control/fleet-scenarios.test.ts
+++ b/packages/gateway/src/control/fleet-scenarios.test.ts
@@ -1,7 +1,8 @@
 /** Scenarios of whole fleets in virtual time, at the size of the grown deployments and beyond. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { FakeFleet, type FakeHub } from '../testing/FakeFleet.js';
+import { FakeFleet } from '../testing/FakeFleet.js';
+import type { FakeHub } from '../testing/fake-fleet-parts.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
 
 const CONFIG_APPLY_MS = 2_000;
--- a/packages/gateway/src/control/hub-load.test.ts
+++ b/packages/gateway/src/control/hub-load.test.ts
@@ -6,7 +6,8 @@
 import { expect } from 'earl';
 import type { Announcement } from '../announcement.js';
 import { MAX_CONFIRMED_AGE_MS } from '../sync/confirmation.js';
-import { FakeFleet, type FakeHub } from '../testing/FakeFleet.js';
+import { FakeFleet } from '../testing/FakeFleet.js';
+import type { FakeHub } from '../testing/fake-fleet-parts.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
 
 /** A change that was acknowledged is in force at all entries after this time. */
--- a/packages/gateway/src/control/late-hubs.test.ts
+++ b/packages/gateway/src/control/late-hubs.test.ts
@@ -3,7 +3,8 @@
 import { expect } from 'earl';
 import { MAX_CONFIRMED_AGE_MS } from '../sync/confirmation.js';
 import type { Announcement } from '../announcement.js';
-import { FakeFleet, type FakeHub } from '../testing/FakeFleet.js';
+import { FakeFleet } from '../testing/FakeFleet.js';
+import type { FakeHub } from '../testing/fake-fleet-parts.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
 
 /** A hub spends 8 ms of a core on an entry that connects. It has 0.4 of a core, and requests use most of that. */
--- a/packages/gateway/src/control/restarted-hub.test.ts
+++ b/packages/gateway/src/control/restarted-hub.test.ts
@@ -3,27 +3,11 @@
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { expect } from 'earl';
-import type { Announcement } from '../announcement.js';
+import { makeAnnouncement } from '../testing/fixtures.js';
 import { encodeCommand } from './commands.js';
 import { HubTargets } from './HubTargets.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
 
-function makeAnnouncement(overrides: Partial<Announcement> = {}): Announcement {
-  return {
-    id: 't1',
-    address: '10.0.0.1:80',
-    service: 'orders',
-    dataCentre: 'dc-1',
-    version: 'v1',
-    slots: 6,
-    isDraining: false,
-    coldMs: 0,
-    seq: 5,
-    born: 100,
-    ...overrides,
-  };
-}
-
 /** A hub that has just started, with what the log process of its VM knows. */
 function startHub(stateMachine: PlanStateMachine): HubTargets {
   return new HubTargets({ clock: new VirtualClock(), stateMachine, logger: new NullLogger() });
@@ -41,13 +25,13 @@
 describe('a hub that has restarted', () => {
   it('does not list a target that is gone, whatever other hubs still relay', () => {
     const targets = startHub(restore(true));
-    targets.register(makeAnnouncement({ seq: 9 }), 0);
+    targets.register(makeAnnouncement({ seq: 9, born: 100 }), 0);
     expect(targets.describeAll().filter(({ isDraining }) => isDraining !== true)).toEqual([]);
   });
 
   it('lists a target that is draining as such', () => {
     const targets = startHub(restore(false));
-    targets.register(makeAnnouncement({ seq: 9 }), 0);
+    targets.register(makeAnnouncement({ seq: 9, born: 100 }), 0);
     expect(targets.describeAll().map(({ isDraining }) => isDraining)).toEqual([true]);
   });
 
--- a/packages/gateway/src/entry/HubLocator.test.ts
+++ b/packages/gateway/src/entry/HubLocator.test.ts
@@ -76,6 +76,20 @@
     expect(none!.tookMs).toBeLessThan(5_300);
   });
 
+  // Entries of a side of a split would have gone back to the hub that they had just left.
+  it('takes the list of a control VM that knows a hub of use, if one does', async () => {
+    const late: Answer = () => ({ hubs: [{ address: 'late', isLate: true }], isSettled: true });
+    const fixture = makeLocator({
+      'seed-1': late,
+      'seed-2': late,
+      'seed-3': late,
+      'vm-1': () => listOf(5, true),
+    });
+    await locate(fixture, [], 1_000);
+    expect((await locate(fixture, ['vm-1'], 1_000))?.hubs).toEqual(5);
+    expect((await locate(fixture, [], 1_000))?.hubs).toEqual(1);
+  });
+
   it('finds a control VM that answers within 0.6 s while half of those that it knows do not', async () => {
     const known = Array.from({ length: 10 }, (_, i) => `vm-${i}`);
     const answers = Object.fromEntries(known.slice(5).map((vm) => [vm, () => listOf(10, true)]));
--- a/packages/gateway/src/entry/HubLocator.ts
+++ b/packages/gateway/src/entry/HubLocator.ts
@@ -31,6 +31,12 @@
   readonly client: IDirectoryClient;
 }
 
+/** Whether a list begins with a hub that is heard and not late. */
+function isOfUse(answer: ListHubsResponse | undefined): boolean {
+  const first = answer?.hubs[0];
+  return first !== undefined && !first.isLate && !first.isSilent;
+}
+
 export class HubLocator {
   private readonly failedAt = new Map<string, number>();
 
@@ -45,14 +51,7 @@
   public async locate(known: readonly string[]): Promise<ListHubsResponse | undefined> {
     const { clock, logger } = this.ctx;
     const startedAt = clock.now();
-    const until = startedAt + (this.hasList ? LIMIT_MS : FIRST_LIMIT_MS);
-    let best: ListHubsResponse | undefined;
-    while (best?.isSettled !== true && clock.now() < until) {
-      const answer = await this.ask(known);
-      if (answer !== undefined && answer.hubs.length > 0) best = answer;
-      if (this.hasList && best !== undefined) break;
-      if (answer !== undefined && !answer.isSettled) await delay(clock, REPEAT_MS);
-    }
+    const best = await (this.hasList ? this.askEach(known) : this.askUntilSettled());
     logger.info('hubs are located', {
       hubs: best?.hubs.length ?? 0,
       first: best?.hubs[0]?.address ?? '',
@@ -63,11 +62,38 @@
     return best;
   }
 
-  private async ask(known: readonly string[]): Promise<ListHubsResponse | undefined> {
+  /** Asks the seeds until the hubs are likely to be complete. */
+  private async askUntilSettled(): Promise<ListHubsResponse | undefined> {
+    const { clock } = this.ctx;
+    const until = clock.now() + FIRST_LIMIT_MS;
+    let best: ListHubsResponse | undefined;
+    while (best?.isSettled !== true && clock.now() < until) {
+      const [address] = this.addresses([]);
+      const answer = address === undefined ? undefined : await this.ask(address, FIRST_TIMEOUT_MS);
+      if (answer !== undefined && answer.hubs.length > 0) best = answer;
+      if (answer?.isSettled !== true) await delay(clock, REPEAT_MS);
+    }
+    return best;
+  }
+
+  /**
+   * Asks one control VM after the other until one knows a hub that is of use. One that is cut off knows only hubs that are
+   * cut off as well; its list is taken if there is no other.
+   */
+  private async askEach(known: readonly string[]): Promise<ListHubsResponse | undefined> {
+    const { clock } = this.ctx;
+    const until = clock.now() + LIMIT_MS;
+    const left = this.addresses(known);
+    let best: ListHubsResponse | undefined;
+    while (!isOfUse(best) && left.length > 0 && clock.now() < until) {
+      const answer = await this.ask(left.shift()!, TIMEOUT_MS);
+      if (isOfUse(answer) || (best === undefined && answer?.hubs.length !== 0)) best = answer;
+    }
+    return best;
+  }
+
+  private async ask(address: string, timeoutMs: number): Promise<ListHubsResponse | undefined> {
     const { clock, client, dataCentre } = this.ctx;
-    const [address] = this.addresses(known);
-    if (address === undefined) return undefined;
-    const timeoutMs = this.hasList ? TIMEOUT_MS : FIRST_TIMEOUT_MS;
     const answer = await client.ask(address, dataCentre, timeoutMs);
     if (answer === undefined) this.failedAt.set(address, clock.now());
     return answer;
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -20,7 +20,6 @@
 import { Hub } from '../control/Hub.js';
 import { HubDirectory } from '../control/HubDirectory.js';
 import { LOG_TIMEOUT_MS } from '../control/LogFollower.js';
-import type { ILogView } from '../control/LogView.js';
 import type { PeerHub } from '../control/PeerHub.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
 import type { IDirectoryClient } from '../entry/DirectoryClient.js';
@@ -29,9 +28,17 @@
 import { HubLocator } from '../entry/HubLocator.js';
 import { HubReporter, type EntryReportInit } from '../entry/HubReporter.js';
 import { HubSelector } from '../entry/HubSelector.js';
-import { gatewaySettingsSchema, syncAddress, type GatewaySettings } from '../settings.js';
+import { syncAddress } from '../settings.js';
 import { USUAL_PACE } from '../sync/BatchPace.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import {
+  LEADER_IP,
+  makeSettings,
+  makeUnansweredLog,
+  type FakeEntry,
+  type FakeFleetOptions,
+  type FakeHub,
+} from './fake-fleet-parts.js';
 import { FakeStream } from './FakeStream.js';
 import { OffsetClock } from './OffsetClock.js';
 import { aborted, readAll } from './streams.js';
@@ -49,94 +56,6 @@
 /** Time for a call to the log process of a VM. */
 const CALL_MS = 2;
 
-const FIRST_PORT = 7_600;
-
-const LEADER_IP = '10.0.0.1';
-
-const BOUNDS = {
-  grace: '6s',
-  maxTtl: '5s',
-  retryRatio: 0.2,
-  retrySlack: 188,
-  retryWindow: '10s',
-};
-
-export interface FakeFleetOptions {
-  /** Data centre of each hub; the first one leads. */
-  readonly hubs: readonly string[];
-  /** Data centre of each entry. */
-  readonly entries: readonly string[];
-  readonly seed?: number;
-  /** The entries start within this time. */
-  readonly startWithinMs?: number;
-}
-
-export interface FakeHub {
-  readonly ip: string;
-  readonly address: string;
-  readonly hub: Hub;
-  /** Clock of the hub's process. */
-  readonly clock: Clock;
-  readonly stateMachine: PlanStateMachine;
-  /** Part of the log process of the VM. */
-  readonly directory: HubDirectory;
-  /** Before this time the log process of the VM does not answer. */
-  logFrozenUntil: number;
-  /** Time that each message waits at this hub, in either direction. */
-  delayMs: number;
-  /** The hub handles and sends no message before this time. */
-  busyUntil: number;
-  /** Number of entries that have connected so far, each as often as it did. */
-  connections: number;
-  /** Whether the VM is cut off from the leader. Hubs that are cut off reach each other, and entries reach all. */
-  isCutOff: boolean;
-  /** Whether the log process of the VM does not run, while the hub does. */
-  isLogDown: boolean;
-  /** What the hub knows of the log of its VM. */
-  readonly log: { -readonly [K in keyof ILogView]: ILogView[K] };
-}
-
-export interface FakeEntry {
-  readonly vm: string;
-  /** Clock of the entry's process. */
-  readonly clock: Clock;
-  readonly dataCentre: string;
-  readonly state: EntryState;
-  readonly reporter: HubReporter;
-  /** Address of the hub that the entry follows. */
-  followed: string | undefined;
-  /** Updates that arrived at the entry. */
-  updates: HubUpdate[];
-}
-
-function makeSettings(ip: string, dataCentre: string): GatewaySettings {
-  return gatewaySettingsSchema.parse({
-    vm: `control-${ip}`,
-    ip,
-    dataCentre,
-    role: 'control',
-    listen: {},
-    internalPorts: [FIRST_PORT, FIRST_PORT + 2],
-    seeds: [],
-    bootstrap: true,
-    toleratedLosses: 1,
-    bounds: BOUNDS,
-  });
-}
-
-/** What a hub knows of the log before it has been confirmed. */
-function makeUnansweredLog(isLeader: boolean, voters: readonly string[]): ILogView {
-  return {
-    isLeader,
-    leader: LEADER_IP,
-    voters,
-    confirmedAt: -Infinity,
-    leaderSeenAt: -Infinity,
-    answerDelayMs: 0,
-    isAnswering: true,
-  };
-}
-
 export class FakeFleet {
   public readonly clock = new VirtualClock();
 
@@ -236,6 +155,7 @@
       stateMachine,
       directory: new HubDirectory({
         clock: this.clock,
+        random: this.random.fork(),
         memberCount: () => this.ips.length,
       }),
       logFrozenUntil: 0,
@@ -267,7 +187,7 @@
       .filter(({ isCutOff, isLogDown }) => !isCutOff && !isLogDown)
       .forEach((hub) => {
         this.clock.setTimeout(
-          () => hub.directory.setHubs(hub.hub.peers.addresses(hub.clock.now())),
+          () => hub.directory.setHubs(hub.hub.peers.listForEntries(hub.clock.now())),
           this.waitMs(hub),
         );
         const ageMs = hub.ip === LEADER_IP ? 0 : CONFIRMATION_AGE_MS;
--- /dev/null
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -0,0 +1,98 @@
+/** What the fake fleet consists of, and what its processes start with. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { HubUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { Hub } from '../control/Hub.js';
+import type { HubDirectory } from '../control/HubDirectory.js';
+import type { ILogView } from '../control/LogView.js';
+import type { PlanStateMachine } from '../control/PlanStateMachine.js';
+import type { EntryState } from '../entry/EntryState.js';
+import type { HubReporter } from '../entry/HubReporter.js';
+import { gatewaySettingsSchema, type GatewaySettings } from '../settings.js';
+
+const FIRST_PORT = 7_600;
+
+export const LEADER_IP = '10.0.0.1';
+
+const BOUNDS = {
+  grace: '6s',
+  maxTtl: '5s',
+  retryRatio: 0.2,
+  retrySlack: 188,
+  retryWindow: '10s',
+};
+
+export interface FakeFleetOptions {
+  /** Data centre of each hub; the first one leads. */
+  readonly hubs: readonly string[];
+  /** Data centre of each entry. */
+  readonly entries: readonly string[];
+  readonly seed?: number;
+  /** The entries start within this time. */
+  readonly startWithinMs?: number;
+}
+
+export interface FakeHub {
+  readonly ip: string;
+  readonly address: string;
+  readonly hub: Hub;
+  /** Clock of the hub's process. */
+  readonly clock: Clock;
+  readonly stateMachine: PlanStateMachine;
+  /** Part of the log process of the VM. */
+  readonly directory: HubDirectory;
+  /** Before this time the log process of the VM does not answer. */
+  logFrozenUntil: number;
+  /** Time that each message waits at this hub, in either direction. */
+  delayMs: number;
+  /** The hub handles and sends no message before this time. */
+  busyUntil: number;
+  /** Number of entries that have connected so far, each as often as it did. */
+  connections: number;
+  /** Whether the VM is cut off from the leader. Hubs that are cut off reach each other, and entries reach all. */
+  isCutOff: boolean;
+  /** Whether the log process of the VM does not run, while the hub does. */
+  isLogDown: boolean;
+  /** What the hub knows of the log of its VM. */
+  readonly log: { -readonly [K in keyof ILogView]: ILogView[K] };
+}
+
+export interface FakeEntry {
+  readonly vm: string;
+  /** Clock of the entry's process. */
+  readonly clock: Clock;
+  readonly dataCentre: string;
+  readonly state: EntryState;
+  readonly reporter: HubReporter;
+  /** Address of the hub that the entry follows. */
+  followed: string | undefined;
+  /** Updates that arrived at the entry. */
+  updates: HubUpdate[];
+}
+
+export function makeSettings(ip: string, dataCentre: string): GatewaySettings {
+  return gatewaySettingsSchema.parse({
+    vm: `control-${ip}`,
+    ip,
+    dataCentre,
+    role: 'control',
+    listen: {},
+    internalPorts: [FIRST_PORT, FIRST_PORT + 2],
+    seeds: [],
+    bootstrap: true,
+    toleratedLosses: 1,
+    bounds: BOUNDS,
+  });
+}
+
+/** What a hub knows of the log before it has been confirmed. */
+export function makeUnansweredLog(isLeader: boolean, voters: readonly string[]): ILogView {
+  return {
+    isLeader,
+    leader: LEADER_IP,
+    voters,
+    confirmedAt: -Infinity,
+    leaderSeenAt: -Infinity,
+    answerDelayMs: 0,
+    isAnswering: true,
+  };
+}
--- a/packages/gateway/src/testing/fixtures.ts
+++ b/packages/gateway/src/testing/fixtures.ts
@@ -1,6 +1,7 @@
 /** Shared test data. */
 import { makeRoute } from '@marigoldbank/routing/fixtures';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
+import type { Announcement } from '../announcement.js';
 import type { RunRequest } from '../entry/RequestRun.js';
 import type { HeaderNames } from '../ProtocolAdapter.js';
 
@@ -16,6 +17,23 @@
   key: 'x-key',
 };
 
+/** An announcement of the ready target `t1`. */
+export function makeAnnouncement(overrides: Partial<Announcement> = {}): Announcement {
+  return {
+    id: 't1',
+    address: '10.0.0.1:80',
+    service: 'orders',
+    dataCentre: 'dc-1',
+    version: 'v1',
+    slots: 6,
+    isDraining: false,
+    coldMs: 0,
+    seq: 1,
+    born: 1,
+    ...overrides,
+  };
+}
+
 /** A plan without routes, services and teams. */
 export function makeEmptyPlan(version: number): RoutingPlan {
   return {
