--- a/packages/gateway/src/entry/DirectoryClient.ts
+++ b/packages/gateway/src/entry/DirectoryClient.ts
@@ -27,6 +27,8 @@
 
   private lastId = 0;
 
+  private isDisposed = false;
+
   public constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
@@ -44,6 +46,7 @@
     dataCentre: string,
     timeoutMs: number,
   ): Promise<ListHubsResponse | undefined> {
+    if (this.isDisposed) return Promise.resolve(undefined);
     this.lastId += 1;
     const id = this.lastId;
     const req = create(ListHubsRequestSchema, { id, dataCentre });
@@ -64,6 +67,7 @@
   }
 
   public dispose(): void {
+    this.isDisposed = true;
     this.socket.close();
   }
 
