--- a/packages/gateway/src/control/HubDirectory.test.ts
+++ b/packages/gateway/src/control/HubDirectory.test.ts
@@ -1,3 +1,5 @@
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
 import { describe, it } from 'node:test';
 import { SystemClock } from '@marigoldbank/base/clock';
 import { Random } from '@marigoldbank/base/random';
@@ -30,6 +32,17 @@
   };
 }
 
+/** An address at which nothing receives datagrams. */
+async function findUdpAddress(): Promise<string> {
+  const socket = createSocket('udp4');
+  socket.bind(0, '127.0.0.1');
+  await once(socket, 'listening');
+  const { port } = socket.address();
+  socket.close();
+  await once(socket, 'close');
+  return `127.0.0.1:${port}`;
+}
+
 describe('HubDirectory', () => {
   it('sends entries to the hubs of their data centres in equal numbers', () => {
     const { clock, directory } = makeDirectory();
@@ -84,13 +97,13 @@
     const directory = new HubDirectory({ clock, random: new Random(1), memberCount: () => 0 });
     directory.setHubs(makeHubs(40));
     const listener = new DirectoryListener(directory, logger);
-    const address = '127.0.0.1:17961';
+    const [address, closed] = [await findUdpAddress(), await findUdpAddress()];
     await listener.listen(address);
     const client = new DirectoryClient(clock, logger);
     const res = await client.ask(address, 'dc-3', 2_000);
     expect(res?.hubs.length).toEqual(40);
     expect(res?.hubs[0]?.dataCentre).toEqual('dc-3');
-    expect(await client.ask('127.0.0.1:17962', 'dc-3', 50)).toEqual(undefined);
+    expect(await client.ask(closed, 'dc-3', 50)).toEqual(undefined);
     client.dispose();
     listener.close();
   });
