Gateway: refuse a request under which three targets have ended

Cause: the gateway has a request path of its own, and what the daemon does about poison requests was never carried over. Ruled out: entries that learn of each other too late; nothing counted such losses at all.

Entries report a request whose connection was lost before the answer, by a hash of team, method, host, path and body. PoisonTable merges the reports in any order; hubs pass all of them on to each other and tell their entries of those that were lost more than once. After three losses at different targets, one after the other, the request is refused at once with 503 for five minutes; after two it is not sent to a further target without being repeated. Losses that overlap count once, since targets also end together; an answer of any target clears a request; a loss after which the target accepts connections weighs half. At most 1000 requests are remembered.

--- a/packages/daemon/src/entry/ProxyPipeline.ts
+++ b/packages/daemon/src/entry/ProxyPipeline.ts
@@ -1,5 +1,5 @@
 /** Processing steps of a proxied request: admission, body, claim, dispatch and response. */
-import { createHash, randomUUID } from 'node:crypto';
+import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { delay } from '@marigoldbank/base/clock';
 import type { CompiledRoute } from '@marigoldbank/lists/compiled';
@@ -9,6 +9,7 @@
 import { decodeOutcome, type StoredOutcome } from './responses.js';
 import { CLAIM_STORE_WAIT_MS, CLAIM_WAIT_MS } from './constants.js';
 import { RequestDispatcher } from './RequestDispatcher.js';
+import { computeFingerprint } from './fingerprint.js';
 import { selectRequestHeaders } from './headers.js';
 import { verifyApiKey } from './keys.js';
 import { readBody } from './readBody.js';
@@ -49,16 +50,6 @@
   return { kind: 'refused', refusal };
 }
 
-/** Hash of team, method, target and body, which identifies equal requests. */
-export function computeFingerprint(
-  team: string,
-  method: string,
-  target: string,
-  body: Uint8Array,
-): string {
-  return createHash('sha256').update(`${team}\0${method}\0${target}\0`).update(body).digest('hex');
-}
-
 /** Processes validated requests up to their response. */
 export class ProxyPipeline {
   private readonly sender: ResponseSender;
--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -13,6 +13,7 @@
 import { Batcher } from '../sync/Batcher.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import type { SuspectRequestInit } from '../sync/suspect-codec.js';
 import { echoOf, type PeerTime } from '../sync/timeEcho.js';
 import type { EntryIdentity } from './EntryRegistry.js';
 import type { CommittedPlan } from './CommittedPlan.js';
@@ -63,6 +64,8 @@
 
   private readonly limits = new Map<string, TargetLimitInit>();
 
+  private readonly suspects = new Map<string, SuspectRequestInit>();
+
   private readonly tokenAnswers: MessageInitShape<typeof TokenAnswerSchema>[] = [];
 
   /** Encoded batches that the entry has not read. */
@@ -147,6 +150,11 @@
     this.batcher.request(URGENT_FLUSH_MS);
   }
 
+  public setSuspect(suspect: SuspectRequestInit): void {
+    this.suspects.set(suspect.fingerprint, suspect);
+    this.batcher.request(URGENT_FLUSH_MS);
+  }
+
   public answerToken(answer: MessageInitShape<typeof TokenAnswerSchema>): void {
     this.tokenAnswers.push(answer);
     this.batcher.request(URGENT_FLUSH_MS);
@@ -203,12 +211,14 @@
       tokens: this.tokenAnswers.splice(0),
       retries: [...this.retryStates.values()],
       limits: [...this.limits.values()],
+      suspects: [...this.suspects.values()],
       fleet: this.takeFleetUpdate(),
     };
     this.targets.clear();
     this.removedTargets.clear();
     this.teamModes.clear();
     this.limits.clear();
+    this.suspects.clear();
     this.retryStates.clear();
     const isHandledSent = this.sentHandledMs === (this.entryTime?.sentAtMs ?? 0);
     const isEmpty = Object.values(update).every((part) => part === undefined || isEmptyList(part));
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -33,6 +33,7 @@
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import type { Pace } from '../sync/BatchPace.js';
 import { StreamAdmission } from './StreamAdmission.js';
+import { SuspectDistributor } from './SuspectDistributor.js';
 import { TeamBudgets } from './TeamBudgets.js';
 import { TokenRequestHandler } from './TokenRequestHandler.js';
 
@@ -75,6 +76,8 @@
 
   private readonly limits: LimitDistributor;
 
+  private readonly suspects: SuspectDistributor;
+
   private readonly encoder = new PlanEncoder();
 
   private readonly retryBudgets: RetryBudgets;
@@ -158,6 +161,10 @@
       entries: () => this.sessions.values(),
       hubs: () => this.peers.links,
     });
+    this.suspects = new SuspectDistributor({
+      entries: () => this.sessions.values(),
+      hubs: () => this.peers.links,
+    });
     this.messages = new HubMessages({
       clock,
       settings,
@@ -170,6 +177,7 @@
       evidence: this.evidence,
       teamBudgets: this.teamBudgets,
       limits: this.limits,
+      suspects: this.suspects,
     });
     this.relays = new RelayHandler({
       peers: this.peers,
@@ -177,6 +185,7 @@
       targets: this.targets,
       evidence: this.evidence,
       limits: this.limits,
+      suspects: this.suspects,
       retryBudgets: this.retryBudgets,
       teamBudgets: this.teamBudgets,
       tokenRequests: this.tokenRequests,
@@ -244,6 +253,7 @@
     this.updateReadiness(identity, report.isReady);
     this.evidence.addFromEntry(identity.vm, report.evidence, now);
     this.limits.addFromEntry(report.limits, now);
+    this.suspects.addFromEntry(report.suspects, now);
     report.uses.forEach(({ service, requests, repeats }) => {
       this.retryBudgets.add(service, requests, repeats, now);
       this.peers.links.forEach((link) => link.addUse(service, requests, repeats));
--- a/packages/gateway/src/control/HubMessages.ts
+++ b/packages/gateway/src/control/HubMessages.ts
@@ -11,6 +11,7 @@
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import type { HubRelayInit } from './RelayLink.js';
 import type { LimitDistributor } from './LimitDistributor.js';
+import type { SuspectDistributor } from './SuspectDistributor.js';
 import { TargetSnapshot } from './TargetSnapshot.js';
 import type { TeamBudgets } from './TeamBudgets.js';
 
@@ -30,6 +31,7 @@
   readonly evidence: EvidenceDistributor;
   readonly teamBudgets: TeamBudgets;
   readonly limits: LimitDistributor;
+  readonly suspects: SuspectDistributor;
 }
 
 export class HubMessages {
@@ -62,12 +64,13 @@
 
   /** State for an entry that has connected, except the plan. */
   public forEntry(session: EntrySession): HubUpdateInit {
-    const { clock, peers, teamBudgets, limits } = this.parts;
+    const { clock, peers, teamBudgets, limits, suspects } = this.parts;
     return {
       entryRef: session.entryRef,
       hubs: peers.addresses(clock.now()),
       teams: teamBudgets.modesForEntry(),
       limits: limits.messages(clock.now()),
+      suspects: suspects.forEntry(clock.now()),
       ...(session.isOlderRelease
         ? this.plainSnapshot(session.identity.vm)
         : { snapshot: this.snapshot.encode() }),
@@ -76,7 +79,8 @@
 
   /** State for another hub to which a stream has been opened. */
   public forPeer(): HubRelayInit {
-    const { clock, settings, entries, peers, targets, evidence, teamBudgets, limits } = this.parts;
+    const { clock, settings, entries, peers, targets, evidence, teamBudgets, limits, suspects } =
+      this.parts;
     return {
       hello: { address: peers.ownAddress, dataCentre: settings.dataCentre },
       entries: entries.entriesOf(OWN_HUB).map(({ identity, isReady }) => ({ identity, isReady })),
@@ -85,6 +89,7 @@
       teamStates: teamBudgets.modesForHub(),
       hubs: peers.addresses(clock.now()),
       limits: limits.messages(clock.now()),
+      suspects: suspects.forPeer(clock.now()),
     };
   }
 
--- a/packages/gateway/src/control/RelayHandler.ts
+++ b/packages/gateway/src/control/RelayHandler.ts
@@ -9,6 +9,7 @@
 import type { LimitDistributor } from './LimitDistributor.js';
 import type { PeerHub } from './PeerHub.js';
 import type { RetryBudgets } from './RetryBudgets.js';
+import type { SuspectDistributor } from './SuspectDistributor.js';
 import { toAnnouncement } from './targets-codec.js';
 import type { TeamBudgets } from './TeamBudgets.js';
 import type { TokenRequestHandler } from './TokenRequestHandler.js';
@@ -20,6 +21,7 @@
   readonly targets: HubTargets;
   readonly evidence: EvidenceDistributor;
   readonly limits: LimitDistributor;
+  readonly suspects: SuspectDistributor;
   readonly retryBudgets: RetryBudgets;
   readonly teamBudgets: TeamBudgets;
   readonly tokenRequests: TokenRequestHandler;
@@ -30,8 +32,8 @@
 
   /** Applies a message that arrived at `now` (monotonic ms). */
   public handle(relay: HubRelay, peer: PeerHub, now: number): void {
-    const { peers, targets, evidence, limits, retryBudgets, teamBudgets, tokenRequests } =
-      this.parts;
+    const { peers, targets, evidence, limits, suspects } = this.parts;
+    const { retryBudgets, teamBudgets, tokenRequests } = this.parts;
     peers.noteMessage(peer, relay.sentAtMs, now);
     peers.noteReport(peer, relay, now);
     relay.hubs.forEach(({ address, dataCentre }) => peers.connect(address, dataCentre));
@@ -43,6 +45,7 @@
       now,
     );
     limits.addFromHub(relay.limits, now);
+    suspects.addFromHub(relay.suspects, now);
     relay.uses.forEach(({ service, requests, repeats }) =>
       retryBudgets.add(service, requests, repeats, now),
     );
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -17,6 +17,7 @@
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import type { SuspectRequestInit } from '../sync/suspect-codec.js';
 import { URGENT_FLUSH_MS } from './EntrySession.js';
 
 const RECONNECT_MS = 300;
@@ -56,6 +57,8 @@
 
   private readonly limits = new Map<string, TargetLimitInit>();
 
+  private readonly suspects = new Map<string, SuspectRequestInit>();
+
   private readonly usesByService = new Map<string, UseCounts>();
 
   private readonly admittedByTeam = new Map<string, number>();
@@ -119,6 +122,11 @@
     this.batcher.request(URGENT_FLUSH_MS);
   }
 
+  public setSuspect(suspect: SuspectRequestInit): void {
+    this.suspects.set(suspect.fingerprint, suspect);
+    this.batcher.request(URGENT_FLUSH_MS);
+  }
+
   /** Forwards a token request of an entry. Dropped without a stream: the entry decides itself after a while. */
   public addTokenRequest(token: MessageInitShape<typeof RelayedTokenSchema>): void {
     this.tokens.push(token);
@@ -182,9 +190,11 @@
       tokens: this.tokens.splice(0),
       answers: this.tokenAnswers.splice(0),
       limits: [...this.limits.values()],
+      suspects: [...this.suspects.values()],
     });
     this.targets.clear();
     this.limits.clear();
+    this.suspects.clear();
     this.usesByService.clear();
     this.admittedByTeam.clear();
   }
@@ -212,6 +222,7 @@
     this.evidence.take(() => 0);
     this.targets.clear();
     this.limits.clear();
+    this.suspects.clear();
     this.admittedByTeam.clear();
     this.tokens.length = 0;
     this.tokenAnswers.length = 0;
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -13,6 +13,7 @@
 import { ResponseWriter, type Transaction } from './ResponseWriter.js';
 import { encodeErrorResponse, stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import { PlanWait } from './PlanWait.js';
+import { makeFingerprint, quarantineError } from './quarantine.js';
 import type { RequestLog } from './RequestLog.js';
 import { TeamAdmission } from './TeamAdmission.js';
 import { RequestRun, type RunContext, type RunOutcome } from './RequestRun.js';
@@ -231,6 +232,12 @@
       await this.writeError(tx, head, route, body);
       return;
     }
+    const fingerprint = makeFingerprint(head, body, team?.name);
+    const quarantined = quarantineError(state.suspects, fingerprint, clock.now());
+    if (quarantined !== undefined) {
+      await this.writeError(tx, head, route, quarantined);
+      return;
+    }
     const maxWaitMs = CallerServer.timeoutOf(head, route) * TOKEN_WAIT_FRACTION;
     const charge = await this.active.wait(tx, this.admission.charge(team, maxWaitMs));
     const error = charge.kind === 'stopped' ? this.stoppingError() : charge.value;
@@ -238,7 +245,7 @@
       await this.writeError(tx, head, route, error);
       return;
     }
-    await this.forward(tx, head, body, admission.admitted);
+    await this.forward(tx, head, body, fingerprint, admission.admitted);
   }
 
   /** Looks up route and team. If the plan is not confirmed, an unknown route or key may exist in a newer one. */
@@ -309,6 +316,7 @@
     tx: Transaction,
     head: RequestHead,
     body: Buffer,
+    fingerprint: () => string,
     { route, team }: AdmittedRequest,
   ): Promise<void> {
     const timeoutMs = CallerServer.timeoutOf(head, route);
@@ -319,6 +327,7 @@
       team: team?.name,
       priority: team?.priority ?? route.priority,
       dueAt: tx.receivedAt + timeoutMs,
+      fingerprint,
       signal: tx.callerGone.signal,
     });
     const outcome = await this.active.track(tx, run, run.run());
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -3,6 +3,7 @@
 import { Random } from '@marigoldbank/base/random';
 import { DurationEstimate } from '@marigoldbank/routing/DurationEstimate';
 import type { Route } from '@marigoldbank/routing/plan';
+import { PoisonTable } from '@marigoldbank/routing/PoisonTable';
 import {
   applyPlanChanges,
   fromPlanItems,
@@ -74,6 +75,8 @@
 
   public readonly notices = new TargetNotices();
 
+  public readonly suspects = new PoisonTable();
+
   private readonly planEmitter = new Emitter<RouteTable>();
 
   /** Fires when a plan has taken effect, also if its version is the previous one. */
--- a/packages/gateway/src/entry/ErrorResponse.ts
+++ b/packages/gateway/src/entry/ErrorResponse.ts
@@ -19,6 +19,8 @@
     }
   | { readonly kind: 'noTarget'; readonly verdict: 'notRun' }
   | { readonly kind: 'overloaded'; readonly verdict: 'notRun'; readonly retryAfterMs: number }
+  /** Targets ended under the same request before. */
+  | { readonly kind: 'quarantined'; readonly verdict: 'notRun'; readonly retryAfterMs: number }
   /** The process ends before the request could be answered. */
   | { readonly kind: 'stopping'; readonly verdict: 'notRun'; readonly retryAfterMs: number }
   /** No target ran the request, and no further attempt is possible: no target, time or retry budget is left. */
@@ -51,6 +53,7 @@
   overQuota: 429,
   noTarget: 503,
   overloaded: 503,
+  quarantined: 503,
   stopping: 503,
   notSent: 503,
   upstreamFailed: 502,
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -2,18 +2,21 @@
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import type { Clock } from '@marigoldbank/base/clock';
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import type { RequestLoss, SuspectStatement } from '@marigoldbank/routing/PoisonTable';
 import type { EntryReportSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { parseRetryAfter } from '@marigoldbank/routing/TargetNotices';
 import type { TargetInfo } from '@marigoldbank/routing/TargetTable';
 import type { TargetOutcome } from '@marigoldbank/routing/TargetBelief';
 import type { LimitStatement } from '@marigoldbank/routing/LimitTable';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import { targetNoticesTotal } from '../metrics.js';
+import { quarantinesTotal, targetNoticesTotal } from '../metrics.js';
 import { Batcher } from '../sync/Batcher.js';
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import { toLimitMessage } from '../sync/limit-codec.js';
 import { SendWindow } from '../sync/SendWindow.js';
+import { toSuspectMessage, type SuspectRequestInit } from '../sync/suspect-codec.js';
 import type { EntryState } from './EntryState.js';
+import { TargetCheck, type ITargetCheck } from './TargetCheck.js';
 
 export type EntryReportInit = MessageInitShape<typeof EntryReportSchema>;
 
@@ -21,6 +24,13 @@
 const URGENT_FLUSH_MS = 0;
 const FLUSH_MS = 60;
 
+/** Time after a loss at which the target is checked, and for the check. The sockets of a process close in some ms. */
+const CHECK_DELAY_MS = 30;
+const CHECK_TIMEOUT_MS = 150;
+
+/** Digits of a fingerprint in the log. */
+const LOGGED_DIGITS = 16;
+
 /** Minimum time to wait for a token before the entry decides itself. It waits longer if the request can. */
 const MIN_TOKEN_TIMEOUT_MS = 250;
 
@@ -44,6 +54,9 @@
 
   private readonly limits = new Map<string, LimitStatement>();
 
+  /** Fingerprints of which the hub is to be told what is known. */
+  private readonly suspects = new Set<string>();
+
   private readonly tokenRequests: { id: number; team: string }[] = [];
 
   private readonly pendingTokens = new Map<number, (result: TokenResult) => void>();
@@ -68,6 +81,7 @@
     private readonly clock: Clock,
     private readonly state: EntryState,
     private readonly logger: Logger,
+    private readonly targetCheck: ITargetCheck = new TargetCheck(CHECK_TIMEOUT_MS),
   ) {
     this.batcher = new Batcher(clock, () => this.flushIfOpen());
   }
@@ -85,6 +99,8 @@
       .all()
       .filter(({ ownInFlight }) => ownInFlight > 0)
       .forEach(({ info }) => this.evidence.add(info.id, 0, 0, 0));
+    // The hub before may not have been able to pass them on, and all hubs may have been restarted.
+    this.state.suspects.statements().forEach((suspect) => this.suspects.add(suspect.fingerprint));
     this.flush();
   }
 
@@ -159,6 +175,40 @@
     this.logger.info('target wants a pause', { target: id, pauseMs: Math.round(pauseMs) });
   }
 
+  /** Records that the connection to a target was lost before it answered a request, which it may have ended. */
+  public recordLoss(fingerprint: string, target: TargetInfo, sentAt: number): void {
+    const { clock, logger } = this;
+    const { id, born = 0, address } = target;
+    const loss = { target: id, born, sentAt, lostAt: clock.now(), isAccepting: false };
+    logger.info('request was lost at a target', {
+      fingerprint: fingerprint.slice(0, LOGGED_DIGITS),
+      target: id,
+    });
+    this.addLoss(fingerprint, loss);
+    clock.setTimeout(() => {
+      this.targetCheck
+        .isAccepting(address)
+        .then((isAccepting) => {
+          if (isAccepting) this.addLoss(fingerprint, { ...loss, isAccepting });
+        })
+        .catch((err: unknown) =>
+          logger.warn('a target could not be checked', { target: id, error: String(err) }),
+        );
+    }, CHECK_DELAY_MS);
+  }
+
+  /** Records that a target answered a request, so that the request does not end targets. */
+  public recordAnswer(fingerprint: string): void {
+    if (!this.state.suspects.noteAnswer(fingerprint, this.clock.now())) return;
+    this.suspects.add(fingerprint);
+    this.requestUrgent();
+  }
+
+  /** Adds what the hub knows of a request. */
+  public learnSuspect(statement: SuspectStatement): void {
+    this.mergeSuspect(statement);
+  }
+
   /** Records that a target responded, so that it is reachable. */
   public recordConnected(id: string): void {
     this.state.targets.recordConnected(id);
@@ -227,6 +277,7 @@
       teams: [...this.teamUse].map(([team, admitted]) => ({ team, admitted })),
       tokens: this.tokenRequests.splice(0),
       limits: [...this.limits].map(([id, limit]) => toLimitMessage(id, limit, this.clock.now())),
+      suspects: this.takeSuspects(),
     });
     this.limits.clear();
     this.uses.clear();
@@ -238,6 +289,43 @@
     this.detach();
   }
 
+  private addLoss(fingerprint: string, loss: RequestLoss): void {
+    const statement = { fingerprint, losses: [loss], answeredAt: undefined };
+    if (!this.mergeSuspect(statement)) return;
+    this.suspects.add(fingerprint);
+    this.requestUrgent();
+  }
+
+  /** Merges what is known of a request, and logs if it is quarantined from now on. */
+  private mergeSuspect(statement: SuspectStatement): boolean {
+    const { fingerprint } = statement;
+    const { suspects } = this.state;
+    const now = this.clock.now();
+    const wasRefused = suspects.quarantineMs(fingerprint, now) > 0;
+    const isNews = suspects.merge(statement, now);
+    const quarantineMs = suspects.quarantineMs(fingerprint, now);
+    if (!wasRefused && quarantineMs > 0) {
+      quarantinesTotal.inc();
+      this.logger.warn('request is refused from now on, targets ended under it', {
+        fingerprint: fingerprint.slice(0, LOGGED_DIGITS),
+        targets: (suspects.statementOf(fingerprint)?.losses ?? [])
+          .map(({ target }) => target)
+          .join(','),
+        forMs: Math.round(quarantineMs),
+      });
+    }
+    return isNews;
+  }
+
+  private takeSuspects(): SuspectRequestInit[] {
+    const taken = [...this.suspects].flatMap((fingerprint) => {
+      const statement = this.state.suspects.statementOf(fingerprint);
+      return statement === undefined ? [] : [toSuspectMessage(statement, this.clock.now())];
+    });
+    this.suspects.clear();
+    return taken;
+  }
+
   private requestUrgent(): void {
     this.isUrgent = true;
     this.batcher.request(URGENT_FLUSH_MS);
--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -8,6 +8,7 @@
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import { decodeEvidenceBatch, type EvidenceItem } from '../sync/evidence-batch.js';
 import { toLimitStatement } from '../sync/limit-codec.js';
+import { toSuspectStatement } from '../sync/suspect-codec.js';
 import { TargetRefs } from '../sync/TargetRefs.js';
 import { trueSince } from '../sync/timeEcho.js';
 import type { FollowerContext } from './HubFollower.js';
@@ -64,6 +65,7 @@
     update.evidence.forEach((item) => this.applyEvidence(item.id, item, item.inFlight, now));
     if (update.evidenceBatch.length > 0) this.applyEvidenceBatch(update.evidenceBatch, now);
     update.limits.forEach((limit) => state.limits.note(limit.id, toLimitStatement(limit, now)));
+    update.suspects.forEach((suspect) => reporter.learnSuspect(toSuspectStatement(suspect, now)));
     update.teams.forEach(({ team, isTight }) => state.teamLimiter.setTight(team, isTight));
     update.tokens.forEach(({ id, isGranted, retryAfterMs }) =>
       reporter.resolveToken(
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -56,6 +56,8 @@
   readonly priority: number;
   /** Deadline of the final response in monotonic ms. */
   readonly dueAt: number;
+  /** Identifies equal requests. Computed when it is needed for the first time. */
+  readonly fingerprint: () => string;
   /** Aborted when the caller has disconnected. */
   readonly signal: AbortSignal;
 }
@@ -174,6 +176,7 @@
   /** Handles the result of an attempt. Returns undefined if the run continues. */
   private handleResult(attempt: SendAttempt, result: AttemptResult): RunOutcome | undefined {
     this.pending.delete(attempt);
+    this.recordLossOrAnswer(attempt, result);
     if (result.kind === 'answered' && result.status < FIRST_ERROR_STATUS) {
       this.ctx.state.durationEstimateOf(this.req.route).observe(attempt.elapsedMs);
       return { kind: 'answered', response: result, attempt };
@@ -192,6 +195,15 @@
     return undefined;
   }
 
+  private recordLossOrAnswer(attempt: SendAttempt, result: AttemptResult): void {
+    const { reporter, state } = this.ctx;
+    if (result.kind === 'mayHaveRun' && result.isLost) {
+      reporter.recordLoss(this.req.fingerprint(), attempt.target.info, attempt.startedAt);
+    }
+    const isAnswered = result.kind === 'answered';
+    if (isAnswered && !state.suspects.isEmpty) reporter.recordAnswer(this.req.fingerprint());
+  }
+
   /** Errors of a target that seems healthy are not retried: most likely the request caused them and would again. */
   private isWorthRetrying(result: AttemptResult): boolean {
     if (!this.req.route.isIdempotent) return false;
@@ -337,6 +349,7 @@
     if (this.possibleRuns >= route.maxTargets || this.sends >= MAX_SENDS) return undefined;
     if (this.dueAt - now < MIN_SEND_MS) return undefined;
     if (this.possibleArrivals === 0) return this.select();
+    if (this.isSuspected()) return undefined;
     const isUrgent = priority <= URGENT_PRIORITY;
     const isConnected = state.isFollowingHub(now);
     if (!state.retryLimiter.mayRetry(this.service, isUrgent, state.entryCount, isConnected, now)) {
@@ -345,6 +358,12 @@
     return this.select();
   }
 
+  /** Whether targets may have ended under the request, so that it is not sent to a further one on its own account. */
+  private isSuspected(): boolean {
+    const { suspects } = this.ctx.state;
+    return !suspects.isEmpty && suspects.isSuspected(this.req.fingerprint());
+  }
+
   private send({ target }: Selection): void {
     const { ctx, req } = this;
     const { state, names, reporter } = ctx;
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -42,7 +42,13 @@
       readonly wasSent: boolean;
       readonly target: TargetState;
     }
-  | { readonly kind: 'mayHaveRun'; readonly detail: string; readonly target: TargetState };
+  | {
+      readonly kind: 'mayHaveRun';
+      readonly detail: string;
+      /** Whether the target ended the connection before its answer. */
+      readonly isLost: boolean;
+      readonly target: TargetState;
+    };
 
 export interface AttemptContext {
   readonly clock: Clock;
@@ -125,7 +131,7 @@
       this.exchange.abort('brokenResponse', 'no seal');
       this.end('failed');
       reporter.recordOutcome(id, 'failed');
-      return { kind: 'mayHaveRun', detail: 'the response bears no seal', target };
+      return { kind: 'mayHaveRun', detail: 'the response bears no seal', isLost: false, target };
     }
     return this.collect(status, headers);
   }
@@ -198,7 +204,7 @@
     const detail = `${failure.cause}: ${failure.detail}`;
     return failure.verdict === 'notRun'
       ? { kind: 'notRun', detail, wasSent: false, target }
-      : { kind: 'mayHaveRun', detail, target };
+      : { kind: 'mayHaveRun', detail, isLost: failure.cause === 'connectionLost', target };
   }
 
   /** Reads and discards the body, so that the connection can be reused. Closes the connection if it is large. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -27,6 +27,12 @@
   registers: [registry],
 });
 
+export const quarantinesTotal = new Counter({
+  name: 'marigoldbank_quarantined_requests_total',
+  help: 'Requests that are refused from then on because targets ended under them, each counted once a quarantine',
+  registers: [registry],
+});
+
 export const requestSeconds = new Histogram({
   name: 'marigoldbank_request_duration_seconds',
   help: 'Time from the head of a request to its answer',
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -212,7 +212,9 @@
       new Random(this.random.int(MAX_SEED)),
       () => clock.now(),
     );
-    const reporter = new HubReporter(clock, state, new NullLogger());
+    const reporter = new HubReporter(clock, state, new NullLogger(), {
+      isAccepting: () => Promise.resolve(false),
+    });
     const seeds = this.hubs.slice(0, 3).map(({ address }) => address);
     const entry: FakeEntry = {
       vm,
--- a/packages/gateway/src/testing/fixtures.ts
+++ b/packages/gateway/src/testing/fixtures.ts
@@ -64,6 +64,7 @@
     team: undefined,
     priority: 1,
     dueAt: now + 2_000,
+    fingerprint: () => 'fingerprint-1',
     signal: new AbortController().signal,
   };
 }
