Gateway: entries ask control VMs for the plan while their hub does not confirm it

Callers were served by a configuration that had been replaced more than 2 s before.

Cause: an entry learnt of a new plan from its hub alone. Nothing bounded the age of the plan; the 2 s held only if the entry noticed that its hub was of no use and another hub had time for its stream. Ruled out: a step of the clock, hubs on the same side, plans under way (the other hubs and their entries had the plan within 0.1 s).

PlanRefresher: an entry whose plan has not been confirmed for 1 s asks control VMs by datagrams, two at a time, which plan is committed and how old that knowledge is. The answer has the changes if they fit into a packet; others are fetched by a call. The shares of the 2 s: 1 s until it asks, 0.1 s for the check, 0.3 s for the questions, 0.4 s for the call. An entry that was suspended lets requests wait for that. Changes of a hub that start from another plan than the one in effect are left out. Weighed against it: an acknowledgement that waits for the leases of all hubs (a hub that is cut off would delay each one), two hubs for each entry (twice the streams, which are what hubs have least time for), refusals by entries whose plan is not confirmed (no service while there is no leader).

PlanRefresher.test.ts fails if a part takes longer than its share.

--- a/packages/gateway/src/control/DirectoryListener.ts
+++ b/packages/gateway/src/control/DirectoryListener.ts
@@ -1,6 +1,6 @@
-/** Answers the datagrams of entries that ask which hubs there are. */
+/** Answers the datagrams of entries that ask which hubs there are, or which plan is committed. */
 import { createSocket, type Socket } from 'node:dgram';
-import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import { create, fromBinary, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
 import {
@@ -8,12 +8,19 @@
   ListHubsResponseSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { HubDirectory } from './HubDirectory.js';
+import type { PlanHistory } from './PlanHistory.js';
+
+type ListHubsResponseInit = Exclude<
+  MessageInitShape<typeof ListHubsResponseSchema>,
+  { readonly $typeName: string }
+>;
 
 export class DirectoryListener {
   private readonly socket: Socket = createSocket('udp4');
 
   public constructor(
     private readonly directory: Pick<HubDirectory, 'list'>,
+    private readonly plans: Pick<PlanHistory, 'stateFor'>,
     private readonly logger: Logger,
   ) {}
 
@@ -39,12 +46,22 @@
 
   private answer(bytes: Uint8Array, ip: string, port: number): void {
     try {
-      const { id, dataCentre } = fromBinary(ListHubsRequestSchema, bytes);
-      const { hubs, isSettled } = this.directory.list(dataCentre);
-      const res = create(ListHubsResponseSchema, { id, hubs: [...hubs], isSettled });
+      const { id, dataCentre, heldPlan } = fromBinary(ListHubsRequestSchema, bytes);
+      const answer =
+        heldPlan === undefined ? this.listHubs(dataCentre) : this.describePlan(Number(heldPlan));
+      const res = create(ListHubsResponseSchema, { id, ...answer });
       this.socket.send(toBinary(ListHubsResponseSchema, res), port, ip);
     } catch (err) {
       this.logger.debug('unreadable datagram', { from: ip, error: String(err) });
     }
   }
+
+  private listHubs(dataCentre: string): ListHubsResponseInit {
+    const { hubs, isSettled } = this.directory.list(dataCentre);
+    return { hubs: [...hubs], isSettled };
+  }
+
+  private describePlan(heldVersion: number): ListHubsResponseInit {
+    return { plan: this.plans.stateFor(heldVersion) };
+  }
 }
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -12,6 +12,7 @@
 import { ConnectionTracker } from './ConnectionTracker.js';
 import { ResponseWriter, type Transaction } from './ResponseWriter.js';
 import { encodeErrorResponse, stoppingError, type ErrorResponse } from './ErrorResponse.js';
+import type { PlanRefresher } from './PlanRefresher.js';
 import { PlanWait } from './PlanWait.js';
 import { makeFingerprint, quarantineError } from './quarantine.js';
 import type { RequestLog } from './RequestLog.js';
@@ -39,10 +40,16 @@
 const BODY_TIMEOUT_MS = 30_000;
 
 /**
- * Time since a majority of the voters confirmed the plan. Above it the plan may be outdated, so that an unknown route
- * or key may exist in a newer one.
+ * Time since the plan was known to be the newest one. Above it the plan may be outdated, so that an unknown route or key may
+ * exist in a newer one.
  */
-const MAX_CONFIRMED_AGE_MS = 1_200;
+const MAX_PLAN_AGE_MS = 1_200;
+
+/**
+ * Age of the plan above which a request waits until control VMs have been asked for a newer one. Entries ask long before,
+ * unless they were suspended.
+ */
+const CONFIRM_AGE_MS = 1_800;
 
 /** Maximum wait for a token of the team budget as a fraction of the request's timeout. */
 const TOKEN_WAIT_FRACTION = 0.35;
@@ -54,6 +61,7 @@
 
 export interface ServerContext extends RunContext {
   readonly log: RequestLog;
+  readonly plans: Pick<PlanRefresher, 'confirm'>;
   /** Time since the plan was confirmed, above which requests with a team's key are refused; undefined for never. */
   readonly refuseKeysAfterMs: number | undefined;
 }
@@ -218,6 +226,7 @@
       const deadlineMs = head.deadlineMs ?? DEFAULT_DEADLINE_MS;
       await this.active.wait(tx, this.planWait.wait(deadlineMs, tx.callerGone.signal));
     }
+    await this.active.wait(tx, ctx.plans.confirm(CONFIRM_AGE_MS));
     const admission = this.admit(tx, head);
     if (admission.kind === 'refused') {
       await this.writeError(tx, head, undefined, admission.error);
@@ -255,8 +264,8 @@
     if (state.shutdown.isRefusing(now)) return refused(this.stoppingError());
     const { currentRouteTable } = state;
     if (currentRouteTable === undefined) return refused({ kind: 'notCurrent', verdict: 'notRun' });
-    const confirmedAgeMs = state.confirmedAgeMs(now);
-    const isConfirmed = confirmedAgeMs < MAX_CONFIRMED_AGE_MS && state.hasConfirmedPlan;
+    const planAgeMs = state.planAgeMs(now);
+    const isConfirmed = planAgeMs < MAX_PLAN_AGE_MS;
     const unknown = (kind: 'noRoute' | 'unknownKey'): Admission =>
       refused({ kind: isConfirmed ? kind : 'notCurrent', verdict: 'notRun' });
     const route = currentRouteTable.findRoute(head.host, head.path);
@@ -264,7 +273,7 @@
     const lookup = currentRouteTable.findTeam(route, head.key);
     if (lookup.kind === 'unknown') return unknown('unknownKey');
     const team = lookup.kind === 'team' ? lookup.team : undefined;
-    const mayBeRevoked = confirmedAgeMs > (this.ctx.refuseKeysAfterMs ?? Infinity);
+    const mayBeRevoked = planAgeMs > (this.ctx.refuseKeysAfterMs ?? Infinity);
     if (team !== undefined && mayBeRevoked) {
       return refused({ kind: 'notCurrent', verdict: 'notRun' });
     }
@@ -390,7 +399,7 @@
       ...(error?.kind === 'overQuota' ? { team: error.team, decidedBy: error.decidedBy } : {}),
       elapsedMs: Math.round(elapsedMs),
       plan: state.planVersion,
-      confirmedAgeMs: Math.round(Math.min(state.confirmedAgeMs(now), Number.MAX_SAFE_INTEGER)),
+      planAgeMs: Math.round(Math.min(state.planAgeMs(now), Number.MAX_SAFE_INTEGER)),
       ...trace,
     });
   }
--- a/packages/gateway/src/entry/DirectoryClient.ts
+++ b/packages/gateway/src/entry/DirectoryClient.ts
@@ -8,7 +8,9 @@
 import {
   ListHubsRequestSchema,
   ListHubsResponseSchema,
+  type ListHubsRequest,
   type ListHubsResponse,
+  type PlanState,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 
 export interface IDirectoryClient {
@@ -45,11 +47,35 @@
     address: string,
     dataCentre: string,
     timeoutMs: number,
+  ): Promise<ListHubsResponse | undefined> {
+    return this.send(address, create(ListHubsRequestSchema, { dataCentre }), timeoutMs);
+  }
+
+  /** Resolves to the plan of one control VM, or to undefined if none arrives in time. */
+  public async askPlan(
+    address: string,
+    heldVersion: number,
+    timeoutMs: number,
+  ): Promise<PlanState | undefined> {
+    const heldPlan = BigInt(heldVersion);
+    const res = await this.send(address, create(ListHubsRequestSchema, { heldPlan }), timeoutMs);
+    return res?.plan;
+  }
+
+  public dispose(): void {
+    this.isDisposed = true;
+    this.socket.close();
+  }
+
+  private send(
+    address: string,
+    question: ListHubsRequest,
+    timeoutMs: number,
   ): Promise<ListHubsResponse | undefined> {
     if (this.isDisposed) return Promise.resolve(undefined);
     this.lastId += 1;
     const id = this.lastId;
-    const req = create(ListHubsRequestSchema, { id, dataCentre });
+    const req = { ...question, id };
     const { host, port } = parseAddress(address);
     return new Promise((resolve) => {
       let timer: IDisposable | undefined;
@@ -66,11 +92,6 @@
     });
   }
 
-  public dispose(): void {
-    this.isDisposed = true;
-    this.socket.close();
-  }
-
   private receive(bytes: Uint8Array): void {
     try {
       const res = fromBinary(ListHubsResponseSchema, bytes);
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -3,6 +3,7 @@
 import { delay, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import { UpstreamClient } from '@marigoldbank/daemon/entry/UpstreamClient';
+import { Channels } from '@marigoldbank/daemon/transport/Channels';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
 import type { ProtocolAdapter } from '../ProtocolAdapter.js';
@@ -11,6 +12,7 @@
 import { metricsHandler } from '../metrics.js';
 import {
   consensusAddress,
+  INTERNAL_SECRET,
   ipOf,
   metricsAddress,
   syncAddress,
@@ -24,6 +26,8 @@
 import { HubFollower } from './HubFollower.js';
 import { HubLocator } from './HubLocator.js';
 import { HubReporter } from './HubReporter.js';
+import { PlanClient } from './PlanClient.js';
+import { PlanRefresher } from './PlanRefresher.js';
 import { RequestLog } from './RequestLog.js';
 
 /** Connection timeout for targets. Within a region a connection takes milliseconds. */
@@ -77,6 +81,29 @@
         keepAliveTimeoutMs: UPSTREAM_KEEP_ALIVE_MS,
       }),
     );
+    const hubs = new HubSelector(
+      settings.dataCentre,
+      this.seedAddresses(),
+      clock.now(),
+      this.state.random.float(),
+    );
+    const seedLogs = (): string[] => this.settings.seeds.map((seed) => this.logAddress(ipOf(seed)));
+    const datagrams = this.add(new DirectoryClient(clock, logger));
+    const channels = this.add(
+      new Channels({ secret: INTERNAL_SECRET, outgoingAddress: undefined }),
+    );
+    const plans = this.add(
+      new PlanRefresher({
+        clock,
+        state: this.state,
+        logger,
+        client: new PlanClient(datagrams, channels),
+        addresses: () => [
+          ...seedLogs(),
+          ...hubs.addresses.map((hub) => this.logAddress(ipOf(hub))),
+        ],
+      }),
+    );
     this.server = new CallerServer({
       clock,
       state: this.state,
@@ -85,6 +112,7 @@
       names,
       dataCentre: settings.dataCentre,
       log: new RequestLog(clock, logger),
+      plans,
       refuseKeysAfterMs: settings.refuseKeysAfter,
     });
     this.follower = this.add(
@@ -92,12 +120,7 @@
         clock,
         state: this.state,
         reporter: this.reporter,
-        hubs: new HubSelector(
-          settings.dataCentre,
-          this.seedAddresses(),
-          clock.now(),
-          this.state.random.float(),
-        ),
+        hubs,
         logger,
         identity: {
           vm: settings.vm,
@@ -110,8 +133,8 @@
           random: this.state.random,
           logger,
           dataCentre: settings.dataCentre,
-          seeds: () => this.settings.seeds.map((seed) => this.logAddress(ipOf(seed))),
-          client: this.add(new DirectoryClient(clock, logger)),
+          seeds: seedLogs,
+          client: datagrams,
         }),
         logAddressOf: (hub) => this.logAddress(ipOf(hub)),
         clientOf: (address) => clients.client(address),
--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -153,4 +153,39 @@
     timeOfDay -= 8_000;
     expect(state.confirmedAgeMs(400)).toEqual(150);
   });
+
+  // A hub that is cut off confirms its own plan for ever older; another control VM may know better.
+  it('dates its plan by the newest confirmation of the hub or another control VM, if it has that plan', () => {
+    const state = new EntryState(BOUNDS, undefined, () => 0);
+    const status = {
+      confirmedAgeMs: 100,
+      budgetAgeMs: 100,
+      entries: 4,
+      isLeaderless: false,
+      isCutOff: false,
+      isStarting: false,
+    };
+    state.applyPlan(0, 5, wholePlan(makePlan(5, 1_000)));
+    expect(state.planAgeMs(0)).toEqual(Infinity);
+    state.setStatus({ ...status, planVersion: 5, trueAt: 1_000 }, 1_000);
+    expect(state.planAgeMs(1_000)).toEqual(100);
+    // The hub has confirmed a newer plan, which has not arrived.
+    state.setStatus({ ...status, planVersion: 7, trueAt: 2_000 }, 2_000);
+    expect(state.planAgeMs(2_000)).toEqual(1_100);
+    state.applyPlan(0, 7, wholePlan(makePlan(7, 1_000)));
+    expect(state.planAgeMs(2_000)).toEqual(100);
+    state.confirmPlan(2_500, 2_600);
+    expect([state.planAgeMs(2_600), state.confirmedAgeMs(2_600)]).toEqual([100, 700]);
+    state.confirmPlan(2_400, 2_600);
+    expect(state.planAgeMs(2_600)).toEqual(100);
+  });
+
+  it('counts the time for which the VM was suspended as age of its plan', () => {
+    let timeOfDay = 0;
+    const state = new EntryState(BOUNDS, undefined, () => timeOfDay);
+    state.applyPlan(0, 5, wholePlan(makePlan(5, 1_000)));
+    state.confirmPlan(0, 0);
+    timeOfDay = 5_000;
+    expect(state.planAgeMs(10)).toEqual(5_000);
+  });
 });
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -91,6 +91,9 @@
   /** Time of day less monotonic time when the status arrived. */
   private clockOffsetMs = 0;
 
+  /** Monotonic ms at which the plan in effect was known to be the newest one, and the clock offset when that was learnt. */
+  private planCurrent = { at: -Infinity, clockOffsetMs: 0 };
+
   private largestCount = { entries: 1, at: -Infinity };
 
   private readonly durations = new Map<string, DurationEstimate>();
@@ -130,6 +133,7 @@
     if (version < this.planVersion) return;
     this.planItems = applyPlanChanges(base, changes);
     this.routeTable = new RouteTable(fromPlanItems(version, this.planItems));
+    this.takeConfirmation();
     this.planEmitter.fire(this.routeTable);
   }
 
@@ -137,6 +141,7 @@
   public setStatus(status: HubStatus, now: number): void {
     this.status = status;
     this.clockOffsetMs = this.timeOfDay() - now;
+    this.takeConfirmation();
     const { entries, trueAt } = status;
     const isExpired = trueAt - this.largestCount.at > ENTRY_COUNT_MEMORY_MS;
     if (isExpired || entries >= this.largestCount.entries) {
@@ -144,7 +149,21 @@
     }
   }
 
-  /** Milliseconds since a majority of the voters confirmed the plan. Infinity without a status. */
+  /** Notes that at a time (monotonic ms) no plan was committed that is newer than the one in effect. */
+  public confirmPlan(at: number, now: number): void {
+    if (at > this.planCurrent.at) this.planCurrent = { at, clockOffsetMs: this.timeOfDay() - now };
+  }
+
+  /**
+   * Milliseconds since the plan in effect was known to be the newest one, from the hub or from another control VM. Infinity
+   * if that is not known.
+   */
+  public planAgeMs(now: number): number {
+    const { at, clockOffsetMs } = this.planCurrent;
+    return now - at + this.suspendedMs(now, clockOffsetMs);
+  }
+
+  /** Milliseconds since a majority of the voters confirmed the state of the hub. Infinity without a status. */
   public confirmedAgeMs(now: number): number {
     if (this.status === undefined) return Infinity;
     return this.status.confirmedAgeMs + now - this.status.trueAt + this.suspendedMs(now);
@@ -155,8 +174,8 @@
    * status permits would seem to be in force after it has run out. A step of the time of day looks the same, until the
    * next status.
    */
-  private suspendedMs(now: number): number {
-    const suspendedMs = this.timeOfDay() - now - this.clockOffsetMs;
+  private suspendedMs(now: number, clockOffsetMs = this.clockOffsetMs): number {
+    const suspendedMs = this.timeOfDay() - now - clockOffsetMs;
     return suspendedMs < MIN_SUSPENSION_MS ? 0 : suspendedMs;
   }
 
@@ -165,6 +184,15 @@
     return this.status !== undefined && this.planVersion >= this.status.planVersion;
   }
 
+  /** Takes the confirmation of the last status, if the plan that it is about has arrived. */
+  private takeConfirmation(): void {
+    if (this.status === undefined || !this.hasConfirmedPlan) return;
+    const { trueAt, confirmedAgeMs } = this.status;
+    const at = trueAt - confirmedAgeMs;
+    if (at <= this.planCurrent.at) return;
+    this.planCurrent = { at, clockOffsetMs: this.clockOffsetMs };
+  }
+
   /** Whether the hub reached a majority of the voters but no leader, according to its last status. */
   public get isLeaderless(): boolean {
     return this.status?.isLeaderless ?? false;
--- a/packages/gateway/src/entry/HubFollower.test.ts
+++ b/packages/gateway/src/entry/HubFollower.test.ts
@@ -21,6 +21,9 @@
   readonly send: (update: MessageInitShape<typeof HubUpdateSchema>) => Promise<void>;
   /** Ends the stream, so that the entry follows the next hub. */
   readonly reconnect: () => Promise<void>;
+  readonly advance: (durationMs: number) => Promise<void>;
+  /** Versions of the plan with which the entry has connected. */
+  readonly helloVersions: number[];
 }
 
 async function makeFollower(): Promise<Fixture> {
@@ -29,10 +32,14 @@
     clock.now(),
   );
   let updates = new MessageQueue<HubUpdate>();
+  const helloVersions: number[] = [];
   const client = {
-    follow: () => {
-      updates = new MessageQueue<HubUpdate>();
-      return updates;
+    follow: (_reports: unknown, { signal }: { signal: AbortSignal }) => {
+      helloVersions.push(state.planVersion);
+      const stream = new MessageQueue<HubUpdate>();
+      signal.addEventListener('abort', () => stream.end());
+      updates = stream;
+      return stream;
     },
   } as unknown as Client<typeof SyncService>;
   const follower = new HubFollower({
@@ -51,6 +58,8 @@
   await clock.advanceAsync(10);
   return {
     state,
+    helloVersions,
+    advance: (durationMs) => clock.advanceAsync(durationMs),
     send: async (update) => {
       updates.push(create(HubUpdateSchema, update));
       await clock.advanceAsync(1);
@@ -100,4 +109,27 @@
     await send(makeUpdate([], false));
     expect(idsOf(state)).toEqual(['b', 'c']);
   });
+
+  // An entry may have a plan from another control VM that is newer than that of its hub. The changes that the hub sends then
+  // start from another plan.
+  it('leaves out changes of its hub that do not fit its plan, and connects anew if the plan does not come', async () => {
+    const { state, send, advance, helloVersions } = await makeFollower();
+    const planUpdate = (from: number, to: number): MessageInitShape<typeof HubUpdateSchema> => ({
+      status: { planVersion: BigInt(to) },
+      plan: { fromVersion: BigInt(from), version: BigInt(to), changes: Buffer.from('[]') },
+    });
+    await send(planUpdate(0, 1));
+    state.applyPlan(1, 3, []);
+    await send(planUpdate(1, 2));
+    expect(state.planVersion).toEqual(3);
+    await send(planUpdate(2, 4));
+    expect(state.planVersion).toEqual(3);
+    const keepAlive = async (): Promise<void> => {
+      await advance(500);
+      await send({ status: { planVersion: 4n } });
+    };
+    for (let i = 0; i < 6; i += 1) await keepAlive();
+    await advance(500);
+    expect(helloVersions).toEqual([0, 3]);
+  });
 });
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -24,6 +24,9 @@
 /** Minimum time to the next attempt to move after one that failed: the other hubs are most likely late as well. */
 const MOVE_RETRY_MS = 2_000;
 
+/** Time for a plan to arrive that the hub has confirmed. Control VMs are asked for it well before. */
+const BEHIND_MS = 3_000;
+
 const MS_PER_SECOND = 1_000;
 
 export interface FollowerContext {
@@ -56,6 +59,9 @@
 
   private nextMoveAt = -Infinity;
 
+  /** Since when the hub has confirmed a plan that the entry does not have, undefined if it does not. */
+  private behindSince: number | undefined;
+
   private readonly switchPolicy: HubSwitchPolicy;
 
   private readonly applier: HubUpdateApplier;
@@ -170,14 +176,8 @@
 
   /** Replaces the followed stream by the candidate, whose first message has arrived. */
   private startFollowing(stream: HubStream): void {
-    const { state, reporter, logger } = this.ctx;
+    const { reporter, logger } = this.ctx;
     const { address } = stream;
-    // The hub sends changes to the plan that the entry had when it opened the stream, so they do not fit a newer one.
-    if (state.planVersion !== stream.planVersion) {
-      logger.debug('plan has changed before the hub answered', { hub: address });
-      this.endCandidate(stream);
-      return;
-    }
     const previous = this.stream;
     this.stream = stream;
     this.candidate = undefined;
@@ -200,12 +200,27 @@
     if (this.candidate !== undefined) this.checkCandidate(this.candidate, now);
     const { stream } = this;
     if (stream === undefined || stream.abort.signal.aborted) return;
+    this.checkPlan(stream, now);
     const reason = this.reasonToLeave(stream, now);
     if (reason === undefined) return;
     if (reason === 'silent' || state.isCutOff) this.leave(stream, reason, now);
     else if (this.candidate === undefined && now >= this.nextMoveAt) this.move(stream, reason, now);
   }
 
+  /**
+   * Opens the stream anew if the plan that its hub confirms does not arrive: the changes that the hub sent do not fit the
+   * plan in effect, and no other control VM has sent those that do, such as one of an older release.
+   */
+  private checkPlan(stream: HubStream, now: number): void {
+    const { state, logger } = this.ctx;
+    if (state.hasConfirmedPlan) this.behindSince = undefined;
+    else this.behindSince ??= now;
+    if (this.behindSince === undefined || now - this.behindSince < BEHIND_MS) return;
+    this.behindSince = undefined;
+    logger.warn('the plan of the hub does not arrive', { hub: stream.address });
+    stream.abort.abort();
+  }
+
   /** Gives a candidate up that does not answer. */
   private checkCandidate(candidate: HubStream, now: number): void {
     const { state, hubs, logger } = this.ctx;
--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -3,6 +3,7 @@
 import {
   HubUpdateSchema,
   type HubUpdate,
+  type PlanUpdate,
   type Target,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
@@ -47,11 +48,7 @@
       if (trueAt !== undefined) state.setStatus({ ...update.status, planVersion, trueAt }, now);
     }
     if (update.hubs.length > 0) hubs.setHubs(update.hubs, seeds(), now);
-    if (update.plan !== undefined) {
-      const { fromVersion, version, changes } = update.plan;
-      state.applyPlan(Number(fromVersion), Number(version), decodePlanChanges(changes));
-      this.ctx.logger.info('plan in force', { version: state.planVersion });
-    }
+    if (update.plan !== undefined) this.applyPlan(stream, update.plan);
     if (stream.firstMessageAt === undefined) {
       state.targets.all().forEach((target) => Object.assign(target, { othersInFlight: 0 }));
       Object.assign(stream, { firstMessageAt: now });
@@ -88,6 +85,22 @@
     }
   }
 
+  /**
+   * Applies a plan of the hub, unless the entry has got it from another control VM. Changes to a plan before that one do not
+   * fit; the entry then asks for what it lacks, since the hub does not confirm the plan in effect any more.
+   */
+  private applyPlan(stream: HubStream, { fromVersion, version, changes }: PlanUpdate): void {
+    const { state, logger } = this.ctx;
+    const [from, to] = [Number(fromVersion), Number(version)];
+    if (to <= state.planVersion) return;
+    if (from !== 0 && from !== state.planVersion) {
+      logger.info('changes do not fit the plan', { hub: stream.address, from, to });
+      return;
+    }
+    state.applyPlan(from, to, decodePlanChanges(changes));
+    logger.info('plan in force', { version: state.planVersion });
+  }
+
   private applyTargets(stream: HubStream, update: HubUpdate, now: number): void {
     const { targets } = this.ctx.state;
     update.targets.forEach((target) => {
--- /dev/null
+++ b/packages/gateway/src/entry/PlanRefresher.test.ts
@@ -0,0 +1,189 @@
+import { describe, it } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { delay } from '@marigoldbank/base/clock';
+import { Random } from '@marigoldbank/base/random';
+import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import { PlanStateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import { PlanUpdateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import { encodePlanChanges, toPlanItems } from '@marigoldbank/routing/plan-items';
+import { expect } from 'earl';
+import { makeEmptyPlan } from '../testing/fixtures.js';
+import { EntryState } from './EntryState.js';
+import type { IPlanClient } from './PlanClient.js';
+import { PlanRefresher } from './PlanRefresher.js';
+
+const BOUNDS = { ratio: 0.2, slack: 60, windowMs: 10_000 };
+
+/** Time after its acknowledgement from which requests have to be handled by a change. */
+const CONFIG_APPLY_MS = 2_000;
+
+const CHANGES = encodePlanChanges([]);
+
+interface FakeVm {
+  readonly version: number;
+  readonly confirmedAgeMs?: number;
+  /** Whether the changes fit into a datagram. */
+  readonly hasChanges?: boolean;
+}
+
+interface Fixture {
+  readonly clock: VirtualClock;
+  readonly state: EntryState;
+  readonly start: () => PlanRefresher;
+  /** Addresses that were asked, in order. */
+  readonly asked: string[];
+}
+
+interface Delays {
+  readonly askMs?: number;
+  readonly fetchMs?: number;
+  /** Number of questions that are not answered. */
+  readonly unanswered?: number;
+}
+
+/** An entry with plan 1, whose hub confirmed it at the time 0 and never again. */
+function makeFixture(
+  vms: Record<string, FakeVm>,
+  { askMs = 2, fetchMs = 2, unanswered = 0 }: Delays = {},
+): Fixture {
+  const clock = new VirtualClock();
+  const state = new EntryState(BOUNDS, new Random(1), () => clock.now());
+  const asked: string[] = [];
+  const client: IPlanClient = {
+    askPlan: async (address, heldVersion, timeoutMs) => {
+      asked.push(address);
+      const vm = vms[address]!;
+      const isAnswered = asked.length > unanswered && askMs <= timeoutMs;
+      await delay(clock, isAnswered ? askMs : timeoutMs);
+      if (!isAnswered) return undefined;
+      const isNewer = vm.version > heldVersion;
+      return create(PlanStateSchema, {
+        version: BigInt(vm.version),
+        confirmedAgeMs: vm.confirmedAgeMs ?? 100,
+        ...(isNewer && vm.hasChanges === true ? { changes: CHANGES } : {}),
+      });
+    },
+    fetchPlan: async (address, _held, timeoutMs) => {
+      await delay(clock, Math.min(fetchMs, timeoutMs));
+      if (fetchMs > timeoutMs) throw new Error('timed out');
+      const {version} = (vms[address]!);
+      const items = [...toPlanItems(makeEmptyPlan(version))];
+      const changes = encodePlanChanges(items.map(([key, value]) => ({ key, value })));
+      return create(PlanUpdateSchema, { version: BigInt(version), changes });
+    },
+  };
+  const plan = [...toPlanItems(makeEmptyPlan(1))].map(([key, value]) => ({ key, value }));
+  state.applyPlan(0, 1, plan);
+  state.confirmPlan(0, 0);
+  const logger = new NullLogger();
+  const addresses = (): string[] => Object.keys(vms);
+  const start = (): PlanRefresher => new PlanRefresher({ clock, state, logger, client, addresses });
+  return { clock, state, start, asked };
+}
+
+describe('PlanRefresher', () => {
+  // An entry of a hub that was cut off without knowing it served by the plan before for 5 s.
+  it('has a change in force 2 s after its commit without the hub, if each part takes its whole share', async () => {
+    const vms = Object.fromEntries(
+      ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map((address) => [address, { version: 2 }]),
+    );
+    const { clock, state, start, asked } = makeFixture(vms, {
+      askMs: 100,
+      fetchMs: 400,
+      unanswered: 4,
+    });
+    start();
+    // Committed right after the last confirmation.
+    await clock.advanceAsync(CONFIG_APPLY_MS);
+    expect(state.planVersion).toEqual(2);
+    expect(new Set(asked).size).toEqual(6);
+  });
+
+  [
+    { part: 'the question', delays: { askMs: 101 } },
+    { part: 'the call', delays: { fetchMs: 401 } },
+  ].forEach(({ part, delays }) => {
+    it(`gives up on a control VM if ${part} takes longer than its share`, async () => {
+      const { clock, state, start } = makeFixture({ x: { version: 2 } }, delays);
+      start();
+      await clock.advanceAsync(10_000);
+      expect(state.planVersion).toEqual(1);
+    });
+  });
+
+  it('takes changes from a datagram', async () => {
+    const { clock, state, start } = makeFixture({
+      x: { version: 2, hasChanges: true },
+      y: { version: 2, hasChanges: true },
+    });
+    start();
+    await clock.advanceAsync(1_150);
+    expect(state.planVersion).toEqual(2);
+    expect(state.planAgeMs(clock.now())).toBeLessThan(300);
+  });
+
+  it('asks nothing while the hub confirms the plan', async () => {
+    const { clock, state, start, asked } = makeFixture({ x: { version: 2 } });
+    start();
+    for (let i = 0; i < 20; i += 1) {
+      await clock.advanceAsync(400);
+      state.confirmPlan(clock.now() - 300, clock.now());
+    }
+    expect(asked).toEqual([]);
+  });
+
+  // A control VM on the smaller side of a split holds an old plan and an old confirmation.
+  it('does not take a control VM for current that has no recent confirmation', async () => {
+    const { clock, state, start } = makeFixture({ x: { version: 1, confirmedAgeMs: 5_000 } });
+    start();
+    await clock.advanceAsync(3_000);
+    expect(state.planAgeMs(clock.now())).toBeGreaterThan(2_500);
+  });
+
+  it('confirms its plan by a control VM that holds the same', async () => {
+    const { clock, state, start } = makeFixture({ x: { version: 1 } });
+    start();
+    await clock.advanceAsync(10_000);
+    expect(state.planAgeMs(clock.now())).toBeLessThan(1_300);
+  });
+
+  // Questions of all entries together must not keep the log processes busy while there is no leader.
+  it('asks at most 20 control VMs a second while none confirms the plan', async () => {
+    const vms = Object.fromEntries(
+      Array.from({ length: 20 }, (_, i) => [`vm-${i}`, { version: 1, confirmedAgeMs: 60_000 }]),
+    );
+    const { clock, start, asked } = makeFixture(vms);
+    start();
+    await clock.advanceAsync(1_000);
+    const before = asked.length;
+    await clock.advanceAsync(10_000);
+    expect(asked.length - before).toBeLessThan(200);
+  });
+
+  // An entry that was suspended acted on a confirmation that had run out meanwhile. Its timers fire later than requests that
+  // have arrived meanwhile are handled, so the refresher starts only now.
+  it('lets a request wait until a plan is confirmed that has not been for 1.8 s', async () => {
+    const { clock, state, start } = makeFixture({ x: { version: 2, hasChanges: true } });
+    clock.advance(5_000);
+    const wait = start().confirm(1_800);
+    await clock.advanceAsync(5);
+    await wait;
+    expect(state.planVersion).toEqual(2);
+  });
+
+  it('lets no further request wait while no control VM confirms the plan', async () => {
+    const { clock, state, start, asked } = makeFixture(
+      { x: { version: 1 } },
+      { unanswered: Infinity },
+    );
+    clock.advance(5_000);
+    const refresher = start();
+    const first = refresher.confirm(1_800);
+    await clock.advanceAsync(200);
+    await first;
+    const count = asked.length;
+    await refresher.confirm(1_800);
+    expect([asked.length, state.planVersion]).toEqual([count, 1]);
+  });
+});
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -33,6 +33,13 @@
   registers: [registry],
 });
 
+export const planQuestionsTotal = new Counter({
+  name: 'marigoldbank_plan_questions_total',
+  help: 'Questions to control VMs for the plan, while the hub does not confirm it, by outcome',
+  labelNames: ['outcome'] as const,
+  registers: [registry],
+});
+
 export const requestSeconds = new Histogram({
   name: 'marigoldbank_request_duration_seconds',
   help: 'Time from the head of a request to its answer',
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -9,18 +9,23 @@
   EntryReportSchema,
   HubRelaySchema,
   HubUpdateSchema,
+  PlanUpdateSchema,
   type EntryReport,
   type HubUpdate,
   type SyncService,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import { ListHubsResponseSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import {
+  ListHubsResponseSchema,
+  PlanStateSchema,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
-import { encodeCommand } from '../control/commands.js';
+import { encodeCommand, type CommandInit } from '../control/commands.js';
 import type { EntryStream } from '../control/EntryStream.js';
 import { Hub } from '../control/Hub.js';
 import { HubDirectory } from '../control/HubDirectory.js';
 import { LOG_TIMEOUT_MS } from '../control/LogFollower.js';
 import type { PeerHub } from '../control/PeerHub.js';
+import { PlanHistory } from '../control/PlanHistory.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
 import type { IDirectoryClient } from '../entry/DirectoryClient.js';
 import { EntryState } from '../entry/EntryState.js';
@@ -28,6 +33,8 @@
 import { HubLocator } from '../entry/HubLocator.js';
 import { HubReporter, type EntryReportInit } from '../entry/HubReporter.js';
 import { HubSelector } from '../entry/HubSelector.js';
+import type { IPlanClient } from '../entry/PlanClient.js';
+import { PlanRefresher } from '../entry/PlanRefresher.js';
 import { syncAddress } from '../settings.js';
 import { USUAL_PACE } from '../sync/BatchPace.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
@@ -65,6 +72,9 @@
   /** Time for which a hub is busy with each report of an entry, and what it relays and distributes of it. */
   public reportMs = 0;
 
+  /** Time from a question for the plan to its answer. */
+  public planAnswerMs = CALL_MS;
+
   public readonly hubs: FakeHub[];
 
   public readonly entries: FakeEntry[];
@@ -77,6 +87,8 @@
   /** Time since which the log process of a VM has not answered, by IP address. */
   private readonly logFailedAt = new Map<string, number>();
 
+  private readonly refreshers: PlanRefresher[] = [];
+
   private commitIndex = 0;
 
   public constructor(private readonly options: FakeFleetOptions) {
@@ -91,11 +103,25 @@
 
   /** Commits a plan at the leader. The hubs that it reaches apply it when its message has passed their delay. */
   public commit(plan: RoutingPlan): void {
+    this.commitCommand({ kind: 'putPlan', document: '', plan });
+  }
+
+  /** Commits that a target leaves, as a plan is. */
+  public commitLeaving(id: string): void {
+    this.commitCommand({ kind: 'markLeaving', id, born: 1, isGone: false, at: this.clock.now() });
+  }
+
+  private commitCommand(init: CommandInit): void {
     this.commitIndex += 1;
     const index = this.commitIndex;
-    const command = encodeCommand({ kind: 'putPlan', document: '', plan });
-    this.hubs.forEach(({ stateMachine, delayMs, isCutOff, isLogDown }, i) => {
-      if (isCutOff || isLogDown) return;
+    const command = encodeCommand(init);
+    this.hubs.forEach((hub, i) => {
+      const { stateMachine, logState, delayMs, isLogDown } = hub;
+      if (FakeFleet.isWithoutMajority(hub) || isLogDown) return;
+      // The log process of a VM has a share of its own, so that a busy hub does not delay it.
+      const applyToLog = (): unknown => logState.apply(index, command);
+      if (i === 0) applyToLog();
+      else this.clock.setTimeout(applyToLog, REPLICATION_MS);
       const apply = (): unknown => stateMachine.apply(index, command);
       if (i === 0) apply();
       else this.clock.setTimeout(apply, REPLICATION_MS + delayMs);
@@ -124,6 +150,11 @@
     Object.assign(hub, { busyUntil: Math.max(this.clock.now(), hub.busyUntil) + durationMs });
   }
 
+  /** No majority answers such a VM, so that its log gets no commits and no confirmations. */
+  private static isWithoutMajority({ isCutOff, isUnheard }: FakeHub): boolean {
+    return isCutOff || isUnheard;
+  }
+
   private waitMs({ delayMs, busyUntil }: FakeHub): number {
     return delayMs + Math.max(0, busyUntil - this.clock.now());
   }
@@ -137,6 +168,9 @@
     const stateMachine = new PlanStateMachine();
     const log = makeUnansweredLog(ip === LEADER_IP, this.ips);
     const clock = this.processClock();
+    const logState = new PlanStateMachine();
+    const address = syncAddress(settings, ip);
+    const logAgeMs = (): number => this.clock.now() - this.hubAt(address).logConfirmedAt;
     const hub = new Hub({
       clock,
       settings,
@@ -144,11 +178,11 @@
       logger: new NullLogger(),
       pace: USUAL_PACE,
       log,
-      clientOf: (address) => this.client(address, ip),
+      clientOf: (other) => this.client(other, ip),
     });
     return {
       ip,
-      address: syncAddress(settings, ip),
+      address,
       hub,
       clock,
       log,
@@ -158,11 +192,18 @@
         random: this.random.fork(),
         memberCount: () => this.ips.length,
       }),
+      logState,
+      plans: new PlanHistory({
+        stateMachine: logState,
+        confirmation: { confirmedAgeMs: logAgeMs },
+      }),
+      logConfirmedAt: -Infinity,
       logFrozenUntil: 0,
       delayMs: 0,
       busyUntil: 0,
       connections: 0,
       isCutOff: false,
+      isUnheard: false,
       isLogDown: false,
     };
   }
@@ -184,13 +225,14 @@
         }
       });
     this.hubs
-      .filter(({ isCutOff, isLogDown }) => !isCutOff && !isLogDown)
+      .filter((hub) => !FakeFleet.isWithoutMajority(hub) && !hub.isLogDown)
       .forEach((hub) => {
         this.clock.setTimeout(
           () => hub.directory.setHubs(hub.hub.peers.listForEntries(hub.clock.now())),
           this.waitMs(hub),
         );
         const ageMs = hub.ip === LEADER_IP ? 0 : CONFIRMATION_AGE_MS;
+        Object.assign(hub, { logConfirmedAt: now - ageMs });
         const askedAt = hub.clock.now();
         const learn = (): void => {
           this.logFailedAt.delete(hub.ip);
@@ -225,11 +267,20 @@
       followed: undefined,
       updates: [],
     };
+    const selector = new HubSelector(dataCentre, seeds, clock.now(), state.random.float());
+    const refresher = new PlanRefresher({
+      clock,
+      state,
+      logger: new NullLogger(),
+      client: this.planClient(),
+      addresses: () => [...seeds, ...selector.addresses],
+    });
+    this.refreshers.push(refresher);
     const follower = new HubFollower({
       clock,
       state,
       reporter,
-      hubs: new HubSelector(dataCentre, seeds, clock.now(), state.random.float()),
+      hubs: selector,
       logger: new NullLogger(),
       identity: { vm, address: `${vm}:80`, dataCentre },
       seeds: () => seeds,
@@ -266,6 +317,27 @@
     };
   }
 
+  /** Client for the plans of the log processes. */
+  private planClient(): IPlanClient {
+    const call = async (address: string, timeoutMs: number): Promise<FakeHub | undefined> => {
+      const hub = this.hubAt(address);
+      const isAnswering = !hub.isLogDown && this.clock.now() >= hub.logFrozenUntil;
+      await delay(this.clock, isAnswering ? this.planAnswerMs : timeoutMs);
+      return isAnswering && this.planAnswerMs <= timeoutMs ? hub : undefined;
+    };
+    return {
+      askPlan: async (address, heldVersion, timeoutMs) => {
+        const state = (await call(address, timeoutMs))?.plans.stateFor(heldVersion);
+        return state === undefined ? undefined : create(PlanStateSchema, state);
+      },
+      fetchPlan: async (address, heldVersion, timeoutMs) => {
+        const update = (await call(address, timeoutMs))?.plans.updateFrom(heldVersion);
+        if (update === undefined) throw new Error('timed out');
+        return create(PlanUpdateSchema, update);
+      },
+    };
+  }
+
   /** Client of the process `from` for the hub at `address`. */
   private client(address: string, from: string): Client<typeof SyncService> {
     return {
@@ -295,7 +367,7 @@
     const reading = readAll(messages, (message) => {
       const target = this.hubAt(address);
       const sender = this.hubs.find(({ ip }) => ip === from)!;
-      if (sender.isCutOff !== target.isCutOff) return;
+      if (sender.isCutOff !== target.isCutOff || sender.isUnheard) return;
       stream.deliver(this.waitMs(target) + this.waitMs(sender), () => {
         const relay = create(HubRelaySchema, message);
         const { hello } = relay;
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -4,6 +4,7 @@
 import type { Hub } from '../control/Hub.js';
 import type { HubDirectory } from '../control/HubDirectory.js';
 import type { ILogView } from '../control/LogView.js';
+import type { PlanHistory } from '../control/PlanHistory.js';
 import type { PlanStateMachine } from '../control/PlanStateMachine.js';
 import type { EntryState } from '../entry/EntryState.js';
 import type { HubReporter } from '../entry/HubReporter.js';
@@ -38,8 +39,12 @@
   /** Clock of the hub's process. */
   readonly clock: Clock;
   readonly stateMachine: PlanStateMachine;
-  /** Part of the log process of the VM. */
+  /** Parts of the log process of the VM. */
   readonly directory: HubDirectory;
+  readonly logState: PlanStateMachine;
+  readonly plans: PlanHistory;
+  /** Time of the virtual clock at which a majority confirmed the state of the log process. */
+  logConfirmedAt: number;
   /** Before this time the log process of the VM does not answer. */
   logFrozenUntil: number;
   /** Time that each message waits at this hub, in either direction. */
@@ -50,6 +55,8 @@
   connections: number;
   /** Whether the VM is cut off from the leader. Hubs that are cut off reach each other, and entries reach all. */
   isCutOff: boolean;
+  /** Whether no other VM gets the messages of this one, while it gets theirs: a cut in one direction. */
+  isUnheard: boolean;
   /** Whether the log process of the VM does not run, while the hub does. */
   isLogDown: boolean;
   /** What the hub knows of the log of its VM. */
