Gateway: entries of hubs that are cut off learn which targets leave

Requests were sent to targets that had said that they leave, more than 2 s after that was acknowledged, by entries whose hub was cut off: they learnt of it only from their next hub.

The answer of a control VM to an entry whose hub does not confirm its state now names the targets that were marked as leaving in the last minute, after the index in the log up to which the entry knows them. Many are fetched by a call, as large changes of the plan are. Such a target gets nothing more from the entry, whatever its hub says; a new incarnation is used again.

--- /dev/null
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -0,0 +1,138 @@
+/**
+ * Tells entries what was committed in the log and they may not have: the plan, with the changes since the one that they hold,
+ * and targets that leave. Their hubs send them all of it; an entry asks when its hub has not confirmed its state for a
+ * while, since the hub may be cut off, late or lost.
+ */
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type { Clock } from '@marigoldbank/base/clock';
+import type {
+  CommittedStateSchema,
+  FetchResponseSchema,
+  LeavingTargetSchema,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { CommittedPlan } from './CommittedPlan.js';
+import { PlanEncoder } from './PlanEncoder.js';
+import type { PlanStateMachine } from './PlanStateMachine.js';
+import type { StateConfirmation } from './StateConfirmation.js';
+
+/** Plans that are kept, also as the base of changes. An entry that holds an older one gets a complete plan. */
+const MAX_PLANS = 16;
+
+/** Targets that leave end within seconds. An entry that was without any control VM for longer gets them from its next hub. */
+const LEAVING_MS = 60_000;
+
+/** With both at most, an answer fits into one packet: a datagram of several packets is lost more often. */
+const MAX_DATAGRAM_CHANGES = 900;
+const MAX_DATAGRAM_LEAVING = 16;
+
+export interface CommitHistoryContext {
+  readonly clock: Clock;
+  readonly stateMachine: Pick<
+    PlanStateMachine,
+    'current' | 'appliedIndex' | 'leavingMark' | 'onDidChangePlan' | 'onDidMarkLeaving'
+  >;
+  readonly confirmation: Pick<StateConfirmation, 'confirmedAgeMs'>;
+}
+
+/** What an entry has from earlier answers, and its plan. */
+export interface HeldState {
+  readonly planVersion: number;
+  /** Index in the log up to which it knows which targets leave. */
+  readonly index: number;
+}
+
+interface Leaving {
+  readonly id: string;
+  readonly born: number;
+  readonly index: number;
+  /** Monotonic ms. */
+  readonly at: number;
+}
+
+type LeavingInit = MessageInitShape<typeof LeavingTargetSchema>;
+
+export class CommitHistory {
+  private plans: readonly CommittedPlan[];
+
+  private leaving: readonly Leaving[] = [];
+
+  private readonly encoder = new PlanEncoder();
+
+  public constructor(private readonly ctx: CommitHistoryContext) {
+    const { current } = ctx.stateMachine;
+    this.plans = current === undefined ? [] : [current];
+    ctx.stateMachine.onDidChangePlan((plan) => {
+      this.plans = [...this.plans, plan].slice(-MAX_PLANS);
+    });
+    ctx.stateMachine.onDidMarkLeaving((id) => this.addLeaving(id));
+  }
+
+  /** What is committed, for a datagram. Undefined before the first plan. */
+  public stateFor(
+    held: HeldState,
+  ): Exclude<MessageInitShape<typeof CommittedStateSchema>, { $typeName: string }> | undefined {
+    const current = this.plans.at(-1);
+    if (current === undefined) return undefined;
+    const { version } = current.plan;
+    const ageMs = this.ctx.confirmation.confirmedAgeMs();
+    const isNewer = version > held.planVersion;
+    const base = this.planOf(held.planVersion);
+    const changes = isNewer && base !== undefined ? this.encoder.encode(base, current) : undefined;
+    const doPlansFit = !isNewer || (changes?.length ?? Infinity) <= MAX_DATAGRAM_CHANGES;
+    const { targets, index } = this.leavingAfter(held.index);
+    const doTargetsFit = targets.length <= MAX_DATAGRAM_LEAVING;
+    return {
+      version: BigInt(version),
+      ...(Number.isFinite(ageMs) ? { confirmedAgeMs: Math.ceil(Math.max(0, ageMs)) } : {}),
+      ...(doPlansFit && changes !== undefined ? { changes } : {}),
+      ...(doTargetsFit ? { leaving: targets, index: BigInt(index) } : {}),
+      isCutShort: !doPlansFit || !doTargetsFit,
+    };
+  }
+
+  /** The same for a call, of any size: the complete plan if the one that the entry holds is not known here. */
+  public fetch({
+    planVersion,
+    index: held,
+  }: HeldState): MessageInitShape<typeof FetchResponseSchema> {
+    const current = this.plans.at(-1);
+    const base = this.planOf(planVersion);
+    const { targets, index } = this.leavingAfter(held);
+    return {
+      ...(current === undefined
+        ? {}
+        : {
+            plan: {
+              fromVersion: BigInt(base?.plan.version ?? 0),
+              version: BigInt(current.plan.version),
+              changes: this.encoder.encode(base, current),
+            },
+          }),
+      leaving: targets,
+      index: BigInt(index),
+    };
+  }
+
+  private planOf(version: number): CommittedPlan | undefined {
+    return this.plans.find(({ plan }) => plan.version === version);
+  }
+
+  private addLeaving(id: string): void {
+    const { clock, stateMachine } = this.ctx;
+    const mark = stateMachine.leavingMark(id, 0);
+    if (mark === undefined) return;
+    const now = clock.now();
+    const recent = this.leaving.filter(({ at }) => now - at < LEAVING_MS);
+    const { appliedIndex: index } = stateMachine;
+    this.leaving = [...recent, { id, born: mark.born, index, at: now }];
+  }
+
+  private leavingAfter(held: number): { targets: LeavingInit[]; index: number } {
+    const now = this.ctx.clock.now();
+    const later = this.leaving.filter(({ index, at }) => index > held && now - at < LEAVING_MS);
+    return {
+      targets: later.map(({ id, born }) => ({ id, born: BigInt(born) })),
+      index: Math.max(held, ...later.map(({ index }) => index)),
+    };
+  }
+}
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -32,7 +32,7 @@
 import { HubDirectory } from './HubDirectory.js';
 import { LogFeed } from './LogFeed.js';
 import { registerLogService, type LogServiceParts } from './log-routes.js';
-import { PlanHistory } from './PlanHistory.js';
+import { CommitHistory } from './CommitHistory.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
 import { StateConfirmation } from './StateConfirmation.js';
 import { VoterManager } from './VoterManager.js';
@@ -121,9 +121,9 @@
         return voters.length + learners.length;
       },
     });
-    const plans = new PlanHistory({ stateMachine, confirmation });
-    await this.serveLog(log, { log, feed, directory, plans, confirmation, voterManager });
-    this.listener = new DirectoryListener(directory, plans, logger);
+    const history = new CommitHistory({ clock, stateMachine, confirmation });
+    await this.serveLog(log, { log, feed, directory, history, confirmation, voterManager });
+    this.listener = new DirectoryListener(directory, history, logger);
     await this.listener.listen(consensusAddress(settings, settings.ip));
     this.api = new ControlApi({
       clock,
--- a/packages/gateway/src/control/DirectoryListener.ts
+++ b/packages/gateway/src/control/DirectoryListener.ts
@@ -1,4 +1,4 @@
-/** Answers the datagrams of entries that ask which hubs there are, or which plan is committed. */
+/** Answers the datagrams of entries that ask which hubs there are, or what is committed. */
 import { createSocket, type Socket } from 'node:dgram';
 import { create, fromBinary, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
@@ -8,7 +8,7 @@
   ListHubsResponseSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { HubDirectory } from './HubDirectory.js';
-import type { PlanHistory } from './PlanHistory.js';
+import type { CommitHistory, HeldState } from './CommitHistory.js';
 
 type ListHubsResponseInit = Exclude<
   MessageInitShape<typeof ListHubsResponseSchema>,
@@ -20,7 +20,7 @@
 
   public constructor(
     private readonly directory: Pick<HubDirectory, 'list'>,
-    private readonly plans: Pick<PlanHistory, 'stateFor'>,
+    private readonly history: Pick<CommitHistory, 'stateFor'>,
     private readonly logger: Logger,
   ) {}
 
@@ -46,9 +46,11 @@
 
   private answer(bytes: Uint8Array, ip: string, port: number): void {
     try {
-      const { id, dataCentre, heldPlan } = fromBinary(ListHubsRequestSchema, bytes);
+      const { id, dataCentre, heldPlan, heldIndex } = fromBinary(ListHubsRequestSchema, bytes);
       const answer =
-        heldPlan === undefined ? this.listHubs(dataCentre) : this.describePlan(Number(heldPlan));
+        heldPlan === undefined
+          ? this.listHubs(dataCentre)
+          : this.describeCommitted({ planVersion: Number(heldPlan), index: Number(heldIndex) });
       const res = create(ListHubsResponseSchema, { id, ...answer });
       this.socket.send(toBinary(ListHubsResponseSchema, res), port, ip);
     } catch (err) {
@@ -61,7 +63,7 @@
     return { hubs: [...hubs], isSettled };
   }
 
-  private describePlan(heldVersion: number): ListHubsResponseInit {
-    return { plan: this.plans.stateFor(heldVersion) };
+  private describeCommitted(held: HeldState): ListHubsResponseInit {
+    return { committed: this.history.stateFor(held) };
   }
 }
--- a/packages/gateway/src/control/log-routes.ts
+++ b/packages/gateway/src/control/log-routes.ts
@@ -4,7 +4,7 @@
 import type { IReplicatedLog } from '@marigoldbank/replicated-log';
 import type { HubDirectory } from './HubDirectory.js';
 import type { LogFeed } from './LogFeed.js';
-import type { PlanHistory } from './PlanHistory.js';
+import type { CommitHistory } from './CommitHistory.js';
 import type { StateConfirmation } from './StateConfirmation.js';
 import type { VoterManager } from './VoterManager.js';
 
@@ -13,14 +13,14 @@
   readonly log: Pick<IReplicatedLog, 'status'>;
   readonly feed: Pick<LogFeed, 'watch'>;
   readonly directory: Pick<HubDirectory, 'setHubs'>;
-  readonly plans: Pick<PlanHistory, 'updateFrom'>;
+  readonly history: Pick<CommitHistory, 'fetch'>;
   readonly confirmation: Pick<StateConfirmation, 'confirmLeadership'>;
   readonly voterManager: Pick<VoterManager, 'admit'>;
 }
 
 /** Registers the service with a router. */
 export function registerLogService(router: ConnectRouter, parts: LogServiceParts): void {
-  const { log, feed, directory, plans, confirmation, voterManager } = parts;
+  const { log, feed, directory, history, confirmation, voterManager } = parts;
   router.service(LogService, {
     watch: (req) => {
       directory.setHubs(req.hubs);
@@ -32,7 +32,8 @@
       return index === undefined ? { isLeader: false } : { isLeader: true, index: BigInt(index) };
     },
 
-    fetchPlan: ({ heldPlan }) => plans.updateFrom(Number(heldPlan)) ?? {},
+    fetch: ({ heldPlan, heldIndex }) =>
+      history.fetch({ planVersion: Number(heldPlan), index: Number(heldIndex) }),
 
     join: async (req) => {
       const isAccepted = await voterManager.admit(req);
--- a/packages/gateway/src/entry/DirectoryClient.ts
+++ b/packages/gateway/src/entry/DirectoryClient.ts
@@ -10,9 +10,11 @@
   ListHubsResponseSchema,
   type ListHubsRequest,
   type ListHubsResponse,
-  type PlanState,
+  type CommittedState,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 
+import type { HeldState } from '../control/CommitHistory.js';
+
 export interface IDirectoryClient {
   /** Resolves to the answer of one control VM, or to undefined if none arrives in time. */
   ask(
@@ -51,15 +53,18 @@
     return this.send(address, create(ListHubsRequestSchema, { dataCentre }), timeoutMs);
   }
 
-  /** Resolves to the plan of one control VM, or to undefined if none arrives in time. */
-  public async askPlan(
+  /** Resolves to what is committed at one control VM, or to undefined if no answer arrives in time. */
+  public async askCommitted(
     address: string,
-    heldVersion: number,
+    held: HeldState,
     timeoutMs: number,
-  ): Promise<PlanState | undefined> {
-    const heldPlan = BigInt(heldVersion);
-    const res = await this.send(address, create(ListHubsRequestSchema, { heldPlan }), timeoutMs);
-    return res?.plan;
+  ): Promise<CommittedState | undefined> {
+    const question = create(ListHubsRequestSchema, {
+      heldPlan: BigInt(held.planVersion),
+      heldIndex: BigInt(held.index),
+    });
+    const res = await this.send(address, question, timeoutMs);
+    return res?.committed;
   }
 
   public dispose(): void {
--- a/packages/gateway/src/entry/PlanClient.ts
+++ b/packages/gateway/src/entry/PlanClient.ts
@@ -1,39 +1,37 @@
-/** Asks control VMs for the committed plan, without a stream. */
-import { Code, ConnectError } from '@connectrpc/connect';
+/** Asks control VMs what is committed, without a stream. */
 import type { Channels } from '@marigoldbank/daemon/transport/Channels';
-import { LogService, type PlanState } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
-import type { PlanUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import {
+  LogService,
+  type CommittedState,
+  type FetchResponse,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { HeldState } from '../control/CommitHistory.js';
 import type { DirectoryClient } from './DirectoryClient.js';
 
 export interface IPlanClient {
-  /** Asks the log process at `address` which plan is committed. Resolves to undefined without an answer in time. */
-  askPlan(address: string, heldVersion: number, timeoutMs: number): Promise<PlanState | undefined>;
-  /** Fetches the changes from a version, or the whole plan. Rejects if that fails or takes longer. */
-  fetchPlan(address: string, heldVersion: number, timeoutMs: number): Promise<PlanUpdate>;
+  /** Asks the log process at `address` what is committed. Resolves to undefined without an answer in time. */
+  ask(address: string, held: HeldState, timeoutMs: number): Promise<CommittedState | undefined>;
+  /** Fetches what does not fit into an answer. Rejects if that fails or takes longer. */
+  fetch(address: string, held: HeldState, timeoutMs: number): Promise<FetchResponse>;
 }
 
 export class PlanClient implements IPlanClient {
   public constructor(
-    private readonly datagrams: Pick<DirectoryClient, 'askPlan'>,
+    private readonly datagrams: Pick<DirectoryClient, 'askCommitted'>,
     private readonly channels: Channels,
   ) {}
 
-  public askPlan(
+  public ask(
     address: string,
-    heldVersion: number,
+    held: HeldState,
     timeoutMs: number,
-  ): Promise<PlanState | undefined> {
-    return this.datagrams.askPlan(address, heldVersion, timeoutMs);
+  ): Promise<CommittedState | undefined> {
+    return this.datagrams.askCommitted(address, held, timeoutMs);
   }
 
-  public async fetchPlan(
-    address: string,
-    heldVersion: number,
-    timeoutMs: number,
-  ): Promise<PlanUpdate> {
+  public fetch(address: string, held: HeldState, timeoutMs: number): Promise<FetchResponse> {
     const client = this.channels.client(LogService, address);
-    const update = await client.fetchPlan({ heldPlan: BigInt(heldVersion) }, { timeoutMs });
-    if (update.version === 0n) throw new ConnectError('no plan', Code.NotFound);
-    return update;
+    const req = { heldPlan: BigInt(held.planVersion), heldIndex: BigInt(held.index) };
+    return client.fetch(req, { timeoutMs });
   }
 }
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the plan of an entry current while its hub does not. A change is acknowledged once it is committed, and has to be in
+ * Keeps the plan of an entry, and what it knows of targets that leave, current while its hub does not. A change is acknowledged once it is committed, and has to be in
  * force here 2 s later, whatever has become of the hub: it may be cut off without knowing it, be late, or be lost, and a
  * stream of another hub takes the longer the more entries move. So an entry whose plan has not been confirmed for half of
  * that time asks control VMs by datagrams, of which one that a majority confirms is enough, and fetches what it lacks.
@@ -7,9 +7,14 @@
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import type { PlanState } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type {
+  CommittedState,
+  LeavingTarget,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { PlanUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import { planQuestionsTotal } from '../metrics.js';
+import type { HeldState } from '../control/CommitHistory.js';
 import type { EntryState } from './EntryState.js';
 import type { IPlanClient } from './PlanClient.js';
 
@@ -52,6 +57,9 @@
 
   private isAsking = false;
 
+  /** Index in the log up to which this entry knows which targets leave. */
+  private heldIndex = 0;
+
   public constructor(private readonly ctx: RefresherContext) {
     super();
     this.add(setPeriodic(ctx.clock, () => this.check(), CHECK_MS));
@@ -126,10 +134,13 @@
   private async ask(address: string): Promise<void> {
     const { clock, state, client, logger } = this.ctx;
     const askedAt = clock.now();
-    const answer = await client.askPlan(address, state.planVersion, ASK_TIMEOUT_MS);
+    const answer = await client.ask(address, this.held, ASK_TIMEOUT_MS);
     if (answer !== undefined) {
-      await this.takePlan(address, answer).catch((err: unknown) =>
-        logger.info('the plan could not be fetched', { from: address, error: String(err) }),
+      await this.take(address, answer).catch((err: unknown) =>
+        logger.info('committed changes could not be fetched', {
+          from: address,
+          error: String(err),
+        }),
       );
     }
     const ageMs = answer?.confirmedAgeMs;
@@ -142,19 +153,47 @@
     planQuestionsTotal.inc({ outcome: isOfUse ? 'confirmed' : 'unconfirmed' });
   }
 
-  /** Puts a newer plan in force: from the answer, or fetched if its changes are too large for a datagram. */
-  private async takePlan(address: string, { version, changes }: PlanState): Promise<void> {
-    const { state, client, logger } = this.ctx;
-    const held = state.planVersion;
-    if (Number(version) <= held) return;
-    if (changes !== undefined) state.applyPlan(held, Number(version), decodePlanChanges(changes));
-    else {
-      const update = await client.fetchPlan(address, held, FETCH_TIMEOUT_MS);
-      const [from, to] = [Number(update.fromVersion), Number(update.version)];
-      // Another plan may have been put in force meanwhile; a complete one fits any.
-      if (from !== 0 && from !== state.planVersion) return;
-      state.applyPlan(from, to, decodePlanChanges(update.changes));
+  private get held(): HeldState {
+    return { planVersion: this.ctx.state.planVersion, index: this.heldIndex };
+  }
+
+  /** Takes what an answer has, or fetches it if it does not fit into a datagram. */
+  private async take(address: string, answer: CommittedState): Promise<void> {
+    const { held } = this;
+    if (answer.isCutShort) {
+      const { plan, leaving, index } = await this.ctx.client.fetch(address, held, FETCH_TIMEOUT_MS);
+      this.takeLeaving(leaving, Number(index));
+      if (plan !== undefined) this.takePlan(address, plan);
+      return;
     }
-    logger.info('plan in force', { version: state.planVersion, from: address, before: held });
+    const { version, changes, leaving, index } = answer;
+    this.takeLeaving(leaving, Number(index));
+    if (changes === undefined) return;
+    this.takePlan(address, { fromVersion: BigInt(held.planVersion), version, changes });
+  }
+
+  /** Puts a newer plan in force, unless another one has been meanwhile to which the changes do not fit. */
+  private takePlan(
+    address: string,
+    { fromVersion, version, changes }: Pick<PlanUpdate, 'fromVersion' | 'version' | 'changes'>,
+  ): void {
+    const { state, logger } = this.ctx;
+    const before = state.planVersion;
+    const [from, to] = [Number(fromVersion), Number(version)];
+    if (to <= before || (from !== 0 && from !== before)) return;
+    state.applyPlan(from, to, decodePlanChanges(changes));
+    logger.info('plan in force', { version: to, from: address, before });
+  }
+
+  /** Sends nothing more to targets that leave, whatever a hub that is cut off says of them. */
+  private takeLeaving(leaving: readonly LeavingTarget[], index: number): void {
+    const { clock, state, logger } = this.ctx;
+    const now = clock.now();
+    leaving.forEach(({ id, born }) => {
+      // Without the start of the incarnation, the one that is known is meant.
+      const target = { id, born: Number(born) || (state.targets.get(id)?.info.born ?? 0) };
+      if (state.notices.noteLeaving(target, now)) logger.info('target leaves', { target: id });
+    });
+    this.heldIndex = Math.max(this.heldIndex, index);
   }
 }
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -9,14 +9,14 @@
   EntryReportSchema,
   HubRelaySchema,
   HubUpdateSchema,
-  PlanUpdateSchema,
   type EntryReport,
   type HubUpdate,
   type SyncService,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import {
   ListHubsResponseSchema,
-  PlanStateSchema,
+  CommittedStateSchema,
+  FetchResponseSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { encodeCommand, type CommandInit } from '../control/commands.js';
@@ -25,7 +25,7 @@
 import { HubDirectory } from '../control/HubDirectory.js';
 import { LOG_TIMEOUT_MS } from '../control/LogFollower.js';
 import type { PeerHub } from '../control/PeerHub.js';
-import { PlanHistory } from '../control/PlanHistory.js';
+import { CommitHistory } from '../control/CommitHistory.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
 import type { IDirectoryClient } from '../entry/DirectoryClient.js';
 import { EntryState } from '../entry/EntryState.js';
@@ -193,7 +193,8 @@
         memberCount: () => this.ips.length,
       }),
       logState,
-      plans: new PlanHistory({
+      history: new CommitHistory({
+        clock: this.clock,
         stateMachine: logState,
         confirmation: { confirmedAgeMs: logAgeMs },
       }),
@@ -326,14 +327,14 @@
       return isAnswering && this.planAnswerMs <= timeoutMs ? hub : undefined;
     };
     return {
-      askPlan: async (address, heldVersion, timeoutMs) => {
-        const state = (await call(address, timeoutMs))?.plans.stateFor(heldVersion);
-        return state === undefined ? undefined : create(PlanStateSchema, state);
+      ask: async (address, held, timeoutMs) => {
+        const state = (await call(address, timeoutMs))?.history.stateFor(held);
+        return state === undefined ? undefined : create(CommittedStateSchema, state);
       },
-      fetchPlan: async (address, heldVersion, timeoutMs) => {
-        const update = (await call(address, timeoutMs))?.plans.updateFrom(heldVersion);
-        if (update === undefined) throw new Error('timed out');
-        return create(PlanUpdateSchema, update);
+      fetch: async (address, held, timeoutMs) => {
+        const res = (await call(address, timeoutMs))?.history.fetch(held);
+        if (res === undefined) throw new Error('timed out');
+        return create(FetchResponseSchema, res);
       },
     };
   }
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -4,7 +4,7 @@
 import type { Hub } from '../control/Hub.js';
 import type { HubDirectory } from '../control/HubDirectory.js';
 import type { ILogView } from '../control/LogView.js';
-import type { PlanHistory } from '../control/PlanHistory.js';
+import type { CommitHistory } from '../control/CommitHistory.js';
 import type { PlanStateMachine } from '../control/PlanStateMachine.js';
 import type { EntryState } from '../entry/EntryState.js';
 import type { HubReporter } from '../entry/HubReporter.js';
@@ -42,7 +42,7 @@
   /** Parts of the log process of the VM. */
   readonly directory: HubDirectory;
   readonly logState: PlanStateMachine;
-  readonly plans: PlanHistory;
+  readonly history: CommitHistory;
   /** Time of the virtual clock at which a majority confirmed the state of the log process. */
   logConfirmedAt: number;
   /** Before this time the log process of the VM does not answer. */
