Hub: a hub that hears of a confirmed one does not take the fleet for leaderless

A hub without a confirmation for 2 s now looks at what the others say of themselves. Had the leader been lost, they would be late as well by then. After less, entries of all hubs would move while there is no leader, which keeps the control VMs from electing one; the test has both sides.

--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -122,6 +122,7 @@
     this.freshness = new HubFreshness({
       ...ctx,
       reachesMajority: (now) => this.peers.reachesMajority(now),
+      hasOneOnTime: (now) => this.peers.hasOneOnTime(now),
     });
     this.admission = new StreamAdmission({
       clock,
--- a/packages/gateway/src/control/HubFreshness.test.ts
+++ b/packages/gateway/src/control/HubFreshness.test.ts
@@ -8,6 +8,7 @@
   confirmedAt: number;
   leaderSeenAt: number;
   reachesMajority: boolean;
+  hasOneOnTime: boolean;
   answerDelayMs: number;
   isAnswering: boolean;
 }
@@ -24,6 +25,7 @@
     confirmedAt: -Infinity,
     leaderSeenAt: -Infinity,
     reachesMajority: true,
+    hasOneOnTime: false,
     answerDelayMs: 0,
     isAnswering: true,
   };
@@ -48,6 +50,7 @@
     },
     logger: new NullLogger(),
     reachesMajority: () => state.reachesMajority,
+    hasOneOnTime: () => state.hasOneOnTime,
   });
   return { clock, freshness, set: (changes) => Object.assign(state, changes) };
 }
@@ -89,6 +92,19 @@
     expect(freshness.isLeaderless(clock.now())).toEqual(false);
   });
 
+  // Its entries stayed for 5 s when a hub heard the others, whose messages to it arrived, and was not heard by them.
+  it('is not leaderless while another hub is confirmed, once that hub would know otherwise', () => {
+    const { clock, freshness, set } = makeFreshness();
+    set({ confirmedAt: 0, leaderSeenAt: 0, hasOneOnTime: true });
+    clock.advance(1_900);
+    expect(freshness.isLeaderless(clock.now())).toEqual(true);
+    clock.advance(101);
+    expect([freshness.isLeaderless(clock.now()), freshness.isCutOff(clock.now())]).toEqual([
+      false,
+      false,
+    ]);
+  });
+
   it('is late, and neither leaderless nor cut off, if its log process does not answer', () => {
     const { clock, freshness, set } = makeFreshness();
     clock.advance(5_000);
--- a/packages/gateway/src/control/HubFreshness.ts
+++ b/packages/gateway/src/control/HubFreshness.ts
@@ -17,6 +17,12 @@
 /** Targets announce themselves every 1 to 2 s, and try other control VMs first if one does not answer. */
 const ANNOUNCEMENT_GRACE_MS = 4_000;
 
+/**
+ * Without a confirmation for this long, a hub that hears of another one which has one knows that there is a leader: had it
+ * been lost, the others would have told by then that they are late as well.
+ */
+const LEADER_ELSEWHERE_MS = 2_000;
+
 const MS_PER_SECOND = 1_000;
 
 export interface FreshnessContext {
@@ -25,6 +31,8 @@
   readonly logger: Logger;
   /** Whether messages of a majority of the voters arrive. */
   readonly reachesMajority: (now: number) => boolean;
+  /** Whether another hub is heard whose state is confirmed. */
+  readonly hasOneOnTime: (now: number) => boolean;
 }
 
 export class HubFreshness {
@@ -57,7 +65,10 @@
     if (now - this.ctx.log.leaderSeenAt <= OVERDUE_MS || this.isWithoutLog) return false;
     // A hub that has just started cannot tell yet; most likely the other hubs have just started as well.
     if (!this.hasBeenConfirmed && this.uptimeMs() < STARTUP_GRACE_MS) return true;
-    return this.ctx.reachesMajority(now);
+    // The messages of this VM may be lost while those of the others arrive.
+    const isLeaderElsewhere =
+      this.confirmedAgeMs() > LEADER_ELSEWHERE_MS && this.ctx.hasOneOnTime(now);
+    return this.ctx.reachesMajority(now) && !isLeaderElsewhere;
   }
 
   /** Whether the log process of this VM does not answer any more, so that the hub learns of no changes. */
--- a/packages/gateway/src/control/fleet-scenarios.test.ts
+++ b/packages/gateway/src/control/fleet-scenarios.test.ts
@@ -80,6 +80,41 @@
   });
 });
 
+// A hub that hears the others, but is not heard, took the fleet for one without a leader. Its entries stayed for 4 to 8 s.
+describe('a hub whose messages reach no other one', () => {
+  [1, 3].forEach((factor) => {
+    // The bound of entries of late hubs, see late-hubs.test.ts.
+    it(`loses its entries to the others as a late hub does, with ${7 * factor} hubs`, async () => {
+      const fleet = makeFleet(factor);
+      fleet.commit(makeEmptyPlan(1));
+      await fleet.advance(25_000);
+      const isUnheard = (_: unknown, i: number): boolean => i % 7 === 1;
+      const countFollowers = (): number =>
+        fleet
+          .followersByHub()
+          .filter(isUnheard)
+          .reduce((sum, count) => sum + count, 0);
+      const before = countFollowers();
+      fleet.hubs.filter(isUnheard).forEach((hub) => Object.assign(hub, { isUnheard: true }));
+      await fleet.advance(4_500);
+      expect(countFollowers()).toBeLessThan(before / 4);
+    });
+
+    it(`keeps its entries while there is no leader, as all of ${7 * factor} hubs do`, async () => {
+      const fleet = makeFleet(factor);
+      fleet.commit(makeEmptyPlan(1));
+      await fleet.advance(25_000);
+      const count = (): number => fleet.hubs.reduce((sum, hub) => sum + hub.connections, 0);
+      const before = count();
+      fleet.isLeaderless = true;
+      await fleet.advance(3_500);
+      fleet.isLeaderless = false;
+      await fleet.advance(3_000);
+      expect(count() - before).toEqual(0);
+    });
+  });
+});
+
 describe('the hubs of a fleet', () => {
   // The only hub of a data centre with 30 entries had twice as many as the others and ran out of processor time.
   [1, 3].forEach((factor) => {
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -72,6 +72,9 @@
   /** Time for which a hub is busy with each report of an entry, and what it relays and distributes of it. */
   public reportMs = 0;
 
+  /** Whether there is no leader, so that no log is confirmed. */
+  public isLeaderless = false;
+
   /** Time from a question for the plan to its answer. */
   public planAnswerMs = CALL_MS;
 
@@ -226,7 +229,7 @@
         }
       });
     this.hubs
-      .filter((hub) => !FakeFleet.isWithoutMajority(hub) && !hub.isLogDown)
+      .filter((hub) => !this.isLeaderless && !FakeFleet.isWithoutMajority(hub) && !hub.isLogDown)
       .forEach((hub) => {
         this.clock.setTimeout(
           () => hub.directory.setHubs(hub.hub.peers.listForEntries(hub.clock.now())),
