--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -399,6 +399,7 @@
       ...(error?.kind === 'overQuota' ? { team: error.team, decidedBy: error.decidedBy } : {}),
       elapsedMs: Math.round(elapsedMs),
       plan: state.planVersion,
+      confirmedAgeMs: Math.round(Math.min(state.confirmedAgeMs(now), Number.MAX_SAFE_INTEGER)),
       planAgeMs: Math.round(Math.min(state.planAgeMs(now), Number.MAX_SAFE_INTEGER)),
       ...trace,
     });
