--- /dev/null
+++ b/packages/gateway/src/control/CommitHistory.test.ts
@@ -0,0 +1,69 @@
+import { describe, it } from 'node:test';
+import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { expect } from 'earl';
+import { makeEmptyPlan } from '../testing/fixtures.js';
+import { encodeCommand } from './commands.js';
+import { CommitHistory, type HeldState } from './CommitHistory.js';
+import { PlanStateMachine } from './PlanStateMachine.js';
+
+interface Fixture {
+  readonly clock: VirtualClock;
+  readonly stateMachine: PlanStateMachine;
+  readonly history: CommitHistory;
+}
+
+function makeHistory(): Fixture {
+  const clock = new VirtualClock();
+  const stateMachine = new PlanStateMachine();
+  const confirmation = { confirmedAgeMs: () => Infinity };
+  const history = new CommitHistory({ clock, stateMachine, confirmation });
+  return { clock, stateMachine, history };
+}
+
+function commitPlan(stateMachine: PlanStateMachine, version: number): void {
+  const plan = makeEmptyPlan(version);
+  stateMachine.apply(version, encodeCommand({ kind: 'putPlan', document: '', plan }));
+}
+
+function mark(stateMachine: PlanStateMachine, index: number, id: string): void {
+  const command = { kind: 'markLeaving', id, born: 1, isGone: false, at: 0 } as const;
+  stateMachine.apply(index, encodeCommand(command));
+}
+
+/** Ids of the targets that an entry is told of which knows those up to an index. */
+function leavingFor({ history }: Fixture, index: number): string[] {
+  const held: HeldState = { planVersion: 1, index };
+  return (history.stateFor(held)?.leaving ?? []).map(({ id }) => id ?? '');
+}
+
+describe('CommitHistory', () => {
+  it('names targets that leave after the index that an entry has, for a minute', () => {
+    const fixture = makeHistory();
+    commitPlan(fixture.stateMachine, 1);
+    mark(fixture.stateMachine, 2, 'a');
+    mark(fixture.stateMachine, 3, 'b');
+    expect([0, 2, 3].map((index) => leavingFor(fixture, index))).toEqual([['a', 'b'], ['b'], []]);
+    fixture.clock.advance(60_001);
+    expect(leavingFor(fixture, 0)).toEqual([]);
+  });
+
+  // The marks of a snapshot have no index. An entry that has heard from other control VMs was told of none of them.
+  it('names the targets of a snapshot to all entries until the next command', () => {
+    const other = makeHistory();
+    commitPlan(other.stateMachine, 1);
+    mark(other.stateMachine, 2, 'a');
+    const fixture = makeHistory();
+    fixture.stateMachine.restore(other.stateMachine.snapshot());
+    expect(leavingFor(fixture, 500)).toEqual(['a']);
+    mark(fixture.stateMachine, 501, 'b');
+    expect([500, 501].map((index) => leavingFor(fixture, index))).toEqual([['a', 'b'], []]);
+  });
+
+  it('says nothing before the first plan, and no age without a confirmation', () => {
+    const { stateMachine, history } = makeHistory();
+    expect(history.stateFor({ planVersion: 1, index: 0 })).toEqual(undefined);
+    commitPlan(stateMachine, 1);
+    const state = history.stateFor({ planVersion: 1, index: 0 });
+    expect([state?.version, state?.confirmedAgeMs]).toEqual([1n, undefined]);
+  });
+});
--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -29,7 +29,7 @@
   readonly clock: Clock;
   readonly stateMachine: Pick<
     PlanStateMachine,
-    'current' | 'appliedIndex' | 'leavingMark' | 'onDidChangePlan' | 'onDidMarkLeaving'
+    'current' | 'leavingMark' | 'onDidChangePlan' | 'onDidMarkLeaving' | 'onDidApply'
   >;
   readonly confirmation: Pick<StateConfirmation, 'confirmedAgeMs'>;
 }
@@ -44,7 +44,8 @@
 interface Leaving {
   readonly id: string;
   readonly born: number;
-  readonly index: number;
+  /** Undefined for a mark of a snapshot, until the next command: it may be of any index up to that. */
+  readonly index: number | undefined;
   /** Monotonic ms. */
   readonly at: number;
 }
@@ -65,6 +66,7 @@
       this.plans = [...this.plans, plan].slice(-MAX_PLANS);
     });
     ctx.stateMachine.onDidMarkLeaving((id) => this.addLeaving(id));
+    ctx.stateMachine.onDidApply(({ index }) => this.setIndex(index));
   }
 
   /** What is committed, for a datagram. Undefined before the first plan. */
@@ -123,16 +125,23 @@
     if (mark === undefined) return;
     const now = clock.now();
     const recent = this.leaving.filter(({ at }) => now - at < LEAVING_MS);
-    const { appliedIndex: index } = stateMachine;
-    this.leaving = [...recent, { id, born: mark.born, index, at: now }];
+    this.leaving = [...recent, { id, born: mark.born, index: undefined, at: now }];
+  }
+
+  /** Sets the index of marks that were added since the command before. */
+  private setIndex(index: number): void {
+    if (this.leaving.at(-1)?.index !== undefined) return;
+    this.leaving = this.leaving.map((mark) => ({ ...mark, index: mark.index ?? index }));
   }
 
   private leavingAfter(held: number): { targets: LeavingInit[]; index: number } {
     const now = this.ctx.clock.now();
-    const later = this.leaving.filter(({ index, at }) => index > held && now - at < LEAVING_MS);
+    const later = this.leaving.filter(
+      ({ index, at }) => (index ?? Infinity) > held && now - at < LEAVING_MS,
+    );
     return {
       targets: later.map(({ id, born }) => ({ id, born: BigInt(born) })),
-      index: Math.max(held, ...later.map(({ index }) => index)),
+      index: Math.max(held, ...later.map(({ index }) => index ?? held)),
     };
   }
 }
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -100,7 +100,7 @@
         client: new PlanClient(datagrams, channels),
         addresses: () => [
           ...seedLogs(),
-          ...hubs.addresses.map((hub) => this.logAddress(ipOf(hub))),
+          ...hubs.knownAddresses.map((hub) => this.logAddress(ipOf(hub))),
         ],
       }),
     );
--- a/packages/gateway/src/entry/HubSelector.ts
+++ b/packages/gateway/src/entry/HubSelector.ts
@@ -126,6 +126,11 @@
     return this.hubs.filter(({ dataCentre }) => dataCentre !== '').map(({ address }) => address);
   }
 
+  /** The same with those that were announced until a short time ago. A hub that is cut off announces only some. */
+  public get knownAddresses(): string[] {
+    return [...this.addresses, ...this.remembered.map(({ hub }) => hub.address)];
+  }
+
   /** Returns why an entry that follows this hub should change to another one that has room, or undefined. */
   public reasonForBetterHub(address: string, now: number): BetterHubReason | undefined {
     const current = this.hubs.find((hub) => hub.address === address);
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -277,7 +277,7 @@
       state,
       logger: new NullLogger(),
       client: this.planClient(),
-      addresses: () => [...seeds, ...selector.addresses],
+      addresses: () => [...seeds, ...selector.knownAddresses],
     });
     this.refreshers.push(refresher);
     const follower = new HubFollower({
