Only a success clears a request under which targets ended, in any order of reports

A request that ends targets was sent on to all of eight targets, three allowed, if others answered it with an error in between: targets that fail some requests answer without running them, and such an answer cleared the request.

--- a/packages/gateway/src/control/SuspectDistributor.ts
+++ b/packages/gateway/src/control/SuspectDistributor.ts
@@ -1,6 +1,6 @@
 /**
  * Passes on which requests were lost at targets: all losses to the other hubs, so that each counts those of the whole
- * fleet, and to entries only requests that were lost more than once, or were and have been answered since.
+ * fleet, and to entries only requests that were lost more than once, or were and have succeeded since.
  */
 import type { SuspectRequest } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { PoisonTable } from '@marigoldbank/routing/PoisonTable';
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -197,9 +197,9 @@
     }, CHECK_DELAY_MS);
   }
 
-  /** Records that a target answered a request, so that the request does not end targets. */
-  public recordAnswer(fingerprint: string): void {
-    if (!this.state.suspects.noteAnswer(fingerprint, this.clock.now())) return;
+  /** Records that a request has succeeded, so that it does not end targets. */
+  public recordSuccess(fingerprint: string): void {
+    if (!this.state.suspects.noteSuccess(fingerprint, this.clock.now())) return;
     this.suspects.add(fingerprint);
     this.requestUrgent();
   }
@@ -290,7 +290,7 @@
   }
 
   private addLoss(fingerprint: string, loss: RequestLoss): void {
-    const statement = { fingerprint, losses: [loss], answeredAt: undefined };
+    const statement = { fingerprint, losses: [loss], succeededAt: undefined };
     if (!this.mergeSuspect(statement)) return;
     this.suspects.add(fingerprint);
     this.requestUrgent();
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -176,7 +176,7 @@
   /** Handles the result of an attempt. Returns undefined if the run continues. */
   private handleResult(attempt: SendAttempt, result: AttemptResult): RunOutcome | undefined {
     this.pending.delete(attempt);
-    this.recordLossOrAnswer(attempt, result);
+    this.recordLossOrSuccess(attempt, result);
     if (result.kind === 'answered' && result.status < FIRST_ERROR_STATUS) {
       this.ctx.state.durationEstimateOf(this.req.route).observe(attempt.elapsedMs);
       return { kind: 'answered', response: result, attempt };
@@ -195,13 +195,13 @@
     return undefined;
   }
 
-  private recordLossOrAnswer(attempt: SendAttempt, result: AttemptResult): void {
+  private recordLossOrSuccess(attempt: SendAttempt, result: AttemptResult): void {
     const { reporter, state } = this.ctx;
     if (result.kind === 'mayHaveRun' && result.isLost) {
       reporter.recordLoss(this.req.fingerprint(), attempt.target.info, attempt.startedAt);
     }
-    const isAnswered = result.kind === 'answered';
-    if (isAnswered && !state.suspects.isEmpty) reporter.recordAnswer(this.req.fingerprint());
+    const isSuccess = result.kind === 'answered' && result.status < FIRST_ERROR_STATUS;
+    if (isSuccess && !state.suspects.isEmpty) reporter.recordSuccess(this.req.fingerprint());
   }
 
   /** Errors of a target that seems healthy are not retried: most likely the request caused them and would again. */
--- a/packages/gateway/src/sync/suspect-codec.ts
+++ b/packages/gateway/src/sync/suspect-codec.ts
@@ -17,7 +17,7 @@
 }
 
 export function toSuspectMessage(
-  { fingerprint, losses, answeredAt }: SuspectStatement,
+  { fingerprint, losses, succeededAt }: SuspectStatement,
   now: number,
 ): SuspectRequestInit {
   return {
@@ -29,12 +29,12 @@
       lostAgeMs: ageOf(lostAt, now),
       isAccepting,
     })),
-    answeredAgeMs: answeredAt === undefined ? undefined : ageOf(answeredAt, now),
+    succeededAgeMs: succeededAt === undefined ? undefined : ageOf(succeededAt, now),
   };
 }
 
 export function toSuspectStatement(
-  { fingerprint, losses, answeredAgeMs }: SuspectRequest,
+  { fingerprint, losses, succeededAgeMs }: SuspectRequest,
   now: number,
 ): SuspectStatement {
   return {
@@ -46,6 +46,6 @@
       lostAt: now - lostAgeMs,
       isAccepting,
     })),
-    answeredAt: answeredAgeMs === undefined ? undefined : now - answeredAgeMs,
+    succeededAt: succeededAgeMs === undefined ? undefined : now - succeededAgeMs,
   };
 }
--- a/packages/routing/src/PoisonTable.ts
+++ b/packages/routing/src/PoisonTable.ts
@@ -1,7 +1,7 @@
 /**
  * Requests under which targets ended, by fingerprint, merged from the reports of all entries. A request that was lost at
- * three targets one after the other, and answered by none, is refused: the next target would most likely end as well.
- * Targets also end by themselves. The other requests that were in flight there are lost once, and are answered when they
+ * three targets one after the other, and succeeded at none, is refused: the next target would most likely end as well.
+ * Targets also end by themselves. The other requests that were in flight there are lost once, and succeed when they
  * come again; those that were in flight at several targets that ended together count once for all of them.
  */
 
@@ -48,13 +48,13 @@
 export interface SuspectStatement {
   readonly fingerprint: string;
   readonly losses: readonly RequestLoss[];
-  /** Monotonic ms at which a target last answered it, undefined if none is known to have. */
-  readonly answeredAt: number | undefined;
+  /** Monotonic ms at which it last succeeded at a target, undefined if it is not known to have. */
+  readonly succeededAt: number | undefined;
 }
 
 interface Suspect {
   losses: readonly RequestLoss[];
-  answeredAt: number;
+  succeededAt: number;
   changedAt: number;
 }
 
@@ -108,26 +108,30 @@
   }
 
   /** Merges what was reported of a request. Returns whether it is news. */
-  public merge({ fingerprint, losses, answeredAt }: SuspectStatement, now: number): boolean {
+  public merge({ fingerprint, losses, succeededAt }: SuspectStatement, now: number): boolean {
     this.expire(now);
     const known = this.suspects.get(fingerprint);
-    const latestAnswer = Math.max(known?.answeredAt ?? -Infinity, answeredAt ?? -Infinity);
+    const latestSuccess = Math.max(known?.succeededAt ?? -Infinity, succeededAt ?? -Infinity);
     const merged = losses
       .reduce(addLoss, known?.losses ?? [])
-      .filter(({ lostAt }) => lostAt > latestAnswer);
-    const isNews =
-      !isSameSet(known?.losses ?? [], merged) ||
-      (known !== undefined && latestAnswer > known.answeredAt && known.losses.length > 0);
-    if (!isNews) return false;
-    this.suspects.set(fingerprint, { losses: merged, answeredAt: latestAnswer, changedAt: now });
+      .filter(({ lostAt }) => lostAt > latestSuccess);
+    const before = known?.losses ?? [];
+    const isNewSuccess = latestSuccess > (known?.succeededAt ?? -Infinity);
+    const hasOtherLosses = !isSameSet(before, merged);
+    if (!isNewSuccess && !hasOtherLosses) return false;
+    // Kept also without a loss: reports of earlier ones may still arrive.
+    this.suspects.set(fingerprint, { losses: merged, succeededAt: latestSuccess, changedAt: now });
     if (this.suspects.size > MAX_FINGERPRINTS) this.evict();
-    return true;
+    return hasOtherLosses || before.length > 0;
   }
 
-  /** Notes that a target has answered a request, also with an error: it did not end. Returns whether that is news. */
-  public noteAnswer(fingerprint: string, now: number): boolean {
+  /**
+   * Notes that a request has succeeded at a target. An error is none: a target that fails may answer without running it.
+   * Returns whether that is news.
+   */
+  public noteSuccess(fingerprint: string, now: number): boolean {
     if (!this.suspects.has(fingerprint)) return false;
-    return this.merge({ fingerprint, losses: [], answeredAt: now }, now);
+    return this.merge({ fingerprint, losses: [], succeededAt: now }, now);
   }
 
   /** Time in ms for which a request is refused from now on, 0 if it is not. */
@@ -147,11 +151,11 @@
   public statementOf(fingerprint: string): SuspectStatement | undefined {
     const suspect = this.suspects.get(fingerprint);
     if (suspect === undefined) return undefined;
-    const { losses, answeredAt } = suspect;
+    const { losses, succeededAt } = suspect;
     return {
       fingerprint,
       losses,
-      answeredAt: answeredAt === -Infinity ? undefined : answeredAt,
+      succeededAt: succeededAt === -Infinity ? undefined : succeededAt,
     };
   }
 
