--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -17,6 +17,8 @@
 const PROCESS_TESTS = '/process/';
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 
+const PROPERTY_SEED = new URL('property-seed.mjs', import.meta.url).href;
+
 const filters = process.argv.slice(2);
 const sources = ['packages', 'platform']
   .flatMap((dir) =>
@@ -45,6 +47,8 @@
 function testArgs(files, extra, concurrency) {
   return [
     '--enable-source-maps',
+    '--import',
+    PROPERTY_SEED,
     '--test',
     `--test-concurrency=${concurrency}`,
     `--test-timeout=${FILE_TIMEOUT_MS}`,
