Entries ask for targets that leave in parts, and fetch one plan at a time

Targets now come in parts of 16, each for a datagram, and only a plan whose changes do not fit is fetched by a call, one at a time. Changes are applied only to the plan that the entry held when it asked: another answer may have put a newer one in force meanwhile, and changes that start from an older one would have been applied to it.

--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -5,11 +5,8 @@
  */
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import type { Clock } from '@marigoldbank/base/clock';
-import type {
-  CommittedStateSchema,
-  FetchResponseSchema,
-  LeavingTargetSchema,
-} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { CommittedStateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { PlanUpdateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { CommittedPlan } from './CommittedPlan.js';
 import { PlanEncoder } from './PlanEncoder.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
@@ -24,6 +21,7 @@
 /** With both at most, an answer fits into one packet: a datagram of several packets is lost more often. */
 const MAX_DATAGRAM_CHANGES = 900;
 const MAX_DATAGRAM_LEAVING = 16;
+const MAX_RESTORED = 4;
 
 export interface CommitHistoryContext {
   readonly clock: Clock;
@@ -50,7 +48,10 @@
   readonly at: number;
 }
 
-type LeavingInit = MessageInitShape<typeof LeavingTargetSchema>;
+type CommittedStateInit = Exclude<
+  MessageInitShape<typeof CommittedStateSchema>,
+  { readonly $typeName: string }
+>;
 
 export class CommitHistory {
   private plans: readonly CommittedPlan[];
@@ -70,9 +71,7 @@
   }
 
   /** What is committed, for a datagram. Undefined before the first plan. */
-  public stateFor(
-    held: HeldState,
-  ): Exclude<MessageInitShape<typeof CommittedStateSchema>, { $typeName: string }> | undefined {
+  public stateFor(held: HeldState): CommittedStateInit | undefined {
     const current = this.plans.at(-1);
     if (current === undefined) return undefined;
     const { version } = current.plan;
@@ -80,38 +79,26 @@
     const isNewer = version > held.planVersion;
     const base = this.planOf(held.planVersion);
     const changes = isNewer && base !== undefined ? this.encoder.encode(base, current) : undefined;
-    const doPlansFit = !isNewer || (changes?.length ?? Infinity) <= MAX_DATAGRAM_CHANGES;
-    const { targets, index } = this.leavingAfter(held.index);
-    const doTargetsFit = targets.length <= MAX_DATAGRAM_LEAVING;
+    const doesFit = (changes?.length ?? 0) <= MAX_DATAGRAM_CHANGES;
+    const isLeftOut = isNewer && (changes === undefined || !doesFit);
     return {
       version: BigInt(version),
       ...(Number.isFinite(ageMs) ? { confirmedAgeMs: Math.ceil(Math.max(0, ageMs)) } : {}),
-      ...(doPlansFit && changes !== undefined ? { changes } : {}),
-      ...(doTargetsFit ? { leaving: targets, index: BigInt(index) } : {}),
-      isCutShort: !doPlansFit || !doTargetsFit,
+      ...(isNewer && !isLeftOut ? { changes } : {}),
+      isPlanLeftOut: isLeftOut,
+      ...this.leavingAfter(held.index),
     };
   }
 
-  /** The same for a call, of any size: the complete plan if the one that the entry holds is not known here. */
-  public fetch({
-    planVersion,
-    index: held,
-  }: HeldState): MessageInitShape<typeof FetchResponseSchema> {
+  /** The changes from a version to the current plan, or the complete plan. Undefined before the first plan. */
+  public updateFrom(heldVersion: number): MessageInitShape<typeof PlanUpdateSchema> | undefined {
     const current = this.plans.at(-1);
-    const base = this.planOf(planVersion);
-    const { targets, index } = this.leavingAfter(held);
+    if (current === undefined) return undefined;
+    const base = this.planOf(heldVersion);
     return {
-      ...(current === undefined
-        ? {}
-        : {
-            plan: {
-              fromVersion: BigInt(base?.plan.version ?? 0),
-              version: BigInt(current.plan.version),
-              changes: this.encoder.encode(base, current),
-            },
-          }),
-      leaving: targets,
-      index: BigInt(index),
+      fromVersion: BigInt(base?.plan.version ?? 0),
+      version: BigInt(current.plan.version),
+      changes: this.encoder.encode(base, current),
     };
   }
 
@@ -134,14 +121,19 @@
     this.leaving = this.leaving.map((mark) => ({ ...mark, index: mark.index ?? index }));
   }
 
-  private leavingAfter(held: number): { targets: LeavingInit[]; index: number } {
+  /** As many targets as fit into a datagram, with the newest of a snapshot, whose index is not known. */
+  private leavingAfter(
+    held: number,
+  ): Pick<CommittedStateInit, 'leaving' | 'index' | 'hasMoreLeaving'> {
     const now = this.ctx.clock.now();
-    const later = this.leaving.filter(
-      ({ index, at }) => (index ?? Infinity) > held && now - at < LEAVING_MS,
-    );
+    const recent = this.leaving.filter(({ at }) => now - at < LEAVING_MS);
+    const restored = recent.filter(({ index }) => index === undefined).slice(-MAX_RESTORED);
+    const later = recent.filter(({ index }) => index !== undefined && index > held);
+    const sent = later.slice(0, MAX_DATAGRAM_LEAVING);
     return {
-      targets: later.map(({ id, born }) => ({ id, born: BigInt(born) })),
-      index: Math.max(held, ...later.map(({ index }) => index ?? held)),
+      leaving: [...sent, ...restored].map(({ id, born }) => ({ id, born: BigInt(born) })),
+      index: BigInt(sent.at(-1)?.index ?? held),
+      hasMoreLeaving: later.length > sent.length,
     };
   }
 }
--- a/packages/gateway/src/control/log-routes.ts
+++ b/packages/gateway/src/control/log-routes.ts
@@ -13,7 +13,7 @@
   readonly log: Pick<IReplicatedLog, 'status'>;
   readonly feed: Pick<LogFeed, 'watch'>;
   readonly directory: Pick<HubDirectory, 'setHubs'>;
-  readonly history: Pick<CommitHistory, 'fetch'>;
+  readonly history: Pick<CommitHistory, 'updateFrom'>;
   readonly confirmation: Pick<StateConfirmation, 'confirmLeadership'>;
   readonly voterManager: Pick<VoterManager, 'admit'>;
 }
@@ -32,8 +32,7 @@
       return index === undefined ? { isLeader: false } : { isLeader: true, index: BigInt(index) };
     },
 
-    fetch: ({ heldPlan, heldIndex }) =>
-      history.fetch({ planVersion: Number(heldPlan), index: Number(heldIndex) }),
+    fetchPlan: ({ heldPlan }) => history.updateFrom(Number(heldPlan)) ?? {},
 
     join: async (req) => {
       const isAccepted = await voterManager.admit(req);
--- a/packages/gateway/src/entry/PlanClient.test.ts
+++ b/packages/gateway/src/entry/PlanClient.test.ts
@@ -74,8 +74,8 @@
 
   it('gets no plan before the first one', async () => {
     expect(await client.ask(address, held(1), TIMEOUT_MS)).toEqual(undefined);
-    const { plan } = await client.fetch(address, held(1), TIMEOUT_MS);
-    expect(plan).toEqual(undefined);
+    const { version } = await client.fetchPlan(address, 1, TIMEOUT_MS);
+    expect(version).toEqual(0n);
   });
 
   it('gets a small change in the datagram, and none if it holds the plan', async () => {
@@ -93,33 +93,34 @@
     commit(stateMachine, 3, 2_000);
     const state = await client.ask(address, held(2), TIMEOUT_MS);
     expect([state?.version, state?.changes]).toEqual([3n, undefined]);
-    const { plan } = await client.fetch(address, held(2), TIMEOUT_MS);
-    expect([plan?.fromVersion, plan?.version]).toEqual([2n, 3n]);
-    expect(decodePlanChanges(plan!.changes).length).toEqual(1_998);
+    const plan = await client.fetchPlan(address, 2, TIMEOUT_MS);
+    expect([plan.fromVersion, plan.version]).toEqual([2n, 3n]);
+    expect(decodePlanChanges(plan.changes).length).toEqual(1_998);
   });
 
   it('fetches a complete plan if its own is too old or not known', async () => {
-    const { plan } = await client.fetch(address, held(77), TIMEOUT_MS);
-    expect([plan?.fromVersion, plan?.version]).toEqual([0n, 3n]);
+    const plan = await client.fetchPlan(address, 77, TIMEOUT_MS);
+    expect([plan.fromVersion, plan.version]).toEqual([0n, 3n]);
   });
 
   // Many targets leave at once when a data centre is emptied.
-  it('gets the targets that leave, by a call if there are many', async () => {
+  it('gets the targets that leave, in parts if they are many', async () => {
     const mark = (index: number): unknown =>
       stateMachine.apply(
         index,
         encodeCommand({ kind: 'markLeaving', id: `t${index}`, born: index, isGone: false, at: 0 }),
       );
-    mark(10);
-    const first = await client.ask(address, held(3), TIMEOUT_MS);
-    expect([first?.leaving.map(({ id }) => id), first?.index]).toEqual([['t10'], 10n]);
-    Array.from({ length: 40 }, (_, i) => mark(11 + i));
-    const next = await client.ask(address, held(3, 10), TIMEOUT_MS);
-    expect([next?.leaving.length, next?.isCutShort]).toEqual([0, true]);
-    const fetched = await client.fetch(address, held(3, 10), TIMEOUT_MS);
-    expect([fetched.leaving.length, fetched.index]).toEqual([40, 50n]);
-    const none = await client.ask(address, held(3, 50), TIMEOUT_MS);
-    expect([none?.leaving.length, none?.isCutShort]).toEqual([0, false]);
+    Array.from({ length: 40 }, (_, i) => mark(10 + i));
+    const ids: string[] = [];
+    let index = 0;
+    for (let part = 0; part < 3; part += 1) {
+      const state = await client.ask(address, held(3, index), TIMEOUT_MS);
+      expect([state?.hasMoreLeaving, state?.isPlanLeftOut]).toEqual([part < 2, false]);
+      ids.push(...state!.leaving.map(({ id }) => id));
+      index = Number(state!.index);
+    }
+    expect(ids).toEqual(Array.from({ length: 40 }, (_, i) => `t${10 + i}`));
+    expect(index).toEqual(49);
   });
 
   // A log process of the release before answers such a question with the hubs only.
--- a/packages/gateway/src/entry/PlanClient.ts
+++ b/packages/gateway/src/entry/PlanClient.ts
@@ -1,18 +1,15 @@
 /** Asks control VMs what is committed, without a stream. */
 import type { Channels } from '@marigoldbank/daemon/transport/Channels';
-import {
-  LogService,
-  type CommittedState,
-  type FetchResponse,
-} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import { LogService, type CommittedState } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import type { PlanUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { HeldState } from '../control/CommitHistory.js';
 import type { DirectoryClient } from './DirectoryClient.js';
 
 export interface IPlanClient {
   /** Asks the log process at `address` what is committed. Resolves to undefined without an answer in time. */
   ask(address: string, held: HeldState, timeoutMs: number): Promise<CommittedState | undefined>;
-  /** Fetches what does not fit into an answer. Rejects if that fails or takes longer. */
-  fetch(address: string, held: HeldState, timeoutMs: number): Promise<FetchResponse>;
+  /** Fetches the changes from a version, or the whole plan. Rejects if that fails or takes longer. */
+  fetchPlan(address: string, heldVersion: number, timeoutMs: number): Promise<PlanUpdate>;
 }
 
 export class PlanClient implements IPlanClient {
@@ -29,9 +26,8 @@
     return this.datagrams.askCommitted(address, held, timeoutMs);
   }
 
-  public fetch(address: string, held: HeldState, timeoutMs: number): Promise<FetchResponse> {
+  public fetchPlan(address: string, heldVersion: number, timeoutMs: number): Promise<PlanUpdate> {
     const client = this.channels.client(LogService, address);
-    const req = { heldPlan: BigInt(held.planVersion), heldIndex: BigInt(held.index) };
-    return client.fetch(req, { timeoutMs });
+    return client.fetchPlan({ heldPlan: BigInt(heldVersion) }, { timeoutMs });
   }
 }
--- a/packages/gateway/src/entry/PlanRefresher.test.ts
+++ b/packages/gateway/src/entry/PlanRefresher.test.ts
@@ -4,10 +4,8 @@
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
-import {
-  CommittedStateSchema,
-  FetchResponseSchema,
-} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import { CommittedStateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import { PlanUpdateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { encodePlanChanges, toPlanItems } from '@marigoldbank/routing/plan-items';
 import { expect } from 'earl';
 import { makeEmptyPlan } from '../testing/fixtures.js';
@@ -64,16 +62,16 @@
         version: BigInt(vm.version),
         confirmedAgeMs: vm.confirmedAgeMs ?? 100,
         ...(isNewer && vm.hasChanges === true ? { changes: CHANGES } : {}),
-        isCutShort: isNewer && vm.hasChanges !== true,
+        isPlanLeftOut: isNewer && vm.hasChanges !== true,
       });
     },
-    fetch: async (address, _held, timeoutMs) => {
+    fetchPlan: async (address, _held, timeoutMs) => {
       await delay(clock, Math.min(fetchMs, timeoutMs));
       if (fetchMs > timeoutMs) throw new Error('timed out');
       const { version } = vms[address]!;
       const items = [...toPlanItems(makeEmptyPlan(version))];
       const changes = encodePlanChanges(items.map(([key, value]) => ({ key, value })));
-      return create(FetchResponseSchema, { plan: { version: BigInt(version), changes } });
+      return create(PlanUpdateSchema, { version: BigInt(version), changes });
     },
   };
   const plan = [...toPlanItems(makeEmptyPlan(1))].map(([key, value]) => ({ key, value }));
@@ -126,6 +124,21 @@
     expect(state.planAgeMs(clock.now())).toBeLessThan(300);
   });
 
+  // Changes from plan 1 to 3 were applied to plan 2, which another answer had put in force while this one was under way.
+  it('does not apply changes to another plan than the one for which it asked', async () => {
+    const { clock, state, start } = makeFixture(
+      { x: { version: 3, hasChanges: true } },
+      { askMs: 50 },
+    );
+    start();
+    await clock.advanceAsync(1_120);
+    state.applyPlan(1, 2, []);
+    await clock.advanceAsync(40);
+    expect(state.planVersion).toEqual(2);
+    await clock.advanceAsync(1_000);
+    expect(state.planVersion).toEqual(3);
+  });
+
   it('asks nothing while the hub confirms the plan', async () => {
     const { clock, state, start, asked } = makeFixture({ x: { version: 2 } });
     start();
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -24,6 +24,9 @@
 const ASK_TIMEOUT_MS = 100;
 const FETCH_TIMEOUT_MS = 400;
 
+/** Questions to one control VM in a row, for targets that leave, of which 16 fit into an answer. */
+const MAX_PARTS = 8;
+
 /** Control VMs that are asked at a time. One of them may be on the smaller side of a split, or down. */
 const ASKED_AT_ONCE = 2;
 
@@ -45,6 +48,12 @@
   readonly addresses: () => readonly string[];
 }
 
+/** What a control VM answered, and the plan that the entry held when it asked, from which the changes start. */
+interface PlanAnswer {
+  readonly answer: CommittedState | undefined;
+  readonly heldVersion: number;
+}
+
 export class PlanRefresher extends DisposableStore {
   private round: Promise<void> | undefined;
 
@@ -57,6 +66,9 @@
 
   private isAsking = false;
 
+  /** The fetch of a plan that is under way. */
+  private fetching: Promise<void> | undefined;
+
   /** Index in the log up to which this entry knows which targets leave. */
   private heldIndex = 0;
 
@@ -132,15 +144,12 @@
   }
 
   private async ask(address: string): Promise<void> {
-    const { clock, state, client, logger } = this.ctx;
+    const { clock, state, logger } = this.ctx;
     const askedAt = clock.now();
-    const answer = await client.ask(address, this.held, ASK_TIMEOUT_MS);
+    const { answer, heldVersion } = await this.askForAll(address, MAX_PARTS);
     if (answer !== undefined) {
-      await this.take(address, answer).catch((err: unknown) =>
-        logger.info('committed changes could not be fetched', {
-          from: address,
-          error: String(err),
-        }),
+      await this.takePlan(address, answer, heldVersion).catch((err: unknown) =>
+        logger.info('the plan could not be fetched', { from: address, error: String(err) }),
       );
     }
     const ageMs = answer?.confirmedAgeMs;
@@ -153,27 +162,42 @@
     planQuestionsTotal.inc({ outcome: isOfUse ? 'confirmed' : 'unconfirmed' });
   }
 
+  /** Asks again while there are more targets that leave than fit into a datagram. Returns the last answer. */
+  private async askForAll(address: string, parts: number): Promise<PlanAnswer> {
+    const { held } = this;
+    const answer = await this.ctx.client.ask(address, held, ASK_TIMEOUT_MS);
+    if (answer !== undefined) this.takeLeaving(answer.leaving, Number(answer.index));
+    const hasMore = answer?.hasMoreLeaving === true && parts > 1;
+    return hasMore ? this.askForAll(address, parts - 1) : { answer, heldVersion: held.planVersion };
+  }
+
   private get held(): HeldState {
     return { planVersion: this.ctx.state.planVersion, index: this.heldIndex };
   }
 
-  /** Takes what an answer has, or fetches it if it does not fit into a datagram. */
-  private async take(address: string, answer: CommittedState): Promise<void> {
-    const { held } = this;
-    if (answer.isCutShort) {
-      const { plan, leaving, index } = await this.ctx.client.fetch(address, held, FETCH_TIMEOUT_MS);
-      this.takeLeaving(leaving, Number(index));
-      if (plan !== undefined) this.takePlan(address, plan);
-      return;
+  /** Puts a newer plan in force: from the answer, or fetched if its changes do not fit into a datagram. */
+  private async takePlan(
+    address: string,
+    { version, changes, isPlanLeftOut }: CommittedState,
+    heldVersion: number,
+  ): Promise<void> {
+    if (changes !== undefined) {
+      this.applyPlan(address, { fromVersion: BigInt(heldVersion), version, changes });
     }
-    const { version, changes, leaving, index } = answer;
-    this.takeLeaving(leaving, Number(index));
-    if (changes === undefined) return;
-    this.takePlan(address, { fromVersion: BigInt(held.planVersion), version, changes });
+    // A call costs a log process many times a datagram, so an entry makes one at a time.
+    const { planVersion } = this.ctx.state;
+    if (!isPlanLeftOut || Number(version) <= planVersion) return;
+    this.fetching ??= this.ctx.client
+      .fetchPlan(address, planVersion, FETCH_TIMEOUT_MS)
+      .then((update) => this.applyPlan(address, update))
+      .finally(() => {
+        this.fetching = undefined;
+      });
+    await this.fetching;
   }
 
-  /** Puts a newer plan in force, unless another one has been meanwhile to which the changes do not fit. */
-  private takePlan(
+  /** Applies a newer plan, unless another one has been put in force meanwhile to which the changes do not fit. */
+  private applyPlan(
     address: string,
     { fromVersion, version, changes }: Pick<PlanUpdate, 'fromVersion' | 'version' | 'changes'>,
   ): void {
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -9,6 +9,7 @@
   EntryReportSchema,
   HubRelaySchema,
   HubUpdateSchema,
+  PlanUpdateSchema,
   type EntryReport,
   type HubUpdate,
   type SyncService,
@@ -16,7 +17,6 @@
 import {
   ListHubsResponseSchema,
   CommittedStateSchema,
-  FetchResponseSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { encodeCommand, type CommandInit } from '../control/commands.js';
@@ -78,6 +78,9 @@
   /** Time from a question for the plan to its answer. */
   public planAnswerMs = CALL_MS;
 
+  /** Time for a call for the plan, besides. */
+  public planFetchMs = 0;
+
   public readonly hubs: FakeHub[];
 
   public readonly entries: FakeEntry[];
@@ -334,10 +337,13 @@
         const state = (await call(address, timeoutMs))?.history.stateFor(held);
         return state === undefined ? undefined : create(CommittedStateSchema, state);
       },
-      fetch: async (address, held, timeoutMs) => {
-        const res = (await call(address, timeoutMs))?.history.fetch(held);
-        if (res === undefined) throw new Error('timed out');
-        return create(FetchResponseSchema, res);
+      fetchPlan: async (address, heldVersion, timeoutMs) => {
+        const hub = await call(address, timeoutMs);
+        await delay(this.clock, Math.min(timeoutMs, this.planFetchMs));
+        const update =
+          this.planFetchMs > timeoutMs ? undefined : hub?.history.updateFrom(heldVersion);
+        if (update === undefined) throw new Error('timed out');
+        return create(PlanUpdateSchema, update);
       },
     };
   }
