--- a/packages/gateway/src/control/CommitHistory.test.ts
+++ b/packages/gateway/src/control/CommitHistory.test.ts
@@ -3,7 +3,8 @@
 import { expect } from 'earl';
 import { makeEmptyPlan } from '../testing/fixtures.js';
 import { encodeCommand } from './commands.js';
-import { CommitHistory, type HeldState } from './CommitHistory.js';
+import type { HeldState } from '../sync/HeldState.js';
+import { CommitHistory } from './CommitHistory.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
 
 interface Fixture {
--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '@marigoldbank/base/clock';
 import type { CommittedStateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { PlanUpdateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { HeldState } from '../sync/HeldState.js';
 import type { CommittedPlan } from './CommittedPlan.js';
 import { PlanEncoder } from './PlanEncoder.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
@@ -32,13 +33,6 @@
   readonly confirmation: Pick<StateConfirmation, 'confirmedAgeMs'>;
 }
 
-/** What an entry has from earlier answers, and its plan. */
-export interface HeldState {
-  readonly planVersion: number;
-  /** Index in the log up to which it knows which targets leave. */
-  readonly index: number;
-}
-
 interface Leaving {
   readonly id: string;
   readonly born: number;
--- a/packages/gateway/src/control/DirectoryListener.ts
+++ b/packages/gateway/src/control/DirectoryListener.ts
@@ -8,7 +8,8 @@
   ListHubsResponseSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { HubDirectory } from './HubDirectory.js';
-import type { CommitHistory, HeldState } from './CommitHistory.js';
+import type { HeldState } from '../sync/HeldState.js';
+import type { CommitHistory } from './CommitHistory.js';
 
 type ListHubsResponseInit = Exclude<
   MessageInitShape<typeof ListHubsResponseSchema>,
--- a/packages/gateway/src/entry/DirectoryClient.ts
+++ b/packages/gateway/src/entry/DirectoryClient.ts
@@ -13,7 +13,7 @@
   type CommittedState,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 
-import type { HeldState } from '../control/CommitHistory.js';
+import type { HeldState } from '../sync/HeldState.js';
 
 export interface IDirectoryClient {
   /** Resolves to the answer of one control VM, or to undefined if none arrives in time. */
--- a/packages/gateway/src/entry/PlanClient.ts
+++ b/packages/gateway/src/entry/PlanClient.ts
@@ -2,7 +2,7 @@
 import type { Channels } from '@marigoldbank/daemon/transport/Channels';
 import { LogService, type CommittedState } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { PlanUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import type { HeldState } from '../control/CommitHistory.js';
+import type { HeldState } from '../sync/HeldState.js';
 import type { DirectoryClient } from './DirectoryClient.js';
 
 export interface IPlanClient {
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -1,8 +1,9 @@
 /**
- * Keeps the plan of an entry, and what it knows of targets that leave, current while its hub does not. A change is acknowledged once it is committed, and has to be in
- * force here 2 s later, whatever has become of the hub: it may be cut off without knowing it, be late, or be lost, and a
- * stream of another hub takes the longer the more entries move. So an entry whose plan has not been confirmed for half of
- * that time asks control VMs by datagrams, of which one that a majority confirms is enough, and fetches what it lacks.
+ * Keeps the plan of an entry, and what it knows of targets that leave, current while its hub does not. A change is
+ * acknowledged once it is committed, and has to be in force here 2 s later, whatever has become of the hub: it may be cut
+ * off without knowing it, be late, or be lost, and a stream of another hub takes the longer the more entries move. So an
+ * entry whose plan has not been confirmed for half of that time asks control VMs by datagrams, of which one that a majority
+ * confirms is enough, and fetches what it lacks.
  */
 import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
@@ -14,7 +15,7 @@
 import type { PlanUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import { planQuestionsTotal } from '../metrics.js';
-import type { HeldState } from '../control/CommitHistory.js';
+import type { HeldState } from '../sync/HeldState.js';
 import type { EntryState } from './EntryState.js';
 import type { IPlanClient } from './PlanClient.js';
 
@@ -137,10 +138,10 @@
   /** In random order, those that did not help last time at the end. */
   private inOrder(): string[] {
     const { state, addresses } = this.ctx;
-    const failureOf = (address: string): number => this.failedAt.get(address) ?? -Infinity;
+    const failureOf = (address: string): number => this.failedAt.get(address) ?? 0;
     return state.random
       .shuffle([...new Set(addresses())])
-      .sort((a, b) => Math.sign(failureOf(a) - failureOf(b)) || 0);
+      .sort((a, b) => failureOf(a) - failureOf(b));
   }
 
   private async ask(address: string): Promise<void> {
