ActiveRequests: the end of one wait no longer removes the next one of a request

A planned stop did not refuse a request that waited for its body, or for a token: the end of the wait before removed the one that had begun meanwhile. ActiveRequests.test.ts failed before.

--- a/packages/gateway/src/entry/ActiveRequests.test.ts
+++ b/packages/gateway/src/entry/ActiveRequests.test.ts
@@ -48,6 +48,22 @@
     expect(await active.wait(tx, NEVER)).toEqual({ kind: 'stopped' });
   });
 
+  // The end of the wait for a body removed the wait for a token that had followed it, so that a stop did not end that one.
+  it('ends a wait that has followed another one for some time', async () => {
+    const active = new ActiveRequests();
+    const { tx } = makeTransaction();
+    await active.wait(tx, Promise.resolve('body'));
+    const waiting = active.wait(tx, NEVER);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    active.endWaits();
+    const timedOut = new Promise((resolve) => {
+      setTimeout(() => resolve('not ended'), 50);
+    });
+    expect(await Promise.race([waiting, timedOut])).toEqual({ kind: 'stopped' });
+  });
+
   it('gives up the runs that have no outcome yet', async () => {
     const active = new ActiveRequests();
     const given: string[] = [];
--- a/packages/gateway/src/entry/ActiveRequests.ts
+++ b/packages/gateway/src/entry/ActiveRequests.ts
@@ -42,10 +42,14 @@
   public wait<T>(tx: Transaction, work: Promise<T>): Promise<WaitResult<T>> {
     if (this.hasEndedWaits) return Promise.resolve({ kind: 'stopped' });
     return new Promise((resolve, reject) => {
-      this.waits.set(tx, () => resolve({ kind: 'stopped' }));
+      const end = (): void => resolve({ kind: 'stopped' });
+      this.waits.set(tx, end);
       work
         .then((value) => resolve({ kind: 'done', value }), reject)
-        .finally(() => this.waits.delete(tx));
+        .finally(() => {
+          // The next wait of the request may have begun.
+          if (this.waits.get(tx) === end) this.waits.delete(tx);
+        });
     });
   }
 
