--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -2,22 +2,17 @@
  * State that control VMs share with entries and with each other: targets, outcomes, load, budgets, entries.
  * Each control VM runs a hub, which serves the entries connected to it and relays their reports to all other hubs.
  */
-import type { Client } from '@connectrpc/connect';
-import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import { setPeriodic } from '@marigoldbank/base/clock';
 import { DisposableStore, type IDisposable } from '@marigoldbank/base/lifecycle';
-import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
-import type {
-  EntryReport,
-  HubRelay,
-  SyncService,
-} from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { EntryReport, HubRelay } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { Announcement } from '../announcement.js';
-import { ipOf, syncAddress, type GatewaySettings } from '../settings.js';
+import { ipOf, syncAddress } from '../settings.js';
 import { AdvertisedEntries } from './AdvertisedEntries.js';
 import { RelayHandler } from './RelayHandler.js';
 import { RetryBudgets } from './RetryBudgets.js';
 import { EntrySession } from './EntrySession.js';
 import type { EntryStream } from './EntryStream.js';
+import type { HubContext } from './HubContext.js';
 import { HubMessages } from './HubMessages.js';
 import { EvidenceFeed } from './EvidenceFeed.js';
 import { EvidenceDistributor } from './EvidenceDistributor.js';
@@ -26,12 +21,9 @@
 import { HubPeers } from './HubPeers.js';
 import { HubFreshness } from './HubFreshness.js';
 import { HubTargets } from './HubTargets.js';
-import type { ILogView } from './LogView.js';
 import { isAlive, type PeerHub } from './PeerHub.js';
 import { LimitDistributor } from './LimitDistributor.js';
 import { PlanEncoder } from './PlanEncoder.js';
-import type { PlanStateMachine } from './PlanStateMachine.js';
-import type { Pace } from '../sync/BatchPace.js';
 import { StreamAdmission } from './StreamAdmission.js';
 import { SuspectDistributor } from './SuspectDistributor.js';
 import { TeamBudgets } from './TeamBudgets.js';
@@ -48,17 +40,6 @@
 /** An entry that sends no report for this long is disconnected. */
 const ENTRY_TIMEOUT_MS = 3_000;
 
-export interface HubContext {
-  readonly clock: Clock;
-  readonly settings: GatewaySettings;
-  readonly log: ILogView;
-  readonly stateMachine: PlanStateMachine;
-  readonly logger: Logger;
-  /** Pace of the batches to entries and other hubs. */
-  readonly pace: Pace;
-  readonly clientOf: (address: string) => Client<typeof SyncService>;
-}
-
 export class Hub extends DisposableStore {
   public readonly entries = new EntryRegistry();
 
--- a/packages/gateway/src/control/leaving-in-force.test.ts
+++ b/packages/gateway/src/control/leaving-in-force.test.ts
@@ -60,7 +60,7 @@
   // Calls for what did not fit into a datagram kept the log process of the leader saturated, and most took too long.
   it('gets nothing 2 s later if 60 leave at once, also while control VMs have no time for calls', async () => {
     const fleet = await startFleet(1);
-    fleet.planFetchMs = 1_000;
+    fleet.logs.planFetchMs = 1_000;
     [1, 2, 6].forEach((i) => Object.assign(fleet.hubs[i]!, { isUnheard: true }));
     Array.from({ length: 60 }, (_, i) => fleet.commitLeaving(i === 30 ? 't1' : `other-${i}`));
     await fleet.advance(DRAIN_MS);
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -1,14 +1,20 @@
 /** HTTP server for callers: handles a request from its head to the final response. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { CallerConnection } from '@marigoldbank/daemon/entry/CallerConnection';
 import { readBody } from '@marigoldbank/daemon/entry/readBody';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
-import type { PlanLimits, Route, Team } from '@marigoldbank/routing/plan';
+import type { Route, Team } from '@marigoldbank/routing/plan';
 import type { RouteTable } from '@marigoldbank/routing/RouteTable';
 import { requestSeconds, requestsTotal } from '../metrics.js';
 import { ActiveRequests } from './ActiveRequests.js';
+import {
+  BODY_TIMEOUT_MS,
+  createCallerHttpServer,
+  IDLE_MARGIN_MS,
+  INITIAL_LIMITS,
+} from './caller-http-server.js';
 import { ConnectionTracker } from './ConnectionTracker.js';
 import { ResponseWriter, type Transaction } from './ResponseWriter.js';
 import { encodeErrorResponse, stoppingError, type ErrorResponse } from './ErrorResponse.js';
@@ -17,28 +23,10 @@
 import { makeFingerprint, quarantineError } from './quarantine.js';
 import type { RequestLog } from './RequestLog.js';
 import { TeamAdmission } from './TeamAdmission.js';
-import { RequestRun, type RunContext, type RunOutcome } from './RequestRun.js';
+import { RequestRun } from './RequestRun.js';
+import type { RunContext, RunOutcome } from './run-types.js';
 import { readRequestHead, type RequestHead } from './requestHead.js';
 
-/** Limits until the first plan. */
-const INITIAL_LIMITS: PlanLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 67_108_864,
-  headersTimeoutMs: 10_000,
-  idleTimeoutMs: 15_000,
-};
-
-/** Largest request head that the parser accepts. The limit of the plan, `maxHeaderBytes`, is not applied. */
-const MAX_HEAD_BYTES = 65_536;
-
-/** Callers reuse connections up to the idle limit, so connections are kept open a little longer. */
-const IDLE_MARGIN_MS = 2_000;
-
-const CHECKING_INTERVAL_MS = 500;
-
-/** Maximum time to receive a whole request, and to read a whole body. */
-const BODY_TIMEOUT_MS = 30_000;
-
 /**
  * Time since the plan was known to be the newest one. Above it the plan may be outdated, so that an unknown route or key may
  * exist in a newer one.
@@ -161,17 +149,7 @@
   }
 
   private createServer(): Server {
-    const server = createServer({
-      maxHeaderSize: MAX_HEAD_BYTES,
-      headersTimeout: INITIAL_LIMITS.headersTimeoutMs,
-      requestTimeout: BODY_TIMEOUT_MS,
-      keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
-      connectionsCheckingInterval: CHECKING_INTERVAL_MS,
-      insecureHTTPParser: false,
-      noDelay: true,
-    });
-    // By default Node.js silently drops headers beyond its limit.
-    server.maxHeadersCount = 0;
+    const server = createCallerHttpServer();
     server.on('request', (req, res) => this.accept(req, res));
     server.on('checkExpectation', (req, res) => this.accept(req, res));
     server.on('connect', (_req, socket) => this.connectionOf(socket).handleClientError(undefined));
--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -11,7 +11,8 @@
 import { HEADER_NAMES, makeRunRequest } from '../testing/fixtures.js';
 import { EntryState } from './EntryState.js';
 import { HubReporter } from './HubReporter.js';
-import { RequestRun, type RunContext, type RunOutcome } from './RequestRun.js';
+import { RequestRun } from './RequestRun.js';
+import type { RunContext, RunOutcome } from './run-types.js';
 
 const HOST = '127.0.0.1';
 const clock = new SystemClock();
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -1,14 +1,11 @@
 /** Sends one admitted request to targets until one responds or no further attempt is possible. */
-import type { Clock } from '@marigoldbank/base/clock';
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
-import type { Route } from '@marigoldbank/routing/plan';
 import { pickService } from '@marigoldbank/routing/RouteTable';
 import { FAILING_THRESHOLD, type Selection } from '@marigoldbank/routing/TargetSelector';
-import type { EntryState } from './EntryState.js';
 import { stoppingError, type ErrorResponse } from './ErrorResponse.js';
-import type { RequestHead } from './requestHead.js';
 import { noTargetError, overloadError } from './refusals.js';
-import { SendAttempt, type AttemptContext, type AttemptResult } from './SendAttempt.js';
+import type { RunContext, RunOutcome, RunRequest, UpstreamResponse } from './run-types.js';
+import { SendAttempt, type AttemptResult } from './SendAttempt.js';
 
 /** Maximum number of attempts for one request, including those that targets did not run. */
 const MAX_SENDS = 4;
@@ -36,39 +33,6 @@
 
 const FIRST_ERROR_STATUS = 500;
 
-export type UpstreamResponse = Extract<AttemptResult, { kind: 'answered' }>;
-
-export type RunOutcome =
-  | {
-      readonly kind: 'answered';
-      readonly response: UpstreamResponse;
-      readonly attempt: SendAttempt;
-    }
-  | { readonly kind: 'refused'; readonly error: ErrorResponse }
-  | { readonly kind: 'callerGone' };
-
-export interface RunRequest {
-  readonly head: RequestHead;
-  readonly body: Buffer;
-  readonly route: Route;
-  readonly team: string | undefined;
-  /** Priority of the team, or of the route. */
-  readonly priority: number;
-  /** Deadline of the final response in monotonic ms. */
-  readonly dueAt: number;
-  /** Identifies equal requests. Computed when it is needed for the first time. */
-  readonly fingerprint: () => string;
-  /** Aborted when the caller has disconnected. */
-  readonly signal: AbortSignal;
-}
-
-export interface RunContext extends AttemptContext {
-  readonly clock: Clock;
-  readonly state: EntryState;
-  /** Data centre of this entry. */
-  readonly dataCentre: string;
-}
-
 type RunEvent =
   | { readonly kind: 'result'; readonly attempt: SendAttempt; readonly result: AttemptResult }
   | { readonly kind: 'stalled' }
--- a/packages/gateway/src/entry/ResponseWriter.ts
+++ b/packages/gateway/src/entry/ResponseWriter.ts
@@ -5,7 +5,7 @@
 import { HOP_BY_HOP_HEADERS, parseConnectionTokens } from '@marigoldbank/daemon/entry/headers';
 import type { HeaderNames } from '../ProtocolAdapter.js';
 import type { EncodedResponse } from './ErrorResponse.js';
-import type { UpstreamResponse } from './RequestRun.js';
+import type { UpstreamResponse } from './run-types.js';
 import type { SendAttempt } from './SendAttempt.js';
 
 /** Maximum time to read the rest of a refused body, so that the caller can read the response. */
--- a/packages/gateway/src/entry/target-limits.test.ts
+++ b/packages/gateway/src/entry/target-limits.test.ts
@@ -6,7 +6,8 @@
 import { FakeFleet } from '../testing/FakeFleet.js';
 import { FakeUpstream } from '../testing/FakeUpstream.js';
 import { HEADER_NAMES, makeRunRequest } from '../testing/fixtures.js';
-import { RequestRun, type RunOutcome } from './RequestRun.js';
+import { RequestRun } from './RequestRun.js';
+import type { RunOutcome } from './run-types.js';
 
 const LIMITED = 'target-0';
 const TARGETS = 10;
--- a/packages/gateway/src/entry/target-notices.test.ts
+++ b/packages/gateway/src/entry/target-notices.test.ts
@@ -9,7 +9,8 @@
 import { FakeFleet } from '../testing/FakeFleet.js';
 import { FakeUpstream, type FakeArrival } from '../testing/FakeUpstream.js';
 import { HEADER_NAMES, makeRunRequest } from '../testing/fixtures.js';
-import { RequestRun, type RunOutcome } from './RequestRun.js';
+import { RequestRun } from './RequestRun.js';
+import type { RunOutcome } from './run-types.js';
 
 const TARGETS = 10;
 const REQUESTS_PER_STEP = 4;
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -1,7 +1,7 @@
 /** Hubs and entries in virtual time, connected by a network that delays the messages of busy hubs. */
 import { create } from '@bufbuild/protobuf';
 import type { Client } from '@connectrpc/connect';
-import { delay, setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
@@ -9,15 +9,10 @@
   EntryReportSchema,
   HubRelaySchema,
   HubUpdateSchema,
-  PlanUpdateSchema,
   type EntryReport,
   type HubUpdate,
   type SyncService,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import {
-  ListHubsResponseSchema,
-  CommittedStateSchema,
-} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { encodeCommand, type CommandInit } from '../control/commands.js';
 import type { EntryStream } from '../control/EntryStream.js';
@@ -27,13 +22,11 @@
 import type { PeerHub } from '../control/PeerHub.js';
 import { CommitHistory } from '../control/CommitHistory.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
-import type { IDirectoryClient } from '../entry/DirectoryClient.js';
 import { EntryState } from '../entry/EntryState.js';
 import { HubFollower } from '../entry/HubFollower.js';
 import { HubLocator } from '../entry/HubLocator.js';
 import { HubReporter, type EntryReportInit } from '../entry/HubReporter.js';
 import { HubSelector } from '../entry/HubSelector.js';
-import type { IPlanClient } from '../entry/PlanClient.js';
 import { PlanRefresher } from '../entry/PlanRefresher.js';
 import { syncAddress } from '../settings.js';
 import { USUAL_PACE } from '../sync/BatchPace.js';
@@ -46,6 +39,7 @@
   type FakeFleetOptions,
   type FakeHub,
 } from './fake-fleet-parts.js';
+import { FakeLogClients } from './FakeLogClients.js';
 import { FakeStream } from './FakeStream.js';
 import { OffsetClock } from './OffsetClock.js';
 import { aborted, readAll } from './streams.js';
@@ -60,9 +54,6 @@
 /** Work for a stream that a hub refuses, as a share of that for one that it accepts. */
 const REFUSED_SHARE = 0.25;
 
-/** Time for a call to the log process of a VM. */
-const CALL_MS = 2;
-
 export class FakeFleet {
   public readonly clock = new VirtualClock();
 
@@ -75,11 +66,8 @@
   /** Whether there is no leader, so that no log is confirmed. */
   public isLeaderless = false;
 
-  /** Time from a question for the plan to its answer. */
-  public planAnswerMs = CALL_MS;
-
-  /** Time for a call for the plan, besides. */
-  public planFetchMs = 0;
+  /** Log processes as entries reach them. */
+  public readonly logs = new FakeLogClients(this.clock, (address) => this.hubAt(address));
 
   public readonly hubs: FakeHub[];
 
@@ -279,7 +267,7 @@
       clock,
       state,
       logger: new NullLogger(),
-      client: this.planClient(),
+      client: this.logs.planClient(),
       addresses: () => [...seeds, ...selector.knownAddresses],
     });
     this.refreshers.push(refresher);
@@ -297,7 +285,7 @@
         logger: new NullLogger(),
         dataCentre,
         seeds: () => seeds,
-        client: this.directoryClient(),
+        client: this.logs.directoryClient(),
       }),
       logAddressOf: (hub) => hub,
       clientOf: (address) => this.client(address, vm),
@@ -310,44 +298,6 @@
     return entry;
   }
 
-  /** Client for the log processes, which are named by the addresses of the hubs of their VMs. */
-  private directoryClient(): IDirectoryClient {
-    return {
-      ask: async (address, dataCentre, timeoutMs) => {
-        const { directory, isLogDown, logFrozenUntil } = this.hubAt(address);
-        const isAnswering = !isLogDown && this.clock.now() >= logFrozenUntil;
-        await delay(this.clock, isAnswering ? CALL_MS : timeoutMs);
-        if (!isAnswering) return undefined;
-        const { hubs, isSettled } = directory.list(dataCentre);
-        return create(ListHubsResponseSchema, { hubs: [...hubs], isSettled });
-      },
-    };
-  }
-
-  /** Client for the plans of the log processes. */
-  private planClient(): IPlanClient {
-    const call = async (address: string, timeoutMs: number): Promise<FakeHub | undefined> => {
-      const hub = this.hubAt(address);
-      const isAnswering = !hub.isLogDown && this.clock.now() >= hub.logFrozenUntil;
-      await delay(this.clock, isAnswering ? this.planAnswerMs : timeoutMs);
-      return isAnswering && this.planAnswerMs <= timeoutMs ? hub : undefined;
-    };
-    return {
-      ask: async (address, held, timeoutMs) => {
-        const state = (await call(address, timeoutMs))?.history.stateFor(held);
-        return state === undefined ? undefined : create(CommittedStateSchema, state);
-      },
-      fetchPlan: async (address, heldVersion, timeoutMs) => {
-        const hub = await call(address, timeoutMs);
-        await delay(this.clock, Math.min(timeoutMs, this.planFetchMs));
-        const update =
-          this.planFetchMs > timeoutMs ? undefined : hub?.history.updateFrom(heldVersion);
-        if (update === undefined) throw new Error('timed out');
-        return create(PlanUpdateSchema, update);
-      },
-    };
-  }
-
   /** Client of the process `from` for the hub at `address`. */
   private client(address: string, from: string): Client<typeof SyncService> {
     return {
--- a/packages/gateway/src/testing/fixtures.ts
+++ b/packages/gateway/src/testing/fixtures.ts
@@ -2,7 +2,7 @@
 import { makeRoute } from '@marigoldbank/routing/fixtures';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import type { Announcement } from '../announcement.js';
-import type { RunRequest } from '../entry/RequestRun.js';
+import type { RunRequest } from '../entry/run-types.js';
 import type { HeaderNames } from '../ProtocolAdapter.js';
 
 export const HEADER_NAMES: HeaderNames = {
