Lost requests are reported once, in batches, with ages of the moment of sending

It is now reported after the check, in batches; repeated losses still go without delay.

With batches poison-requests.test.ts failed: 13 to 55 entries refused the request instead of all. Ages were computed when a loss was queued, so that a hub that sent it late made it appear later than it was, and losses seemed to overlap. They are now those of the moment of sending.

--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -9,11 +9,12 @@
   TargetSchema,
   TokenAnswerSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { SuspectStatement } from '@marigoldbank/routing/PoisonTable';
 import type { AdvertisedEntry } from '../AddressBook.js';
 import { Batcher } from '../sync/Batcher.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
-import type { SuspectRequestInit } from '../sync/suspect-codec.js';
+import { toSuspectMessage } from '../sync/suspect-codec.js';
 import { echoOf, type PeerTime } from '../sync/timeEcho.js';
 import type { EntryIdentity } from './EntryRegistry.js';
 import type { CommittedPlan } from './CommittedPlan.js';
@@ -64,7 +65,7 @@
 
   private readonly limits = new Map<string, TargetLimitInit>();
 
-  private readonly suspects = new Map<string, SuspectRequestInit>();
+  private readonly suspects = new Map<string, SuspectStatement>();
 
   private readonly tokenAnswers: MessageInitShape<typeof TokenAnswerSchema>[] = [];
 
@@ -150,7 +151,7 @@
     this.batcher.request(URGENT_FLUSH_MS);
   }
 
-  public setSuspect(suspect: SuspectRequestInit): void {
+  public setSuspect(suspect: SuspectStatement): void {
     this.suspects.set(suspect.fingerprint, suspect);
     this.batcher.request(URGENT_FLUSH_MS);
   }
@@ -203,6 +204,7 @@
   }
 
   private flush(): void {
+    const { clock } = this.source;
     const update: HubUpdateInit = {
       plan: this.takePlan(),
       targets: [...this.targets.values()],
@@ -211,7 +213,7 @@
       tokens: this.tokenAnswers.splice(0),
       retries: [...this.retryStates.values()],
       limits: [...this.limits.values()],
-      suspects: [...this.suspects.values()],
+      suspects: [...this.suspects.values()].map((s) => toSuspectMessage(s, clock.now())),
       fleet: this.takeFleetUpdate(),
     };
     this.targets.clear();
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -11,13 +11,14 @@
   SyncService,
   TargetSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import type { SuspectStatement } from '@marigoldbank/routing/PoisonTable';
 import type { Pace } from '../sync/BatchPace.js';
 import { Batcher } from '../sync/Batcher.js';
 import { encodeEvidenceBatch } from '../sync/evidence-batch.js';
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
-import type { SuspectRequestInit } from '../sync/suspect-codec.js';
+import { toSuspectMessage } from '../sync/suspect-codec.js';
 import { URGENT_FLUSH_MS } from './EntrySession.js';
 
 const RECONNECT_MS = 300;
@@ -57,7 +58,7 @@
 
   private readonly limits = new Map<string, TargetLimitInit>();
 
-  private readonly suspects = new Map<string, SuspectRequestInit>();
+  private readonly suspects = new Map<string, SuspectStatement>();
 
   private readonly usesByService = new Map<string, UseCounts>();
 
@@ -122,9 +123,11 @@
     this.batcher.request(URGENT_FLUSH_MS);
   }
 
-  public setSuspect(suspect: SuspectRequestInit): void {
+  /** Passes on losses of a request, without delay if there are several: most requests are lost once at most. */
+  public setSuspect(suspect: SuspectStatement): void {
     this.suspects.set(suspect.fingerprint, suspect);
-    this.batcher.request(URGENT_FLUSH_MS);
+    const isRepeated = suspect.losses.length > 1;
+    this.batcher.request(isRepeated ? URGENT_FLUSH_MS : FLUSH_MS);
   }
 
   /** Forwards a token request of an entry. Dropped without a stream: the entry decides itself after a while. */
@@ -182,6 +185,7 @@
       this.dropPending();
       return;
     }
+    const { clock } = this.source;
     this.send({
       targets: [...this.targets.values()],
       ...this.takeEvidence(),
@@ -190,7 +194,7 @@
       tokens: this.tokens.splice(0),
       answers: this.tokenAnswers.splice(0),
       limits: [...this.limits.values()],
-      suspects: [...this.suspects.values()],
+      suspects: [...this.suspects.values()].map((s) => toSuspectMessage(s, clock.now())),
     });
     this.targets.clear();
     this.limits.clear();
--- a/packages/gateway/src/control/SuspectDistributor.ts
+++ b/packages/gateway/src/control/SuspectDistributor.ts
@@ -3,7 +3,7 @@
  * fleet, and to entries only requests that were lost more than once, or were and have succeeded since.
  */
 import type { SuspectRequest } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
-import { PoisonTable } from '@marigoldbank/routing/PoisonTable';
+import { PoisonTable, type SuspectStatement } from '@marigoldbank/routing/PoisonTable';
 import {
   toSuspectMessage,
   toSuspectStatement,
@@ -11,7 +11,8 @@
 } from '../sync/suspect-codec.js';
 
 export interface SuspectReceiver {
-  setSuspect(suspect: SuspectRequestInit): void;
+  /** Times are monotonic ms. Ages are computed when the message is sent, which a busy hub does late. */
+  setSuspect(suspect: SuspectStatement): void;
 }
 
 export interface SuspectContext {
@@ -50,14 +51,14 @@
   }
 
   /** Merges reports, passes what is news on to the entries, and returns it. */
-  private merge(suspects: readonly SuspectRequest[], now: number): SuspectRequestInit[] {
+  private merge(suspects: readonly SuspectRequest[], now: number): SuspectStatement[] {
     return suspects
       .map((suspect) => toSuspectStatement(suspect, now))
       .flatMap((statement) => {
         const { fingerprint } = statement;
         const wasSuspected = this.table.isSuspected(fingerprint);
         if (!this.table.merge(statement, now)) return [];
-        const news = toSuspectMessage(this.table.statementOf(fingerprint)!, now);
+        const news = this.table.statementOf(fingerprint)!;
         if (wasSuspected || this.table.isSuspected(fingerprint)) {
           [...this.ctx.entries()].forEach((entry) => entry.setSuspect(news));
         }
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -175,25 +175,28 @@
     this.logger.info('target wants a pause', { target: id, pauseMs: Math.round(pauseMs) });
   }
 
-  /** Records that the connection to a target was lost before it answered a request, which it may have ended. */
+  /**
+   * Records that the connection to a target was lost before it answered a request, which it may have ended. The hub is told
+   * once the target was checked: each report costs all hubs time, and many targets reset connections without ending.
+   */
   public recordLoss(fingerprint: string, target: TargetInfo, sentAt: number): void {
     const { clock, logger } = this;
     const { id, born = 0, address } = target;
     const loss = { target: id, born, sentAt, lostAt: clock.now(), isAccepting: false };
-    logger.info('request was lost at a target', {
+    logger.debug('request was lost at a target', {
       fingerprint: fingerprint.slice(0, LOGGED_DIGITS),
       target: id,
     });
-    this.addLoss(fingerprint, loss);
+    this.mergeSuspect({ fingerprint, losses: [loss], succeededAt: undefined });
     clock.setTimeout(() => {
       this.targetCheck
         .isAccepting(address)
-        .then((isAccepting) => {
-          if (isAccepting) this.addLoss(fingerprint, { ...loss, isAccepting });
+        .catch((err: unknown) => {
+          logger.warn('a target could not be checked', { target: id, error: String(err) });
+          return false;
         })
-        .catch((err: unknown) =>
-          logger.warn('a target could not be checked', { target: id, error: String(err) }),
-        );
+        .then((isAccepting) => this.reportLoss(fingerprint, { ...loss, isAccepting }))
+        .catch((err: unknown) => logger.error('a loss was not reported', { error: String(err) }));
     }, CHECK_DELAY_MS);
   }
 
@@ -201,7 +204,7 @@
   public recordSuccess(fingerprint: string): void {
     if (!this.state.suspects.noteSuccess(fingerprint, this.clock.now())) return;
     this.suspects.add(fingerprint);
-    this.requestUrgent();
+    this.batcher.request(FLUSH_MS);
   }
 
   /** Adds what the hub knows of a request. */
@@ -289,20 +292,20 @@
     this.detach();
   }
 
-  private addLoss(fingerprint: string, loss: RequestLoss): void {
-    const statement = { fingerprint, losses: [loss], succeededAt: undefined };
-    if (!this.mergeSuspect(statement)) return;
+  private reportLoss(fingerprint: string, loss: RequestLoss): void {
+    this.mergeSuspect({ fingerprint, losses: [loss], succeededAt: undefined });
     this.suspects.add(fingerprint);
-    this.requestUrgent();
+    if (this.state.suspects.isSuspected(fingerprint)) this.requestUrgent();
+    else this.batcher.request(FLUSH_MS);
   }
 
   /** Merges what is known of a request, and logs if it is quarantined from now on. */
-  private mergeSuspect(statement: SuspectStatement): boolean {
+  private mergeSuspect(statement: SuspectStatement): void {
     const { fingerprint } = statement;
     const { suspects } = this.state;
     const now = this.clock.now();
     const wasRefused = suspects.quarantineMs(fingerprint, now) > 0;
-    const isNews = suspects.merge(statement, now);
+    suspects.merge(statement, now);
     const quarantineMs = suspects.quarantineMs(fingerprint, now);
     if (!wasRefused && quarantineMs > 0) {
       quarantinesTotal.inc();
@@ -314,7 +317,6 @@
         forMs: Math.round(quarantineMs),
       });
     }
-    return isNews;
   }
 
   private takeSuspects(): SuspectRequestInit[] {
