Model of control VMs that all lose power, with failing tests

Log process and hub of a VM share a part of a core; each message, timer and start costs a part of it, and consensus messages have the time limits of the real transport.

--- a/packages/daemon/src/transport/ConnectConsensusTransport.ts
+++ b/packages/daemon/src/transport/ConnectConsensusTransport.ts
@@ -21,10 +21,10 @@
 } from './consensus-codec.js';
 
 /** Shorter than the election timeout, so that a lost answer is detected before an election starts. */
-const CALL_TIMEOUT_MS = 250;
+export const CALL_TIMEOUT_MS = 250;
 
 /** Longer than other calls, since the receiver syncs a snapshot chunk before it acknowledges it. */
-const SNAPSHOT_TIMEOUT_MS = 2_000;
+export const SNAPSHOT_TIMEOUT_MS = 2_000;
 
 export class ConnectConsensusTransport extends ConsensusTransport {
   public constructor(private readonly channels: Channels) {
--- /dev/null
+++ b/packages/gateway/src/control/power-loss.test.ts
@@ -0,0 +1,94 @@
+/** Control VMs that all lose power, in virtual time: log and hub start on the same VM, which has a share of a core. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { FakeControlGroup, type StartCosts } from '../testing/FakeControlGroup.js';
+import { OperatorClient } from '../testing/OperatorClient.js';
+import { PUT_TARGET } from '../testing/VersionAdapter.js';
+
+/** Time from the start of the last log process to a leader, and to the acknowledgement of a change. */
+const LEADER_MS = 1_000;
+const ACK_MS = 2_000;
+
+const GIVE_UP_MS = 12_000;
+const SPREAD_MS = 150;
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
+
+/** Costs of the grown deployments, from the logs of a day on which all control VMs lost power. */
+const COSTS: StartCosts = {
+  share: 0.405,
+  otherLoad: 0.5,
+  logMs: 190,
+  hubMs: 280,
+  firstMessageMs: 12,
+  messageMs: 3,
+  timerMs: 0.2,
+  syncMs: 4,
+};
+
+function multiply(factor: number): StartCosts {
+  const { logMs, hubMs, firstMessageMs, messageMs, syncMs } = COSTS;
+  return {
+    ...COSTS,
+    logMs: logMs * factor,
+    hubMs: hubMs * factor,
+    firstMessageMs: firstMessageMs * factor,
+    messageMs: messageMs * factor,
+    syncMs: syncMs * factor,
+  };
+}
+
+interface Recovery {
+  readonly leaderMs: number;
+  readonly ackMs: number;
+}
+
+async function recover(vms: number, factor: number, seed: number): Promise<Recovery> {
+  const group = await FakeControlGroup.start(vms, seed);
+  const { clock, random } = group;
+  const operator = new OperatorClient({
+    clock,
+    random,
+    addresses: () => group.vms.map(({ address }) => address),
+    send: (address, target, body) => group.send(address, target, body),
+  });
+  await group.settle(operator.call(PUT_TARGET, '1', GIVE_UP_MS));
+  group.cutPower();
+  await group.advance(1_400);
+  await group.returnPower(multiply(factor), SPREAD_MS);
+  const startedAt = clock.now();
+  let leaderAt: number | undefined;
+  const watch = (): void => {
+    if (group.vms.some(({ log }) => log.status().role === 'leader')) leaderAt ??= clock.now();
+    clock.setTimeout(watch, 5);
+  };
+  watch();
+  const { reply } = await group.settle(operator.call(PUT_TARGET, '2', GIVE_UP_MS));
+  const ackedAt = reply?.status === 200 ? clock.now() : Infinity;
+  return { leaderMs: (leaderAt ?? Infinity) - startedAt, ackMs: ackedAt - startedAt };
+}
+
+async function recoverEach(vms: number, factor: number): Promise<Recovery[]> {
+  const recoveries: Recovery[] = [];
+  await SEEDS.reduce(
+    (earlier, seed) =>
+      earlier.then(async () => {
+        recoveries.push(await recover(vms, factor, seed));
+      }),
+    Promise.resolve(),
+  );
+  return recoveries;
+}
+
+// Votes came later than the time limits of the transport and than the next election, so that several elections ended without
+// a leader: no change was acknowledged for seconds, and entries did not learn which plan was in force.
+describe('control VMs that all lost power', () => {
+  [7, 11].forEach((vms) => {
+    [1, 3].forEach((factor) => {
+      it(`have a leader 1 s after the start, and acknowledge within 2 s: ${vms} VMs, costs x ${factor}`, async () => {
+        const recoveries = await recoverEach(vms, factor);
+        expect(recoveries.filter(({ leaderMs }) => leaderMs > LEADER_MS)).toEqual([]);
+        expect(recoveries.filter(({ ackMs }) => ackMs > ACK_MS)).toEqual([]);
+      });
+    });
+  });
+});
--- a/packages/gateway/src/testing/FakeControlGroup.ts
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -1,12 +1,13 @@
 /** Log processes of control VMs in virtual time, and operators that call them over a network that they can leave. */
 import type { HTTPResponse } from 'h3';
-import type { Clock } from '@marigoldbank/base/clock';
+import { delay } from '@marigoldbank/base/clock';
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { openReplicatedLog, type ReplicatedLog } from '@marigoldbank/replicated-log';
 import {
   FakeNetwork,
+  FakeProcessor,
   FakeTransport,
   MemoryDisk,
   MemoryLogStorage,
@@ -18,6 +19,7 @@
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
 import { StateConfirmation, type ConfirmationContext } from '../control/StateConfirmation.js';
 import type { ControlReply } from './OperatorClient.js';
+import { TimedTransport, withTimeout } from './TimedTransport.js';
 import { VersionAdapter } from './VersionAdapter.js';
 
 const OPERATOR = 'operator';
@@ -33,26 +35,46 @@
 
 type ClientOf = ConfirmationContext['clientOf'];
 
+/** What a control VM does when its power returns, in ms of a whole core, and the core that it has. */
+export interface StartCosts {
+  /** Share of a core that the log process and the hub have together; half of it each while both are busy. */
+  readonly share: number;
+  /** Part of that which the log process spends on questions of entries and announcements of targets once it has started. */
+  readonly otherLoad: number;
+  /** Start of the log process and of the hub. */
+  readonly logMs: number;
+  readonly hubMs: number;
+  /** The first message from another process, which opens a connection and compiles what handles it. */
+  readonly firstMessageMs: number;
+  readonly messageMs: number;
+  readonly timerMs: number;
+  /** Longest sync of the disk. */
+  readonly syncMs: number;
+}
+
 export interface FakeControlVm {
   readonly ip: string;
   /** Address at which operators reach the VM. */
   readonly address: string;
   readonly clock: ProcessClock;
+  readonly disk: MemoryDisk;
+  readonly storage: MemoryLogStorage;
   readonly log: ReplicatedLog;
   readonly stateMachine: PlanStateMachine;
   readonly confirmation: StateConfirmation;
   readonly api: ControlApi;
 }
 
-function logAddress(ip: string): string {
-  return `${ip}:7600`;
+/** The clock on which a process runs and the processor that it shares. */
+interface FakeHost {
+  readonly ip: string;
+  readonly clock: ProcessClock;
+  readonly disk: MemoryDisk;
+  readonly syncMs: number | undefined;
 }
 
-function withTimeout<T>(clock: Clock, work: Promise<T>, timeoutMs: number): Promise<T> {
-  return new Promise((resolve, reject) => {
-    const timer = clock.setTimeout(() => reject(new Error('timed out')), timeoutMs);
-    work.then(resolve, reject).finally(() => timer.dispose());
-  });
+function logAddress(ip: string): string {
+  return `${ip}:7600`;
 }
 
 export class FakeControlGroup {
@@ -73,11 +95,36 @@
   public static async start(count: number, seed: number): Promise<FakeControlGroup> {
     const group = new FakeControlGroup(seed);
     const ips = Array.from({ length: count }, (_, i) => `10.0.0.${i + 1}`);
-    group.vms = await group.settle(Promise.all(ips.map((ip) => group.createVm(ip, ips))));
+    const hosts = ips.map((ip) => ({
+      ip,
+      clock: new ProcessClock(group.clock),
+      disk: new MemoryDisk(ip),
+      syncMs: undefined,
+    }));
+    group.vms = await group.settle(Promise.all(hosts.map((host) => group.createVm(host, ips))));
     await group.advance(3_000);
     return group;
   }
 
+  /** Ends the processes of all VMs at the same moment. Their disks keep what was synced. */
+  public cutPower(): void {
+    this.vms.forEach(({ ip, address, clock, storage, confirmation }) => {
+      clock.stop();
+      storage.crash();
+      confirmation.dispose();
+      this.network.detach(address);
+      this.network.detach(logAddress(ip));
+    });
+  }
+
+  /** Starts the processes of all VMs again within `spreadMs`. Resolves when the last log is open. */
+  public async returnPower(costs: StartCosts, spreadMs: number): Promise<void> {
+    const ips = this.vms.map(({ ip }) => ip);
+    const starts = this.vms.map((vm) => this.restart(vm, ips, costs, spreadMs));
+    this.vms = [];
+    await this.settle(Promise.all(starts));
+  }
+
   public get leader(): FakeControlVm {
     const leaders = this.vms.filter(({ log }) => log.status().role === 'leader');
     return leaders.sort((a, b) => b.log.status().term - a.log.status().term)[0]!;
@@ -148,17 +195,52 @@
     };
   }
 
-  private async createVm(ip: string, ips: readonly string[]): Promise<FakeControlVm> {
+  /** The hub of the VM starts at the same moment, so that the log process has half of the core until it has started. */
+  private async restart(
+    { ip, address, disk }: FakeControlVm,
+    ips: readonly string[],
+    costs: StartCosts,
+    spreadMs: number,
+  ): Promise<void> {
+    const { clock, network, random } = this;
+    await delay(clock, random.float() * spreadMs);
+    const hubStartsUntil = clock.now() + costs.hubMs / (costs.share / 2);
+    let left = 1;
+    const share = (): number =>
+      left * (clock.now() < hubStartsUntil ? costs.share / 2 : costs.share);
+    const processor = new FakeProcessor(clock, share);
+    const known = new Set<string>();
+    const receive = (from: string, handle: () => void): void => {
+      processor.run(known.has(from) ? costs.messageMs : costs.firstMessageMs, handle);
+      known.add(from);
+    };
+    await new Promise<void>((resolve) => {
+      processor.run(costs.logMs, resolve);
+    });
+    left = 1 - costs.otherLoad;
+    const host: FakeHost = {
+      ip,
+      clock: new ProcessClock(processor.timers(costs.timerMs)),
+      disk,
+      syncMs: costs.syncMs,
+    };
+    this.vms.push(await this.createVm(host, ips));
+    network.setReceiver(logAddress(ip), receive);
+    network.setReceiver(address, receive);
+  }
+
+  private async createVm(host: FakeHost, ips: readonly string[]): Promise<FakeControlVm> {
     const { network, random } = this;
-    const clock = new ProcessClock(this.clock);
+    const { ip, clock, disk, syncMs } = host;
+    const storage = new MemoryLogStorage(disk, clock, random.fork(), syncMs);
     const stateMachine = new PlanStateMachine();
     const logger = new NullLogger();
     const address = `${ip}:${CONTROL_PORT}`;
     const log = await openReplicatedLog({
       vm: ip,
       address: logAddress(ip),
-      storage: new MemoryLogStorage(new MemoryDisk(ip), clock, random.fork()),
-      transport: new FakeTransport(network, logAddress(ip)),
+      storage,
+      transport: new TimedTransport(clock, new FakeTransport(network, logAddress(ip))),
       stateMachine,
       bootstrap: ips.map((vm) => ({ vm, address: logAddress(vm), incarnation: '' })),
       clock,
@@ -178,7 +260,7 @@
       logger,
       controlPort: CONTROL_PORT,
     });
-    return { ip, address, clock, log, stateMachine, confirmation, api };
+    return { ip, address, clock, disk, storage, log, stateMachine, confirmation, api };
   }
 
   /** Clients of the log service with which a VM reaches the others. */
--- a/packages/replicated-log/src/FakeNetwork.ts
+++ b/packages/replicated-log/src/FakeNetwork.ts
@@ -26,6 +26,9 @@
 
 export type MessageCall<T> = (handler: MessageHandler) => Promise<T>;
 
+/** Handles a message from an address when the process has time for it. */
+export type MessageReceiver = (from: string, handle: () => void) => void;
+
 /** Delivers messages between addresses after a random delay, unless they are lost. */
 export class FakeNetwork {
   private faults: NetworkFaults = NO_FAULTS;
@@ -34,6 +37,9 @@
 
   private readonly blocked = new Set<string>();
 
+  /** How processes handle the messages that they receive, by address; at once by default. */
+  private readonly receivers = new Map<string, MessageReceiver>();
+
   /** Messages held for frozen processes, by address. */
   private readonly held = new Map<string, (() => void)[]>();
 
@@ -50,8 +56,14 @@
     this.handlers.set(address, handler);
   }
 
+  /** Sets how the process at an address handles requests and answers. */
+  public setReceiver(address: string, receiver: MessageReceiver): void {
+    this.receivers.set(address, receiver);
+  }
+
   public detach(address: string): void {
     this.handlers.delete(address);
+    this.receivers.delete(address);
     this.held.delete(address);
   }
 
@@ -105,10 +117,12 @@
   private arrive(from: string, to: string, deliver: () => void): void {
     if (this.blocked.has(`${from}>${to}`)) return;
     const held = this.held.get(to);
+    const receiver = this.receivers.get(to);
+    const handle = receiver === undefined ? deliver : (): void => receiver(from, deliver);
     if (held === undefined) {
-      deliver();
+      handle();
     } else {
-      held.push(deliver);
+      held.push(handle);
     }
   }
 }
