Entries learn without a leader which plan may be in force, from what a majority has stored

An entry could learn of a newer plan from a leader only, so the bound was the sum of start, election, confirmation, question and fetch.

Log processes now also tell what they have stored, committed or not, with their position in the log and the voters. The answers of a majority show that the plan in effect is the newest one, or that another may be in force: then an entry refuses at once, as not run, the requests that it could change, and serves the others. Answers that come later than their share of the time count as of their question. Targets that leave are named from the stored commands as well.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -122,7 +122,7 @@
         return voters.length + learners.length;
       },
     });
-    const history = new CommitHistory({ clock, stateMachine, confirmation });
+    const history = new CommitHistory({ clock, stateMachine, confirmation, log });
     await this.serveLog(log, { log, feed, directory, history, confirmation, voterManager });
     this.listener = new DirectoryListener(directory, history, logger);
     await this.listener.listen(consensusAddress(settings, settings.ip));
--- a/packages/gateway/src/control/commands.ts
+++ b/packages/gateway/src/control/commands.ts
@@ -60,6 +60,25 @@
  */
 export type CommandResult = 'applied' | 'superseded';
 
+/** The version comes first, so that it can be read without parsing the plan. Parsers ignore it. */
 export function encodeCommand(command: CommandInit): Uint8Array {
-  return Buffer.from(JSON.stringify(command));
+  const { kind } = command;
+  const head = kind === 'putPlan' ? { kind, version: command.plan.version } : { kind };
+  return Buffer.from(JSON.stringify({ ...head, ...command }));
+}
+
+const PLAN_HEAD = /^\{"kind":"putPlan","version":(\d+),/;
+const PLAN_HEAD_BYTES = 64;
+
+/** Version of the plan that a command sets, undefined for another command and one of an older release. */
+export function readPlanVersion(data: Uint8Array): number | undefined {
+  const head = Buffer.from(data.subarray(0, PLAN_HEAD_BYTES)).toString('latin1');
+  const version = PLAN_HEAD.exec(head)?.[1];
+  return version === undefined ? undefined : Number(version);
+}
+
+const COMMAND_HEAD = /^\{"kind":"markLeaving"/;
+
+export function isLeavingCommand(data: Uint8Array): boolean {
+  return COMMAND_HEAD.test(Buffer.from(data.subarray(0, PLAN_HEAD_BYTES)).toString('latin1'));
 }
--- a/packages/gateway/src/control/log-routes.ts
+++ b/packages/gateway/src/control/log-routes.ts
@@ -32,7 +32,7 @@
       return index === undefined ? { isLeader: false } : { isLeader: true, index: BigInt(index) };
     },
 
-    fetchPlan: ({ heldPlan }) => history.updateFrom(Number(heldPlan)) ?? {},
+    fetchPlan: ({ heldPlan, isStored }) => history.updateFrom(Number(heldPlan), isStored) ?? {},
 
     join: async (req) => {
       const isAccepted = await voterManager.admit(req);
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -246,6 +246,10 @@
     const isConfirmed = planAgeMs < MAX_PLAN_AGE_MS;
     const unknown = (kind: 'noRoute' | 'unknownKey'): Admission =>
       refused({ kind: isConfirmed ? kind : 'notCurrent', verdict: 'notRun' });
+    // Refused at once: which plan is in force is known only when the control VMs have a leader again.
+    if (state.mayHandleOtherwise(head.host, head.path, head.key)) {
+      return refused({ kind: 'notCurrent', verdict: 'notRun' });
+    }
     const route = currentRouteTable.findRoute(head.host, head.path);
     if (route === undefined) return unknown('noRoute');
     const lookup = currentRouteTable.findTeam(route, head.key);
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -35,6 +35,14 @@
 
 const MAX_SEED = 0x7fffffff;
 
+/** Lookup tables of a plan that may be in force. */
+interface PossibleTable {
+  readonly version: number;
+  /** Monotonic ms. */
+  readonly at: number;
+  readonly table: RouteTable | undefined;
+}
+
 /** Status of the hub. Ages are those at `trueAt`; the time since then is added when they are read. */
 interface HubStatus {
   /** Time since a majority of the voters confirmed the plan, as known to the hub. */
@@ -94,6 +102,9 @@
   /** Monotonic ms at which the plan in effect was known to be the newest one, and the clock offset when that was learnt. */
   private planCurrent = { at: -Infinity, clockOffsetMs: 0 };
 
+  /** A plan that may have been acknowledged, and when that was learnt. Without `table` nothing else is known of it. */
+  private possible: PossibleTable = { version: 0, at: -Infinity, table: undefined };
+
   private largestCount = { entries: 1, at: -Infinity };
 
   private readonly durations = new Map<string, DurationEstimate>();
@@ -154,6 +165,39 @@
     if (at > this.planCurrent.at) this.planCurrent = { at, clockOffsetMs: this.timeOfDay() - now };
   }
 
+  /**
+   * Notes that a newer plan than the one in effect may have been acknowledged by a time (monotonic ms), with its changes from
+   * the plan `fromVersion` if they are known.
+   */
+  public notePossiblePlan(
+    version: number,
+    at: number,
+    update?: { readonly fromVersion: number; readonly changes: readonly PlanChange[] },
+  ): void {
+    const known = this.possible.version === version ? this.possible.table : undefined;
+    this.possible = { version, at: Math.max(at, this.possible.at), table: known };
+    if (known !== undefined || update === undefined) return;
+    const { fromVersion, changes } = update;
+    if (fromVersion !== 0 && fromVersion !== this.planVersion) return;
+    const base = fromVersion === 0 ? new Map<string, string>() : this.planItems;
+    const items = applyPlanChanges(base, changes);
+    this.possible = { ...this.possible, table: new RouteTable(fromPlanItems(version, items)) };
+  }
+
+  /** The plan that may be in force instead of the one in effect, undefined if that is known to be the newest one. */
+  public get possiblePlan(): PossibleTable | undefined {
+    const { version, at } = this.possible;
+    return version > this.planVersion && at > this.planCurrent.at ? this.possible : undefined;
+  }
+
+  /** Whether a plan that may be in force could handle a request in another way than the one in effect. */
+  public mayHandleOtherwise(host: string, path: string, key: string | undefined): boolean {
+    const { possiblePlan, routeTable } = this;
+    if (possiblePlan === undefined || routeTable === undefined) return false;
+    const { table } = possiblePlan;
+    return table === undefined || !routeTable.handlesAlike(table, host, path, key);
+  }
+
   /**
    * Milliseconds since the plan in effect was known to be the newest one, from the hub or from another control VM. Infinity
    * if that is not known.
--- /dev/null
+++ b/packages/gateway/src/entry/MajorityRead.ts
@@ -0,0 +1,75 @@
+/**
+ * Finds out without a leader which plan may be in force, from what a majority of the voters of the replicated log has stored.
+ * A plan that was acknowledged is in the logs of a majority, so at least one of any majority has it, and the newest log among
+ * them has all that was committed. It may have more, which was never committed: that cannot be told apart without a leader.
+ */
+import type { LogMember, StoredState } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+
+/** An answer counts for as long. The result is dated by the oldest one that it needs. */
+const MAX_AGE_MS = 3_000;
+
+interface Answer {
+  /** Time of the question (monotonic ms). */
+  readonly askedAt: number;
+  readonly stored: StoredState;
+}
+
+export interface PossiblePlan {
+  /** Newest version that may have been acknowledged by `at`, monotonic ms. */
+  readonly version: number;
+  readonly at: number;
+  /** Log process that has stored it. */
+  readonly address: string;
+}
+
+function keyOf({ address, incarnation }: LogMember): string {
+  return `${address}/${incarnation}`;
+}
+
+/** Whether one log may hold more of what was committed than another one. */
+function isNewer(a: StoredState, b: StoredState): boolean {
+  if (a.lastTerm !== b.lastTerm) return a.lastTerm > b.lastTerm;
+  return a.lastIndex > b.lastIndex;
+}
+
+export class MajorityRead {
+  private readonly answers = new Map<string, Answer>();
+
+  /** Records what a member answered to a question that was asked at `askedAt`. */
+  public record(stored: StoredState, askedAt: number): void {
+    if (stored.member === undefined) return;
+    const key = keyOf(stored.member);
+    if ((this.answers.get(key)?.askedAt ?? -Infinity) < askedAt) {
+      this.answers.set(key, { askedAt, stored });
+    }
+  }
+
+  /** Addresses of the voters according to the newest log, none if no answer counts. */
+  public voterAddresses(now: number): string[] {
+    return this.newest(now)?.voters.map(({ address }) => address) ?? [];
+  }
+
+  /** Returns undefined unless a majority of the voters has answered. */
+  public result(now: number): PossiblePlan | undefined {
+    const newest = this.newest(now);
+    if (newest === undefined) return undefined;
+    const { voters, version, member } = newest;
+    const times = voters
+      .map((voter) => this.answers.get(keyOf(voter))?.askedAt ?? -Infinity)
+      .sort((a, b) => b - a);
+    const at = times[Math.floor(voters.length / 2)] ?? -Infinity;
+    return now - at > MAX_AGE_MS
+      ? undefined
+      : { version: Number(version), at, address: member!.address };
+  }
+
+  private newest(now: number): StoredState | undefined {
+    const recent = [...this.answers.values()].filter(({ askedAt }) => now - askedAt <= MAX_AGE_MS);
+    return recent
+      .map(({ stored }) => stored)
+      .reduce<StoredState | undefined>(
+        (best, other) => (best === undefined || isNewer(other, best) ? other : best),
+        undefined,
+      );
+  }
+}
--- a/packages/gateway/src/entry/PlanClient.ts
+++ b/packages/gateway/src/entry/PlanClient.ts
@@ -8,8 +8,15 @@
 export interface IPlanClient {
   /** Asks the log process at `address` what is committed. Resolves to undefined without an answer in time. */
   ask(address: string, held: HeldState, timeoutMs: number): Promise<CommittedState | undefined>;
-  /** Fetches the changes from a version, or the whole plan. Rejects if that fails or takes longer. */
-  fetchPlan(address: string, heldVersion: number, timeoutMs: number): Promise<PlanUpdate>;
+  /**
+   * Fetches the changes from a version, or the whole plan: the committed one, or the newest that is stored. Rejects if that fails or takes longer.
+   */
+  fetchPlan(
+    address: string,
+    heldVersion: number,
+    isStored: boolean,
+    timeoutMs: number,
+  ): Promise<PlanUpdate>;
 }
 
 export class PlanClient implements IPlanClient {
@@ -26,8 +33,13 @@
     return this.datagrams.askCommitted(address, held, timeoutMs);
   }
 
-  public fetchPlan(address: string, heldVersion: number, timeoutMs: number): Promise<PlanUpdate> {
+  public fetchPlan(
+    address: string,
+    heldVersion: number,
+    isStored: boolean,
+    timeoutMs: number,
+  ): Promise<PlanUpdate> {
     const client = this.channels.client(LogService, address);
-    return client.fetchPlan({ heldPlan: BigInt(heldVersion) }, { timeoutMs });
+    return client.fetchPlan({ heldPlan: BigInt(heldVersion), isStored }, { timeoutMs });
   }
 }
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -3,20 +3,23 @@
  * acknowledged once it is committed, and has to be in force here 2 s later, whatever has become of the hub: it may be cut
  * off without knowing it, be late, or be lost, and a stream of another hub takes the longer the more entries move. So an
  * entry whose plan has not been confirmed for half of that time asks control VMs by datagrams, of which one that a majority
- * confirms is enough, and fetches what it lacks.
+ * confirms is enough, and fetches what it lacks. While there is no leader, what a majority of them has stored tells whether a
+ * newer plan may be in force; requests that it could change are refused then.
  */
-import { setPeriodic, type Clock } from '@marigoldbank/base/clock';
+import { delay, setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type {
   CommittedState,
   LeavingTarget,
+  StoredState,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { PlanUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import { planQuestionsTotal } from '../metrics.js';
 import type { HeldState } from '../sync/HeldState.js';
 import type { EntryState } from './EntryState.js';
+import { MajorityRead } from './MajorityRead.js';
 import type { IPlanClient } from './PlanClient.js';
 
 /** Shares of the 2 s: age at which the entry asks, interval of checks, time for the questions, time for a call. */
@@ -25,6 +28,9 @@
 const ASK_TIMEOUT_MS = 100;
 const FETCH_TIMEOUT_MS = 400;
 
+/** An answer that comes after its share of the time still counts, as one of the time of its question. */
+const LATE_ANSWER_MS = 1_000;
+
 /** Questions to one control VM in a row, for targets that leave, of which 16 fit into an answer. */
 const MAX_PARTS = 8;
 
@@ -67,6 +73,11 @@
 
   private isAsking = false;
 
+  private readonly majority = new MajorityRead();
+
+  /** Newest plan that was logged as possibly in force. */
+  private loggedPossible = 0;
+
   /** The fetch of a plan that is under way. */
   private fetching: Promise<void> | undefined;
 
@@ -122,32 +133,50 @@
     return this.round;
   }
 
-  /** Asks a few control VMs after each other until one has confirmed a plan that this entry has then. */
+  /** Asks a few control VMs after each other until it is known whether the plan of this entry is the newest one. */
   private async askRound(): Promise<void> {
     const left = this.inOrder().slice(0, ASKED_IN_A_ROUND);
-    while (left.length > 0 && !this.isCurrent()) {
-      await Promise.all(left.splice(0, ASKED_AT_ONCE).map((address) => this.ask(address)));
+    while (left.length > 0 && !this.isKnown()) {
+      await Promise.all(left.splice(0, ASKED_AT_ONCE).map((address) => this.askWithin(address)));
     }
   }
 
-  private isCurrent(): boolean {
+  private isKnown(): boolean {
     const { clock, state } = this.ctx;
-    return this.isDisposed || state.planAgeMs(clock.now()) < ASK_AGE_MS;
+    const now = clock.now();
+    const { possiblePlan } = state;
+    const isPossibleKnown = possiblePlan?.table !== undefined && now - possiblePlan.at < ASK_AGE_MS;
+    return this.isDisposed || isPossibleKnown || state.planAgeMs(now) < ASK_AGE_MS;
   }
 
-  /** In random order, those that did not help last time at the end. */
+  /** In random order, voters first if they are needed for a majority, and those that did not help last time at the end. */
   private inOrder(): string[] {
-    const { state, addresses } = this.ctx;
-    const failureOf = (address: string): number => this.failedAt.get(address) ?? 0;
+    const { state, addresses, clock } = this.ctx;
+    const voters = this.majority.voterAddresses(clock.now());
+    const failureOf = (address: string): number =>
+      voters.includes(address) ? -1 : (this.failedAt.get(address) ?? 0);
     return state.random
-      .shuffle([...new Set(addresses())])
+      .shuffle([...new Set([...addresses(), ...voters])])
       .sort((a, b) => failureOf(a) - failureOf(b));
   }
 
+  /** Asks, and goes on after the share of the time for a question. */
+  private async askWithin(address: string): Promise<void> {
+    const { clock } = this.ctx;
+    let isAnswered = false;
+    const asking = this.ask(address).then(() => {
+      isAnswered = true;
+    });
+    await Promise.race([asking, delay(clock, ASK_TIMEOUT_MS)]);
+    if (!isAnswered) this.failedAt.set(address, clock.now());
+  }
+
   private async ask(address: string): Promise<void> {
     const { clock, state, logger } = this.ctx;
     const askedAt = clock.now();
     const { answer, heldVersion } = await this.askForAll(address, MAX_PARTS);
+    if (this.isDisposed) return;
+    if (answer?.stored !== undefined) this.takeStored(answer.stored, askedAt, heldVersion);
     if (answer !== undefined) {
       await this.takePlan(address, answer, heldVersion).catch((err: unknown) =>
         logger.info('the plan could not be fetched', { from: address, error: String(err) }),
@@ -166,7 +195,7 @@
   /** Asks again while there are more targets that leave than fit into a datagram. Returns the last answer. */
   private async askForAll(address: string, parts: number): Promise<PlanAnswer> {
     const { held } = this;
-    const answer = await this.ctx.client.ask(address, held, ASK_TIMEOUT_MS);
+    const answer = await this.ctx.client.ask(address, held, LATE_ANSWER_MS);
     if (answer !== undefined) this.takeLeaving(answer.leaving, Number(answer.index));
     const hasMore = answer?.hasMoreLeaving === true && parts > 1;
     return hasMore ? this.askForAll(address, parts - 1) : { answer, heldVersion: held.planVersion };
@@ -176,6 +205,50 @@
     return { planVersion: this.ctx.state.planVersion, index: this.heldIndex };
   }
 
+  /** Learns what a control VM has stored, and whether it follows that the plan in effect is, or may not be, the newest one. */
+  private takeStored(stored: StoredState, askedAt: number, heldVersion: number): void {
+    const { clock, state, logger } = this.ctx;
+    this.majority.record(stored, askedAt);
+    const result = this.majority.result(clock.now());
+    if (result === undefined) return;
+    const { version, at, address } = result;
+    if (version <= state.planVersion) {
+      state.confirmPlan(at, clock.now());
+      return;
+    }
+    const { changes } = stored;
+    const isAbout = Number(stored.version) === version && changes !== undefined;
+    state.notePossiblePlan(
+      version,
+      at,
+      isAbout ? { fromVersion: heldVersion, changes: decodePlanChanges(changes) } : undefined,
+    );
+    if (this.loggedPossible < version) {
+      this.loggedPossible = version;
+      logger.info('a newer plan may be in force', { version, held: state.planVersion });
+    }
+    const isMissing = state.possiblePlan !== undefined && state.possiblePlan.table === undefined;
+    if (isMissing) this.fetchPossible(address, version, at);
+  }
+
+  /** Fetches a plan that may be in force, so that only requests are refused that it could change. */
+  private fetchPossible(address: string, version: number, at: number): void {
+    const { client, state, logger } = this.ctx;
+    this.fetching ??= client
+      .fetchPlan(address, state.planVersion, true, LATE_ANSWER_MS)
+      .then((update) => {
+        if (Number(update.version) !== version) return;
+        const changes = decodePlanChanges(update.changes);
+        state.notePossiblePlan(version, at, { fromVersion: Number(update.fromVersion), changes });
+      })
+      .catch((err: unknown) =>
+        logger.info('the plan could not be fetched', { from: address, error: String(err) }),
+      )
+      .finally(() => {
+        this.fetching = undefined;
+      });
+  }
+
   /** Puts a newer plan in force: from the answer, or fetched if its changes do not fit into a datagram. */
   private async takePlan(
     address: string,
@@ -189,7 +262,7 @@
     const { planVersion } = this.ctx.state;
     if (!isPlanLeftOut || Number(version) <= planVersion) return;
     this.fetching ??= this.ctx.client
-      .fetchPlan(address, planVersion, FETCH_TIMEOUT_MS)
+      .fetchPlan(address, planVersion, false, FETCH_TIMEOUT_MS)
       .then((update) => this.applyPlan(address, update))
       .finally(() => {
         this.fetching = undefined;
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -40,6 +40,7 @@
   type FakeHub,
 } from './fake-fleet-parts.js';
 import { FakeLogClients } from './FakeLogClients.js';
+import { FakeStoredLog, makeMember } from './FakeStoredLog.js';
 import { FakeStream } from './FakeStream.js';
 import { OffsetClock } from './OffsetClock.js';
 import { aborted, readAll } from './streams.js';
@@ -51,6 +52,12 @@
 const CONFIRMATION_AGE_MS = 200;
 const MAX_SEED = 0x7fffffff;
 
+/** Voters of the log: those for two tolerated losses. */
+const VOTERS = 5;
+
+/** Time for which a hub is silent after its VM has power again. */
+const HUB_START_MS = 60_000;
+
 /** Work for a stream that a hub refuses, as a share of that for one that it accepts. */
 const REFUSED_SHARE = 0.25;
 
@@ -105,13 +112,47 @@
     this.commitCommand({ kind: 'markLeaving', id, born: 1, isGone: false, at: this.clock.now() });
   }
 
+  /**
+   * Lets all control VMs lose power for `downMs`, right after a plan was acknowledged that a majority of the voters has stored
+   * and nobody else has. Afterwards the log processes answer, without a leader, and the hubs do not.
+   */
+  public losePower(plan: RoutingPlan, downMs: number): void {
+    const voters = this.hubs.slice(0, VOTERS);
+    const command: CommandInit = { kind: 'putPlan', document: '', plan };
+    voters
+      .slice(0, Math.floor(voters.length / 2) + 1)
+      .forEach(({ storedLog }) => storedLog.store(command));
+    this.isLeaderless = true;
+    this.hubs.forEach((hub) => {
+      this.freeze(hub, downMs);
+      this.occupy(hub, HUB_START_MS);
+      const logState = new PlanStateMachine();
+      const { address, storedLog } = hub;
+      storedLog.commitIndex = 0;
+      const history = this.createHistory(address, logState, storedLog);
+      Object.assign(hub, { logState, history, logConfirmedAt: -Infinity });
+    });
+  }
+
+  private createHistory(
+    address: string,
+    stateMachine: PlanStateMachine,
+    log: FakeStoredLog,
+  ): CommitHistory {
+    const confirmedAgeMs = (): number => this.clock.now() - this.hubAt(address).logConfirmedAt;
+    const { clock } = this;
+    return new CommitHistory({ clock, stateMachine, confirmation: { confirmedAgeMs }, log });
+  }
+
   private commitCommand(init: CommandInit): void {
     this.commitIndex += 1;
     const index = this.commitIndex;
     const command = encodeCommand(init);
     this.hubs.forEach((hub, i) => {
-      const { stateMachine, logState, delayMs, isLogDown } = hub;
+      const { stateMachine, logState, storedLog, delayMs, isLogDown } = hub;
       if (FakeFleet.isWithoutMajority(hub) || isLogDown) return;
+      storedLog.store(init);
+      storedLog.commitIndex = storedLog.status().lastIndex;
       // The log process of a VM has a share of its own, so that a busy hub does not delay it.
       const applyToLog = (): unknown => logState.apply(index, command);
       if (i === 0) applyToLog();
@@ -164,7 +205,10 @@
     const clock = this.processClock();
     const logState = new PlanStateMachine();
     const address = syncAddress(settings, ip);
-    const logAgeMs = (): number => this.clock.now() - this.hubAt(address).logConfirmedAt;
+    const voters = this.ips
+      .slice(0, VOTERS)
+      .map((other) => makeMember(syncAddress(settings, other)));
+    const storedLog = new FakeStoredLog(makeMember(address), voters);
     const hub = new Hub({
       clock,
       settings,
@@ -187,11 +231,8 @@
         memberCount: () => this.ips.length,
       }),
       logState,
-      history: new CommitHistory({
-        clock: this.clock,
-        stateMachine: logState,
-        confirmation: { confirmedAgeMs: logAgeMs },
-      }),
+      history: this.createHistory(address, logState, storedLog),
+      storedLog,
       logConfirmedAt: -Infinity,
       logFrozenUntil: 0,
       delayMs: 0,
--- a/packages/gateway/src/testing/FakeLogClients.ts
+++ b/packages/gateway/src/testing/FakeLogClients.ts
@@ -53,11 +53,11 @@
         const state = (await call(address, timeoutMs))?.history.stateFor(held);
         return state === undefined ? undefined : create(CommittedStateSchema, state);
       },
-      fetchPlan: async (address, heldVersion, timeoutMs) => {
+      fetchPlan: async (address, heldVersion, isStored, timeoutMs) => {
         const hub = await call(address, timeoutMs);
         await delay(this.clock, Math.min(timeoutMs, this.planFetchMs));
         const update =
-          this.planFetchMs > timeoutMs ? undefined : hub?.history.updateFrom(heldVersion);
+          this.planFetchMs > timeoutMs ? undefined : hub?.history.updateFrom(heldVersion, isStored);
         if (update === undefined) throw new Error('timed out');
         return create(PlanUpdateSchema, update);
       },
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -8,6 +8,7 @@
 import type { PlanStateMachine } from '../control/PlanStateMachine.js';
 import type { EntryState } from '../entry/EntryState.js';
 import type { HubReporter } from '../entry/HubReporter.js';
+import type { FakeStoredLog } from './FakeStoredLog.js';
 import { gatewaySettingsSchema, type GatewaySettings } from '../settings.js';
 
 const FIRST_PORT = 7_600;
@@ -43,6 +44,7 @@
   readonly directory: HubDirectory;
   readonly logState: PlanStateMachine;
   readonly history: CommitHistory;
+  readonly storedLog: FakeStoredLog;
   /** Time of the virtual clock at which a majority confirmed the state of the log process. */
   logConfirmedAt: number;
   /** Before this time the log process of the VM does not answer. */
--- a/packages/replicated-log/src/ReplicatedLog.ts
+++ b/packages/replicated-log/src/ReplicatedLog.ts
@@ -33,6 +33,7 @@
   ReadOutcome,
   RequestVoteRequest,
   RequestVoteResponse,
+  StoredLog,
 } from './types.js';
 
 const MAX_SEED = 0x7fffffff;
@@ -192,6 +193,12 @@
     return { self, role, term, commitIndex, lastIndex, leader, membership, progress };
   }
 
+  public storedAfter(index: number): StoredLog {
+    const { log } = this.ctx.state;
+    const { lastTerm, lastIndex } = log;
+    return { lastTerm, lastIndex, entries: log.slice(index + 1) };
+  }
+
   public async close(): Promise<void> {
     if (this.isStopped) return;
     this.stop();
--- a/packages/replicated-log/src/types.ts
+++ b/packages/replicated-log/src/types.ts
@@ -120,6 +120,14 @@
   readonly at: number;
 }
 
+/** The end of the log of one member, whether it is committed or not. */
+export interface StoredLog {
+  readonly lastTerm: number;
+  readonly lastIndex: number;
+  /** Entries after the index that was asked for, as far as they are still in the log. */
+  readonly entries: readonly LogEntry[];
+}
+
 /** The replicated log as its embedder sees it. */
 export interface IReplicatedLog {
   propose(data: Uint8Array): Promise<ProposeOutcome>;
@@ -139,6 +147,11 @@
   handleAppendEntries(req: AppendEntriesRequest): Promise<AppendEntriesResponse>;
   handleInstallSnapshot(req: InstallSnapshotRequest): Promise<InstallSnapshotResponse>;
   status(): LogStatus;
+  /**
+   * What this member has stored after an index. What a majority of the voters has committed is in the log of each of them
+   * that has the newest one among any majority, so that answers of a majority tell it without a leader.
+   */
+  storedAfter(index: number): StoredLog;
   /** Stops timers and closes the storage after pending writes. */
   close(): Promise<void>;
 }
--- a/packages/routing/src/RouteTable.ts
+++ b/packages/routing/src/RouteTable.ts
@@ -1,4 +1,5 @@
 /** Lookup of routes, keys and services of a plan. */
+import { isDeepStrictEqual } from 'node:util';
 import type { Route, RoutingPlan, Service, Team } from './plan.js';
 
 /** Result of a key lookup: the team of the key, a route that needs no key, or an unknown or missing key. */
@@ -57,6 +58,22 @@
     return { kind: 'unknown' };
   }
 
+  /** Whether another plan sends a request the same way, for the same team. */
+  public handlesAlike(
+    other: RouteTable,
+    host: string,
+    path: string,
+    key: string | undefined,
+  ): boolean {
+    const [own, theirs] = [this, other].map((table) => {
+      const route = table.findRoute(host, path);
+      const lookup = route === undefined ? undefined : table.findTeam(route, key);
+      const team = lookup?.kind === 'team' ? lookup.team.name : lookup?.kind;
+      return { route, team };
+    });
+    return isDeepStrictEqual(own, theirs);
+  }
+
   public findService(name: string): Service | undefined {
     return this.services.get(name);
   }
