--- a/packages/replicated-log/src/RoleManager.ts
+++ b/packages/replicated-log/src/RoleManager.ts
@@ -57,8 +57,8 @@
 
   private readonly startedAt: number;
 
-  /** Time (monotonic ms) at which another member last got the vote of this one. */
-  private votedAt = -Infinity;
+  /** Time (monotonic ms) at which this member last learnt of an election of another one, or voted in it. */
+  private electionSeenAt = -Infinity;
 
   private preVoteBallot: Ballot | undefined;
 
@@ -83,6 +83,8 @@
     state.votedFor = '';
     writer.markVote();
     this.becomeFollower(undefined);
+    // Another member has started an election, and its requests for votes may still be on their way.
+    this.electionSeenAt = this.ctx.clock.now();
   }
 
   /** Follows the leader of the current term. */
@@ -107,7 +109,7 @@
     if (this.hasRecentLeader()) return { term: state.term, granted: false };
     if (req.isPreVote) {
       const isPossible = req.term > state.term && this.isEligible(req);
-      const granted = isPossible && !this.hasRecentlyVoted() && this.tryEndorse(req);
+      const granted = isPossible && !this.hasRecentElection() && this.tryEndorse(req);
       return { term: state.term, granted };
     }
     this.observeTerm(req.term);
@@ -154,10 +156,10 @@
     return true;
   }
 
-  /** Another election would end the one in which this member has voted, before its votes have arrived. */
-  private hasRecentlyVoted(): boolean {
+  /** Another election would end the one that is under way, before its votes have arrived. */
+  private hasRecentElection(): boolean {
     const { clock, tuning } = this.ctx;
-    return clock.now() - this.votedAt < tuning.electionTimeoutMinMs;
+    return clock.now() - this.electionSeenAt < tuning.electionTimeoutMinMs;
   }
 
   private tryVote(req: RequestVoteRequest): boolean {
@@ -169,7 +171,7 @@
       state.votedFor = candidate;
       writer.markVote();
     }
-    this.votedAt = this.ctx.clock.now();
+    this.electionSeenAt = this.ctx.clock.now();
     this.postponeElection();
     return true;
   }
@@ -200,7 +202,7 @@
   private postponeFirstElection(): void {
     const { clock, tuning, state } = this.ctx;
     const isNew = clock.now() - this.startedAt < tuning.electionTimeoutMaxMs;
-    if (isNew && state.lastLeaderContactAt === -Infinity && this.votedAt === -Infinity) {
+    if (isNew && state.lastLeaderContactAt === -Infinity && this.electionSeenAt === -Infinity) {
       this.setElectionTimeout(tuning.firstElectionTimeoutMinMs, tuning.firstElectionTimeoutMaxMs);
     } else this.postponeElection();
   }
