Bodies are held by their bytes, and all of a process within one budget

An operator of a like system reported that a target which sent bytes without end took the memory of the process.

ByteCollector copies pieces into blocks, wherever bodies are collected: answers that are buffered or wait for their caller, bodies of callers, configurations of operators, which had no limit if they came in chunks. MemoryBudget bounds the bodies of all requests of an entry: beyond 70 MiB answers are forwarded as they come and requests refused as not run. A response that is streamed is written once a turn instead of once a piece. Bytes that the parser refuses do not count as the end of the target any more.

--- a/packages/daemon/src/entry/ProxyPipeline.ts
+++ b/packages/daemon/src/entry/ProxyPipeline.ts
@@ -208,7 +208,9 @@
     if (result.kind === 'broken') {
       return refuse({ kind: 'badRequest', verdict: 'notRun', detail: 'the body is malformed' });
     }
-    if (result.kind === 'aborted') return refuse({ kind: 'callerGone', verdict: 'notRun' });
+    if (result.kind === 'aborted' || result.kind === 'noMemory') {
+      return refuse({ kind: 'callerGone', verdict: 'notRun' });
+    }
     if (checked.presentedKey !== undefined && result.body.includes(checked.presentedKey)) {
       return refuse({ kind: 'badRequest', verdict: 'notRun', detail: 'the body holds the key' });
     }
--- a/packages/daemon/src/entry/UpstreamExchange.ts
+++ b/packages/daemon/src/entry/UpstreamExchange.ts
@@ -1,6 +1,7 @@
 /** One request to one target, and its response. */
 import diagnosticsChannel from 'node:diagnostics_channel';
 import type { Dispatcher } from 'undici';
+import { ByteCollector } from './ByteCollector.js';
 import { ExchangeError, type FailureCause } from './ExchangeError.js';
 import type { ResponseHeaders } from './headers.js';
 import type { Refusal } from './refusals.js';
@@ -77,6 +78,13 @@
   return undefined;
 }
 
+/** Bytes that are no response end the exchange here. The target has not ended, and may be sound for other requests. */
+function parserCause(err: Error): FailureCause | undefined {
+  const code = 'code' in err ? String(err.code) : '';
+  const isParserError = code.startsWith('HPE_') || code === 'UND_ERR_HEADERS_OVERFLOW';
+  return isParserError ? 'brokenResponse' : undefined;
+}
+
 interface Connection {
   readonly bytesRead: number;
 }
@@ -118,9 +126,7 @@
 
   private sink: BodySink | undefined;
 
-  private readonly pending: Buffer[] = [];
-
-  private pendingBytes = 0;
+  private readonly pending = new ByteCollector();
 
   private hasEnded = false;
 
@@ -191,9 +197,8 @@
       if (!this.sink.onData(chunk)) controller.pause();
       return;
     }
-    this.pending.push(chunk);
-    this.pendingBytes += chunk.length;
-    if (this.pendingBytes >= MAX_PENDING_BYTES) controller.pause();
+    this.pending.add(chunk);
+    if (this.pending.size >= MAX_PENDING_BYTES) controller.pause();
   }
 
   public onResponseEnd(): void {
@@ -204,16 +209,15 @@
   }
 
   public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
-    const isKnown = err instanceof ExchangeError;
     const cause = this.wasSent ? 'connectionLost' : 'connectFailed';
-    this.fail(isKnown ? err.reason : cause, err.message);
+    this.fail(err instanceof ExchangeError ? err.reason : (parserCause(err) ?? cause), err.message);
   }
 
   /** Delivers the body to a sink, starting with what was buffered. */
   public consume(sink: BodySink): void {
     this.sink = sink;
     const isFull = this.pending
-      .splice(0)
+      .take()
       .map((chunk) => sink.onData(chunk))
       .includes(false);
     if (this.failure !== undefined) sink.onFail(this.failure);
--- a/packages/daemon/src/entry/readBody.ts
+++ b/packages/daemon/src/entry/readBody.ts
@@ -2,12 +2,16 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '@marigoldbank/base/clock';
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import { ByteCollector } from './ByteCollector.js';
 import type { CallerConnection } from './CallerConnection.js';
+import type { MemoryLease } from './MemoryLease.js';
 
 export type BodyResult =
   | { readonly kind: 'read'; readonly body: Buffer }
   | { readonly kind: 'tooLarge' }
   | { readonly kind: 'tooSlow' }
+  /** The bodies of all requests together need more memory than they may. */
+  | { readonly kind: 'noMemory' }
   | { readonly kind: 'broken' }
   | { readonly kind: 'aborted' };
 
@@ -16,6 +20,8 @@
   /** Longest pause between two chunks, in milliseconds. */
   readonly idleTimeoutMs: number;
   readonly totalTimeoutMs: number;
+  /** What the process has left for bodies; without it only `maxBytes` limits them. */
+  readonly memory?: MemoryLease;
 }
 
 /** Reads a complete body. With any other result than `read`, the stream is paused and part of the body is unread. */
@@ -26,8 +32,7 @@
   limits: BodyLimits,
 ): Promise<BodyResult> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const collected = new ByteCollector();
     let idleTimer: IDisposable | undefined;
     let totalTimer: IDisposable | undefined;
     let failListener: IDisposable | undefined;
@@ -51,15 +56,18 @@
     restartIdleTimer();
     totalTimer = clock.setTimeout(() => settle({ kind: 'tooSlow' }), limits.totalTimeoutMs);
     req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > limits.maxBytes) {
+      if (collected.size + chunk.length > limits.maxBytes) {
         settle({ kind: 'tooLarge' });
         return;
       }
-      chunks.push(chunk);
+      if (limits.memory?.reserve(chunk.length) === false) {
+        settle({ kind: 'noMemory' });
+        return;
+      }
+      collected.add(chunk);
       restartIdleTimer();
     });
-    req.once('end', () => settle({ kind: 'read', body: Buffer.concat(chunks, size) }));
+    req.once('end', () => settle({ kind: 'read', body: Buffer.concat(collected.take()) }));
     req.once('close', () => settle({ kind: 'aborted' }));
     req.once('error', () => settle({ kind: 'aborted' }));
   });
--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -2,6 +2,7 @@
 import { H3, HTTPResponse, toNodeHandler, type H3Event } from 'h3';
 import { createServer, type Server } from 'node:http';
 import { delay, type Clock } from '@marigoldbank/base/clock';
+import { ByteCollector } from '@marigoldbank/daemon/entry/ByteCollector';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
 import type { IReplicatedLog, Member, ProposeOutcome } from '@marigoldbank/replicated-log';
@@ -55,6 +56,23 @@
   return jsonResponse(status, JSON.stringify({ error: detail }));
 }
 
+/** Reads a body. Returns undefined if it is too large, whatever length it was announced with. */
+async function readText({ body }: H3Event['req']): Promise<string | undefined> {
+  const collected = new ByteCollector();
+  if (body === null) return '';
+  const reader = body.getReader();
+  let piece = await reader.read();
+  while (!piece.done) {
+    if (collected.size + piece.value.length > MAX_BODY_BYTES) {
+      await reader.cancel();
+      return undefined;
+    }
+    collected.add(Buffer.from(piece.value.buffer, piece.value.byteOffset, piece.value.length));
+    piece = await reader.read();
+  }
+  return Buffer.concat(collected.take()).toString();
+}
+
 export class ControlApi {
   private readonly servers: Server[] = [];
 
@@ -113,7 +131,8 @@
     if (call.kind === 'unknown') return errorResponse(404, 'not found');
     const length = Number(req.headers.get('content-length') ?? 0);
     if (length > MAX_BODY_BYTES) return errorResponse(413, 'body too large');
-    const body = await req.text();
+    const body = await readText(req);
+    if (body === undefined) return errorResponse(413, 'body too large');
     return this.respond(call, requestTarget, body);
   }
 
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -24,6 +24,7 @@
 import type { RequestLog } from './RequestLog.js';
 import { TeamAdmission } from './TeamAdmission.js';
 import { RequestRun } from './RequestRun.js';
+import { bodyError } from './refusals.js';
 import type { RunContext, RunOutcome } from './run-types.js';
 import { readRequestHead, type RequestHead } from './requestHead.js';
 
@@ -171,13 +172,15 @@
     if (connection.isClosing) return;
     const requestNumber = connection.requestStarted();
     const callerGone = new AbortController();
+    const memory = this.ctx.memory.lease();
     const receivedAt = this.ctx.clock.now();
     res.on('error', () => res.destroy());
     res.once('close', () => {
       connection.requestEnded();
+      memory.dispose();
       if (!res.writableFinished) callerGone.abort();
     });
-    const tx: Transaction = { req, res, connection, requestNumber, receivedAt, callerGone };
+    const tx: Transaction = { req, res, connection, requestNumber, receivedAt, callerGone, memory };
     this.active.add(tx);
     this.handle(tx).catch((err: unknown) => {
       this.ctx.log.write(false, { outcome: 'error', error: String(err) });
@@ -283,19 +286,9 @@
       maxBytes: this.limits.maxBodyBytes,
       idleTimeoutMs: this.limits.idleTimeoutMs,
       totalTimeoutMs: BODY_TIMEOUT_MS,
+      memory: tx.memory,
     });
-    switch (result.kind) {
-      case 'read':
-        return result.body;
-      case 'tooLarge':
-        return { kind: 'bodyTooLarge', verdict: 'notRun' };
-      case 'tooSlow':
-        return { kind: 'bodyTooSlow', verdict: 'notRun' };
-      case 'broken':
-        return { kind: 'badRequest', verdict: 'notRun', detail: 'the body is not valid' };
-      default:
-        return undefined;
-    }
+    return result.kind === 'read' ? result.body : bodyError(result.kind);
   }
 
   /** Maximum time from the head of a request to its final response. */
@@ -341,6 +334,8 @@
       return;
     }
     this.record(tx, head, route, 'answered', outcome.response.status, trace);
+    // Held until the caller has read it.
+    tx.memory.charge(outcome.response.body.reduce((sum, { length }) => sum + length, 0));
     await this.writer.writeUpstreamResponse(tx, outcome.response, outcome.attempt);
   }
 
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server } from 'node:http';
 import { delay, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
+import { MemoryBudget } from '@marigoldbank/daemon/entry/MemoryBudget';
 import { UpstreamClient } from '@marigoldbank/daemon/entry/UpstreamClient';
 import { Channels } from '@marigoldbank/daemon/transport/Channels';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
@@ -36,6 +37,12 @@
 /** Keep-alive of idle connections to targets, which is shorter than that of the targets. */
 const UPSTREAM_KEEP_ALIVE_MS = 4_000;
 
+/**
+ * Bodies of all requests and answers in progress. A request may have 64 MiB by the usual limit of plans, and is copied once when
+ * it is complete; the process has 250 MB.
+ */
+const MAX_BODIES_BYTES = 73_400_320;
+
 const DRAIN_CHECK_MS = 25;
 
 /** Delay before the process ends, so that the socket buffers of the last responses are flushed. */
@@ -112,6 +119,7 @@
       names,
       dataCentre: settings.dataCentre,
       log: new RequestLog(clock, logger),
+      memory: new MemoryBudget(MAX_BODIES_BYTES),
       plans,
       refuseKeysAfterMs: settings.refuseKeysAfter,
     });
--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -3,12 +3,13 @@
 import type { AddressInfo } from 'node:net';
 import { after, describe, it } from 'node:test';
 import { SystemClock, delay } from '@marigoldbank/base/clock';
+import { MemoryBudget } from '@marigoldbank/daemon/entry/MemoryBudget';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { UpstreamClient } from '@marigoldbank/daemon/entry/UpstreamClient';
 import { makePlan, makeTarget } from '@marigoldbank/routing/fixtures';
 import { diffPlanItems, toPlanItems } from '@marigoldbank/routing/plan-items';
 import { expect } from 'earl';
-import { HEADER_NAMES, makeRunRequest } from '../testing/fixtures.js';
+import { HEADER_NAMES, makeRunRequest, TEST_MEMORY_BYTES } from '../testing/fixtures.js';
 import { EntryState } from './EntryState.js';
 import { HubReporter } from './HubReporter.js';
 import { RequestRun } from './RequestRun.js';
@@ -57,7 +58,15 @@
     keepAliveTimeoutMs: 100,
   });
   return {
-    ctx: { clock, upstream, reporter, names: HEADER_NAMES, state, dataCentre: 'dc-1' },
+    ctx: {
+      clock,
+      upstream,
+      reporter,
+      memory: new MemoryBudget(TEST_MEMORY_BYTES),
+      names: HEADER_NAMES,
+      state,
+      dataCentre: 'dc-1',
+    },
     uses,
   };
 }
--- a/packages/gateway/src/entry/ResponseWriter.ts
+++ b/packages/gateway/src/entry/ResponseWriter.ts
@@ -1,6 +1,8 @@
 /** Writes responses to callers. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { delay, type Clock } from '@marigoldbank/base/clock';
+import { ByteCollector } from '@marigoldbank/daemon/entry/ByteCollector';
+import type { MemoryLease } from '@marigoldbank/daemon/entry/MemoryLease';
 import type { CallerConnection } from '@marigoldbank/daemon/entry/CallerConnection';
 import { HOP_BY_HOP_HEADERS, parseConnectionTokens } from '@marigoldbank/daemon/entry/headers';
 import type { HeaderNames } from '../ProtocolAdapter.js';
@@ -11,6 +13,9 @@
 /** Maximum time to read the rest of a refused body, so that the caller can read the response. */
 const UNREAD_BODY_TIMEOUT_MS = 1_000;
 
+/** Bytes of an answer that are taken from its target before they are written. */
+const MAX_UNWRITTEN_BYTES = 65_536;
+
 /** A request of a caller, its response and its connection. */
 export interface Transaction {
   readonly req: IncomingMessage;
@@ -22,6 +27,8 @@
   readonly receivedAt: number;
   /** Aborted when the caller has gone. */
   readonly callerGone: AbortController;
+  /** Memory for the body. */
+  readonly memory: MemoryLease;
 }
 
 function hasUnreadBody(req: IncomingMessage): boolean {
@@ -104,9 +111,23 @@
         attempt.cancel();
         resolve();
       });
+      // A write for each piece would cost a target that sends chunks of one byte an object of this process for each byte.
+      const pieces = new ByteCollector();
+      let isScheduled = false;
+      const flush = (): void => {
+        isScheduled = false;
+        pieces.take().forEach((block) => res.write(block));
+        if (!res.writableNeedDrain) exchange.resume();
+      };
       exchange.consume({
-        onData: (chunk) => res.write(chunk),
+        onData: (chunk) => {
+          pieces.add(chunk);
+          if (!isScheduled) setImmediate(flush);
+          isScheduled = true;
+          return pieces.size < MAX_UNWRITTEN_BYTES && !res.writableNeedDrain;
+        },
         onEnd: () => {
+          pieces.take().forEach((block) => res.write(block));
           attempt.complete(response.status);
           res.end(() => resolve());
         },
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -1,5 +1,7 @@
 /** One attempt to send a request to a target, until the response is complete. */
 import type { Clock } from '@marigoldbank/base/clock';
+import { ByteCollector } from '@marigoldbank/daemon/entry/ByteCollector';
+import type { MemoryBudget } from '@marigoldbank/daemon/entry/MemoryBudget';
 import type { UpstreamClient, UpstreamRequest } from '@marigoldbank/daemon/entry/UpstreamClient';
 import type { ResponseHeaders } from '@marigoldbank/daemon/entry/headers';
 import type {
@@ -55,6 +57,8 @@
   readonly upstream: UpstreamClient;
   readonly reporter: HubReporter;
   readonly names: HeaderNames;
+  /** What the process has for bodies. Without room an answer is forwarded as it comes. */
+  readonly memory: MemoryBudget;
 }
 
 /** Parses a decimal number of requests a second. Returns undefined for a value of another form. */
@@ -159,22 +163,34 @@
 
   private collect(status: number, headers: ResponseHeaders): Promise<AttemptResult> {
     const { target, exchange } = this;
-    const body: Buffer[] = [];
-    let size = 0;
+    const body = new ByteCollector();
+    const lease = this.ctx.memory.lease();
     return new Promise((resolve) => {
       const sink: BodySink = {
         onData: (chunk) => {
-          body.push(chunk);
-          size += chunk.length;
-          if (size < MAX_BUFFERED_BYTES) return true;
-          resolve({ kind: 'answered', status, headers, body, rest: exchange, target });
+          body.add(chunk);
+          const hasRoom = lease.reserve(chunk.length);
+          if (hasRoom && body.size < MAX_BUFFERED_BYTES) return true;
+          lease.dispose();
+          resolve({ kind: 'answered', status, headers, body: body.take(), rest: exchange, target });
           return false;
         },
         onEnd: () => {
+          lease.dispose();
           this.complete(status);
-          resolve({ kind: 'answered', status, headers, body, rest: undefined, target });
+          resolve({
+            kind: 'answered',
+            status,
+            headers,
+            body: body.take(),
+            rest: undefined,
+            target,
+          });
+        },
+        onFail: (failure) => {
+          lease.dispose();
+          resolve(this.fail(failure));
         },
-        onFail: (failure) => resolve(this.fail(failure)),
       };
       exchange.consume(sink);
     });
--- a/packages/gateway/src/entry/refusals.ts
+++ b/packages/gateway/src/entry/refusals.ts
@@ -1,4 +1,5 @@
 /** Refusals of requests that no target could answer in time, decided before anything is sent. */
+import type { BodyResult } from '@marigoldbank/daemon/entry/readBody';
 import type { EntryState } from './EntryState.js';
 import type { ErrorResponse } from './ErrorResponse.js';
 
@@ -8,6 +9,9 @@
 /** Callers that are refused until the first target of a service ends its pause return over a longer time, by this share. */
 const PAUSE_SPREAD = 0.3;
 
+/** Large bodies take some time to be passed on. */
+const NO_MEMORY_RETRY_MS = 1_000;
+
 /** What a refusal depends on. */
 type RefusalState = Pick<EntryState, 'targets' | 'limits' | 'notices' | 'random'>;
 
@@ -42,3 +46,19 @@
   const retryAfterMs = Math.min(MAX_LIMIT_RETRY_MS, Math.ceil(limitWaitMs));
   return { kind: 'overloaded', verdict: 'notRun', retryAfterMs };
 }
+
+/** The refusal of a request whose body could not be read, undefined if its caller has disconnected. */
+export function bodyError(kind: Exclude<BodyResult['kind'], 'read'>): ErrorResponse | undefined {
+  switch (kind) {
+    case 'tooLarge':
+      return { kind: 'bodyTooLarge', verdict: 'notRun' };
+    case 'noMemory':
+      return { kind: 'overloaded', verdict: 'notRun', retryAfterMs: NO_MEMORY_RETRY_MS };
+    case 'tooSlow':
+      return { kind: 'bodyTooSlow', verdict: 'notRun' };
+    case 'broken':
+      return { kind: 'badRequest', verdict: 'notRun', detail: 'the body is not valid' };
+    default:
+      return undefined;
+  }
+}
--- a/packages/gateway/src/entry/target-notices.test.ts
+++ b/packages/gateway/src/entry/target-notices.test.ts
@@ -5,10 +5,11 @@
 import { describe, it } from 'node:test';
 import { Random } from '@marigoldbank/base/random';
 import { makePlan, makeTarget } from '@marigoldbank/routing/fixtures';
+import { MemoryBudget } from '@marigoldbank/daemon/entry/MemoryBudget';
 import { expect } from 'earl';
 import { FakeFleet } from '../testing/FakeFleet.js';
 import { FakeUpstream, type FakeArrival } from '../testing/FakeUpstream.js';
-import { HEADER_NAMES, makeRunRequest } from '../testing/fixtures.js';
+import { HEADER_NAMES, makeRunRequest, TEST_MEMORY_BYTES } from '../testing/fixtures.js';
 import { RequestRun } from './RequestRun.js';
 import type { RunOutcome } from './run-types.js';
 
@@ -83,6 +84,7 @@
         upstream: upstream.clientOf(vm, HEADER_NAMES.expectedTarget),
         reporter,
         names: HEADER_NAMES,
+        memory: new MemoryBudget(TEST_MEMORY_BYTES),
         state,
         dataCentre: 'dc-1',
       },
--- a/packages/gateway/src/testing/fixtures.ts
+++ b/packages/gateway/src/testing/fixtures.ts
@@ -17,6 +17,9 @@
   key: 'x-key',
 };
 
+/** More than the bodies of any test need. */
+export const TEST_MEMORY_BYTES = 100_000_000;
+
 /** An announcement of the ready target `t1`. */
 export function makeAnnouncement(overrides: Partial<Announcement> = {}): Announcement {
   return {
--- a/packages/replicated-log/src/files.ts
+++ b/packages/replicated-log/src/files.ts
@@ -1,8 +1,6 @@
 /** Durable operations on files. */
-import fs from 'node:fs';
-import { mkdir, open, readFile, type FileHandle } from 'node:fs/promises';
+import { mkdir, open, readFile, rename, type FileHandle } from 'node:fs/promises';
 import path from 'node:path';
-import { promisify } from 'node:util';
 
 /** Syncs a directory, so that created and renamed files in it survive a crash. */
 export async function syncDirectory(folder: string): Promise<void> {
@@ -34,39 +32,18 @@
   }
 }
 
-const sync = promisify(fs.fsync);
-
-/** Calls `work` with a file descriptor, which is closed afterwards. */
-async function withFile(
-  file: string,
-  flags: string,
-  work: (fd: number) => Promise<void>,
-): Promise<void> {
-  const fd = fs.openSync(file, flags);
+/** Replaces a file: after a crash it has the old content or the new one. */
+export async function replaceFile(file: string, bytes: Uint8Array): Promise<void> {
+  const temporary = `${file}.tmp`;
+  const handle = await open(temporary, 'w');
   try {
-    await work(fd);
+    await writeFully(handle, bytes, 0);
+    await handle.sync();
   } finally {
-    fs.closeSync(fd);
+    await handle.close();
   }
-}
-
-function writeAll(fd: number, bytes: Uint8Array): void {
-  let written = 0;
-  while (written < bytes.length) written += fs.writeSync(fd, bytes, written);
-}
-
-/**
- * Replaces a file: after a crash it has the old content or the new one. Only the syncs, which wait for the disk, leave the
- * event loop. Each step that does takes a turn of it, and a vote on a VM whose processes are starting waited for eight.
- */
-export async function replaceFile(file: string, bytes: Uint8Array): Promise<void> {
-  const temporary = `${file}.tmp`;
-  await withFile(temporary, 'w', (fd) => {
-    writeAll(fd, bytes);
-    return sync(fd);
-  });
-  fs.renameSync(temporary, file);
-  await withFile(path.dirname(file), 'r', (fd) => sync(fd));
+  await rename(temporary, file);
+  await syncDirectory(path.dirname(file));
 }
 
 /** Reads a file; undefined if it does not exist. */
--- a/packages/replicated-log/src/full-disk-files.test.ts
+++ b/packages/replicated-log/src/full-disk-files.test.ts
@@ -1,5 +1,4 @@
 /** Guards against a log file that cannot be read after a write was refused in the middle for lack of space. */
-import fs from 'node:fs';
 import { mkdtemp, open, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -30,10 +29,7 @@
   const prototype = Object.getPrototypeOf(handle) as typeof handle;
   await handle.close();
   const original = prototype.write as (...args: unknown[]) => Promise<unknown>;
-  const originalSync = fs.writeSync.bind(fs) as (...args: unknown[]) => number;
   let writes = 0;
-  const noSpace = (): Error =>
-    Object.assign(new Error('no space left on device'), { code: 'ENOSPC' });
   const mocked = mock.method(prototype, 'write', async function write(
     this: typeof handle,
     bytes: Uint8Array,
@@ -45,19 +41,9 @@
     if (writes % 2 === 1) {
       return original.call(this, bytes, offset, Math.min(length, 40), position);
     }
-    throw noSpace();
+    throw Object.assign(new Error('no space left on device'), { code: 'ENOSPC' });
   } as typeof prototype.write);
-  // Small files are written synchronously.
-  const mockedSync = mock.method(fs, 'writeSync', (fd: number, bytes: Uint8Array, offset = 0) => {
-    writes += 1;
-    if (writes % 2 === 1)
-      return originalSync(fd, bytes, offset, Math.min(bytes.length - offset, 40));
-    throw noSpace();
-  });
-  return () => {
-    mocked.mock.restore();
-    mockedSync.mock.restore();
-  };
+  return () => mocked.mock.restore();
 }
 
 async function storedSizes(): Promise<number[]> {
