--- a/packages/daemon/src/transport/Channels.ts
+++ b/packages/daemon/src/transport/Channels.ts
@@ -5,6 +5,7 @@
 import { compressionGzip, createConnectTransport } from '@connectrpc/connect-node';
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
 import { sendSecret } from './auth.js';
+import { MAX_MESSAGE_BYTES } from './InternalServer.js';
 
 /** Idle connections kept per daemon. */
 const MAX_IDLE_SOCKETS = 4;
@@ -52,6 +53,7 @@
       interceptors: [sendSecret(this.options.secret)],
       sendCompression: compressionGzip,
       compressMinBytes: COMPRESS_MIN_BYTES,
+      readMaxBytes: MAX_MESSAGE_BYTES,
     });
     this.transports.set(address, transport);
     return transport;
--- a/packages/daemon/src/transport/InternalServer.ts
+++ b/packages/daemon/src/transport/InternalServer.ts
@@ -5,7 +5,7 @@
 import { requireSecret } from './auth.js';
 
 /** Largest message between daemons. Large enough for a whole configuration with 100,000 teams. */
-const MAX_MESSAGE_BYTES = 67_108_864;
+export const MAX_MESSAGE_BYTES = 67_108_864;
 
 /** Paths of Connect services start with the name of the protobuf package. */
 const SERVICE_PATH_PREFIX = '/marigoldbank.v1.';
--- a/packages/gateway/src/control/HubProcess.ts
+++ b/packages/gateway/src/control/HubProcess.ts
@@ -18,7 +18,7 @@
   syncAddress,
   type GatewaySettings,
 } from '../settings.js';
-import { COMPRESS_MIN_BYTES, SyncClients } from '../sync/SyncClients.js';
+import { COMPRESS_MIN_BYTES, MAX_MESSAGE_BYTES, SyncClients } from '../sync/SyncClients.js';
 import { Hub } from './Hub.js';
 import { LogFollower } from './LogFollower.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
@@ -114,6 +114,7 @@
     const server = http2.createServer(
       connectNodeAdapter({
         compressMinBytes: COMPRESS_MIN_BYTES,
+        readMaxBytes: MAX_MESSAGE_BYTES,
         routes: (router) => registerSyncService(router, hub, logger),
       }),
     );
--- a/packages/gateway/src/control/plan-after-power-loss.test.ts
+++ b/packages/gateway/src/control/plan-after-power-loss.test.ts
@@ -6,6 +6,7 @@
 import type { EntryState } from '../entry/EntryState.js';
 import { FakeFleet } from '../testing/FakeFleet.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
+import { losePower } from '../testing/losePower.js';
 
 /** Time from the start of the last log process until no request is handled by a plan that was replaced. */
 const KNOWN_MS = 2_500;
@@ -46,7 +47,7 @@
   readonly routeCount: number;
 }
 
-async function losePower(scenario: Scenario): Promise<FakeFleet> {
+async function startWithoutLeader(scenario: Scenario): Promise<FakeFleet> {
   const { hubs, entries, answerMs, fetchMs, routeCount } = scenario;
   const fleet = new FakeFleet({
     hubs: Array.from({ length: hubs }, (_, i) => DATA_CENTRES[i % 4]!),
@@ -55,7 +56,7 @@
   fleet.commit(makePlan(1));
   await fleet.advance(15_000);
   Object.assign(fleet.logs, { planAnswerMs: answerMs, planFetchMs: fetchMs });
-  fleet.losePower(makePlan(2, routeCount), DOWN_MS);
+  losePower(fleet, makePlan(2, routeCount), DOWN_MS);
   await fleet.advance(DOWN_MS + KNOWN_MS);
   return fleet;
 }
@@ -75,7 +76,7 @@
     speeds.forEach((speed) => {
       const name = `${size.entries} entries, answers after ${speed.answerMs} ms, ${speed.routeCount} more routes`;
       it(`is not ignored 2.5 s after the start, and the rest is served: ${name}`, async () => {
-        const fleet = await losePower({ ...size, ...speed });
+        const fleet = await startWithoutLeader({ ...size, ...speed });
         const outdated = fleet.entries.filter(({ state }) => servesByOldPlan(state, '/moved/x'));
         expect(outdated.length).toEqual(0);
         const refusing = fleet.entries.filter(({ state }) =>
--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -39,6 +39,46 @@
 }
 
 describe('EntryState', () => {
+  // Entries served by a plan that had been replaced right before all control VMs lost power.
+  describe('a plan that may be in force', () => {
+    const changes = wholePlan(makePlan(2, 900));
+    const handlesOtherwise = (state: EntryState): boolean =>
+      state.mayHandleOtherwise('shop.example', '/x', undefined);
+    const start = (): EntryState => {
+      const state = new EntryState(BOUNDS);
+      state.applyPlan(0, 1, wholePlan(makePlan(1, 500)));
+      state.confirmPlan(100, 100);
+      return state;
+    };
+
+    it('could handle each request otherwise before its content is known', () => {
+      const state = start();
+      state.notePossiblePlan(2, 200);
+      expect(handlesOtherwise(state)).toEqual(true);
+      state.notePossiblePlan(2, 200, { fromVersion: 0, changes: wholePlan(makePlan(2, 500)) });
+      expect(handlesOtherwise(state)).toEqual(false);
+    });
+
+    it('could until it is in force, or until a later confirmation shows that it is not', () => {
+      const [applied, confirmed] = [start(), start()];
+      [applied, confirmed].forEach((state) =>
+        state.notePossiblePlan(2, 200, { fromVersion: 0, changes }),
+      );
+      expect([handlesOtherwise(applied), handlesOtherwise(confirmed)]).toEqual([true, true]);
+      applied.applyPlan(0, 2, changes);
+      confirmed.confirmPlan(199, 300);
+      expect([handlesOtherwise(applied), handlesOtherwise(confirmed)]).toEqual([false, true]);
+      confirmed.confirmPlan(201, 300);
+      expect(handlesOtherwise(confirmed)).toEqual(false);
+    });
+
+    it('does not count if the plan in effect was confirmed later', () => {
+      const state = start();
+      state.notePossiblePlan(2, 50, { fromVersion: 0, changes });
+      expect(handlesOtherwise(state)).toEqual(false);
+    });
+  });
+
   it('applies a complete plan and then differences to it', () => {
     const state = new EntryState(BOUNDS);
     const [first, second] = [makePlan(3, 1_000), makePlan(5, 2_000)];
--- a/packages/gateway/src/sync/SyncClients.ts
+++ b/packages/gateway/src/sync/SyncClients.ts
@@ -8,6 +8,9 @@
 /** Larger messages are compressed. Compressing each small one costs more processor time than encoding it. */
 export const COMPRESS_MIN_BYTES = 8_192;
 
+/** Largest message between hubs and entries, such as the targets of a large fleet. */
+export const MAX_MESSAGE_BYTES = 33_554_432;
+
 export class SyncClients {
   private readonly clients = new Map<string, Client<typeof SyncService>>();
 
@@ -26,6 +29,7 @@
       httpVersion: '2',
       sessionManager,
       compressMinBytes: COMPRESS_MIN_BYTES,
+      readMaxBytes: MAX_MESSAGE_BYTES,
     });
     const created = createClient(SyncService, transport);
     this.clients.set(address, created);
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -20,7 +20,6 @@
 import { HubDirectory } from '../control/HubDirectory.js';
 import { LOG_TIMEOUT_MS } from '../control/LogFollower.js';
 import type { PeerHub } from '../control/PeerHub.js';
-import { CommitHistory } from '../control/CommitHistory.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
 import { EntryState } from '../entry/EntryState.js';
 import { HubFollower } from '../entry/HubFollower.js';
@@ -32,9 +31,12 @@
 import { USUAL_PACE } from '../sync/BatchPace.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
 import {
+  isWithoutMajority,
   LEADER_IP,
+  makeHistory,
   makeSettings,
   makeUnansweredLog,
+  VOTERS,
   type FakeEntry,
   type FakeFleetOptions,
   type FakeHub,
@@ -52,12 +54,6 @@
 const CONFIRMATION_AGE_MS = 200;
 const MAX_SEED = 0x7fffffff;
 
-/** Voters of the log: those for two tolerated losses. */
-const VOTERS = 5;
-
-/** Time for which a hub is silent after its VM has power again. */
-const HUB_START_MS = 60_000;
-
 /** Work for a stream that a hub refuses, as a share of that for one that it accepts. */
 const REFUSED_SHARE = 0.25;
 
@@ -112,45 +108,13 @@
     this.commitCommand({ kind: 'markLeaving', id, born: 1, isGone: false, at: this.clock.now() });
   }
 
-  /**
-   * Lets all control VMs lose power for `downMs`, right after a plan was acknowledged that a majority of the voters has stored
-   * and nobody else has. Afterwards the log processes answer, without a leader, and the hubs do not.
-   */
-  public losePower(plan: RoutingPlan, downMs: number): void {
-    const voters = this.hubs.slice(0, VOTERS);
-    const command: CommandInit = { kind: 'putPlan', document: '', plan };
-    voters
-      .slice(0, Math.floor(voters.length / 2) + 1)
-      .forEach(({ storedLog }) => storedLog.store(command));
-    this.isLeaderless = true;
-    this.hubs.forEach((hub) => {
-      this.freeze(hub, downMs);
-      this.occupy(hub, HUB_START_MS);
-      const logState = new PlanStateMachine();
-      const { address, storedLog } = hub;
-      storedLog.commitIndex = 0;
-      const history = this.createHistory(address, logState, storedLog);
-      Object.assign(hub, { logState, history, logConfirmedAt: -Infinity });
-    });
-  }
-
-  private createHistory(
-    address: string,
-    stateMachine: PlanStateMachine,
-    log: FakeStoredLog,
-  ): CommitHistory {
-    const confirmedAgeMs = (): number => this.clock.now() - this.hubAt(address).logConfirmedAt;
-    const { clock } = this;
-    return new CommitHistory({ clock, stateMachine, confirmation: { confirmedAgeMs }, log });
-  }
-
   private commitCommand(init: CommandInit): void {
     this.commitIndex += 1;
     const index = this.commitIndex;
     const command = encodeCommand(init);
     this.hubs.forEach((hub, i) => {
       const { stateMachine, logState, storedLog, delayMs, isLogDown } = hub;
-      if (FakeFleet.isWithoutMajority(hub) || isLogDown) return;
+      if (isWithoutMajority(hub) || isLogDown) return;
       storedLog.store(init);
       storedLog.commitIndex = storedLog.status().lastIndex;
       // The log process of a VM has a share of its own, so that a busy hub does not delay it.
@@ -185,11 +149,6 @@
     Object.assign(hub, { busyUntil: Math.max(this.clock.now(), hub.busyUntil) + durationMs });
   }
 
-  /** No majority answers such a VM, so that its log gets no commits and no confirmations. */
-  private static isWithoutMajority({ isCutOff, isUnheard }: FakeHub): boolean {
-    return isCutOff || isUnheard;
-  }
-
   private waitMs({ delayMs, busyUntil }: FakeHub): number {
     return delayMs + Math.max(0, busyUntil - this.clock.now());
   }
@@ -205,10 +164,8 @@
     const clock = this.processClock();
     const logState = new PlanStateMachine();
     const address = syncAddress(settings, ip);
-    const voters = this.ips
-      .slice(0, VOTERS)
-      .map((other) => makeMember(syncAddress(settings, other)));
-    const storedLog = new FakeStoredLog(makeMember(address), voters);
+    const voters = this.ips.slice(0, VOTERS).map((other) => syncAddress(settings, other));
+    const storedLog = new FakeStoredLog(makeMember(address), voters.map(makeMember));
     const hub = new Hub({
       clock,
       settings,
@@ -231,7 +188,7 @@
         memberCount: () => this.ips.length,
       }),
       logState,
-      history: this.createHistory(address, logState, storedLog),
+      history: makeHistory(this.clock, () => this.hubAt(address), logState, storedLog),
       storedLog,
       logConfirmedAt: -Infinity,
       logFrozenUntil: 0,
@@ -261,7 +218,7 @@
         }
       });
     this.hubs
-      .filter((hub) => !this.isLeaderless && !FakeFleet.isWithoutMajority(hub) && !hub.isLogDown)
+      .filter((hub) => !this.isLeaderless && !isWithoutMajority(hub) && !hub.isLogDown)
       .forEach((hub) => {
         this.clock.setTimeout(
           () => hub.directory.setHubs(hub.hub.peers.listForEntries(hub.clock.now())),
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -4,7 +4,7 @@
 import type { Hub } from '../control/Hub.js';
 import type { HubDirectory } from '../control/HubDirectory.js';
 import type { ILogView } from '../control/LogView.js';
-import type { CommitHistory } from '../control/CommitHistory.js';
+import { CommitHistory } from '../control/CommitHistory.js';
 import type { PlanStateMachine } from '../control/PlanStateMachine.js';
 import type { EntryState } from '../entry/EntryState.js';
 import type { HubReporter } from '../entry/HubReporter.js';
@@ -23,6 +23,9 @@
   retryWindow: '10s',
 };
 
+/** Voters of the log: those for two tolerated losses. */
+export const VOTERS = 5;
+
 export interface FakeFleetOptions {
   /** Data centre of each hub; the first one leads. */
   readonly hubs: readonly string[];
@@ -105,3 +108,19 @@
     isAnswering: true,
   };
 }
+
+/** What the log process of a VM tells entries. */
+export function makeHistory(
+  clock: Clock,
+  hub: () => FakeHub,
+  stateMachine: PlanStateMachine,
+  log: FakeStoredLog,
+): CommitHistory {
+  const confirmedAgeMs = (): number => clock.now() - hub().logConfirmedAt;
+  return new CommitHistory({ clock, stateMachine, confirmation: { confirmedAgeMs }, log });
+}
+
+/** No majority answers such a VM, so that its log gets no commits and no confirmations. */
+export function isWithoutMajority({ isCutOff, isUnheard }: FakeHub): boolean {
+  return isCutOff || isUnheard;
+}
--- a/packages/routing/src/RouteTable.test.ts
+++ b/packages/routing/src/RouteTable.test.ts
@@ -21,6 +21,24 @@
   .map((parts) => `/${parts.join('/')}`);
 
 describe('RouteTable', () => {
+  // Requests that a plan could change are refused while it is not known whether it is in force, and only those.
+  it('tells whether another plan handles a request otherwise', () => {
+    const moved = makeRoute({ shares: [{ service: 'other', weight: 1 }] });
+    const added = makeRoute({ prefix: '/added/' });
+    const usual = makeRoute();
+    const team = makeTeam();
+    const [key] = team.keys;
+    const own = new RouteTable(makePlan());
+    const handlesAlike = (plan: Parameters<typeof makePlan>[0], to = usual.prefix): boolean =>
+      own.handlesAlike(new RouteTable(makePlan(plan)), usual.host, to, key);
+    expect(handlesAlike({ version: 99 })).toEqual(true);
+    expect(handlesAlike({ routes: [makeRoute(), added] })).toEqual(true);
+    expect(handlesAlike({ routes: [makeRoute(), added] }, '/added/')).toEqual(false);
+    expect(handlesAlike({ routes: [moved] })).toEqual(false);
+    expect(handlesAlike({ routes: [] })).toEqual(false);
+    expect(handlesAlike({ teams: [{ ...team, keys: [] }] })).toEqual(false);
+  });
+
   it('finds the same route as a scan over all prefixes', () => {
     fc.assert(
       fc.property(fc.uniqueArray(prefix, { maxLength: 6 }), path, (prefixes, requestPath) => {
