A removed voter is replaced within the time after which it no longer counts as lost

Cause: a voter counted as gone after 5 s of silence, longer than the 4 s after which a removed VM stops counting as lost. Until then its successor is a learner, so that one lost disk takes the majority. Ruled out: a learner that is behind; the same one is promoted in time once the silence is shorter. Change: 1.5 s of silence, above the longest election timeout, and the promotion follows the removal without waiting for a tick.

--- a/packages/gateway/src/control/VoterManager.ts
+++ b/packages/gateway/src/control/VoterManager.ts
@@ -102,6 +102,8 @@
         : await log.removeMember(change.member.vm, change.member.incarnation);
     const member = change.kind === 'promote' ? change.vm : change.member.vm;
     logger.info('voter change processed', { change: change.kind, member, outcome: outcome.kind });
+    // The removal of a voter leaves one too few, so its replacement is not left to the next tick.
+    if (outcome.kind === 'committed') await this.changeVoters(log.status(), this.ctx.clock.now());
   }
 
   private async requestJoin(status: LogStatus, now: number): Promise<void> {
--- a/packages/gateway/src/control/nextVoterChange.ts
+++ b/packages/gateway/src/control/nextVoterChange.ts
@@ -5,8 +5,12 @@
   | { readonly kind: 'promote'; readonly vm: string }
   | { readonly kind: 'remove'; readonly member: Member };
 
-/** A voter without contact for this long is replaced if a learner is available. */
-export const UNREACHABLE_MS = 5_000;
+/**
+ * A voter without contact for this long is replaced if a learner is available. Until then a second loss may take the
+ * majority, so that an election, this time and two changes of the membership must fit into the 4 s after which a removed
+ * VM no longer counts as lost. It exceeds the longest election timeout: a voter that only starts an election is kept.
+ */
+export const UNREACHABLE_MS = 1_500;
 
 /** Inputs of the leader in addition to the status of its log. */
 export interface VoterChangeInputs {
--- /dev/null
+++ b/packages/gateway/src/control/voter-replacement.test.ts
@@ -0,0 +1,69 @@
+/** Replacement of voters while further VMs are lost, in virtual time. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { FakeVoterGroup } from '../testing/FakeVoterGroup.js';
+
+const FOUNDERS = ['a', 'b', 'c'];
+const SPARE = 'd';
+const SEEDS = [1, 2, 3, 4, 5];
+
+/** A VM that is back, and the successor of a removed one, count as lost for this long (`catch_up`). */
+const CATCH_UP_MS = 4_000;
+
+const MARGIN_MS = 200;
+
+/** Time after all VMs are back within which the state is readable again (`recovery`). */
+const RECOVERY_MS = 15_000;
+
+/** Time for which a VM that loses its disk is off. */
+const OFF_MS = 1_500;
+
+type Removed = 'follower' | 'leader';
+
+/**
+ * Removes a voter for good, with a successor that starts `successorAfterMs` later (earlier if negative). A further VM loses
+ * its disk as soon as the first one does not count as lost any more. Returns the version that is read back, of 2.
+ */
+async function loseDiskAfterRemoval(
+  seed: number,
+  removed: Removed,
+  successorAfterMs: number,
+): Promise<number> {
+  const group = await FakeVoterGroup.start(FOUNDERS, seed);
+  await group.commit(1, 5_000);
+  await group.advance(CATCH_UP_MS);
+  const { leader } = group;
+  const [follower, other] = FOUNDERS.filter((vm) => vm !== leader);
+  const old = removed === 'leader' ? leader! : follower!;
+  if (successorAfterMs < 0) {
+    await group.startVm(SPARE);
+    await group.advance(-successorAfterMs);
+  }
+  group.kill(old);
+  const removedAt = group.clock.now();
+  if (successorAfterMs >= 0) {
+    await group.advance(successorAfterMs);
+    await group.startVm(SPARE);
+  }
+  expect(await group.commit(2, CATCH_UP_MS)).toEqual(true);
+  const countsUntil = removedAt + Math.max(0, successorAfterMs) + CATCH_UP_MS + MARGIN_MS;
+  await group.advance(Math.max(0, countsUntil - group.clock.now()));
+  await group.restartWithoutDisk(other!, OFF_MS);
+  return group.read(RECOVERY_MS);
+}
+
+// Guards against the loss of a committed plan: a removed voter was replaced only after 5 s of silence, so that a disk that was
+// lost 4.2 s after the removal took the majority.
+describe('a disk that is lost after a voter was removed', () => {
+  const removals: Removed[] = ['follower', 'leader'];
+  removals.forEach((removed) => {
+    [-5_000, 1_000, 2_000].forEach((successorAfterMs) => {
+      it(`loses no committed plan: ${removed}, successor ${successorAfterMs} ms after the removal`, async () => {
+        const versions = await Promise.all(
+          SEEDS.map((seed) => loseDiskAfterRemoval(seed, removed, successorAfterMs)),
+        );
+        expect(versions).toEqual(SEEDS.map(() => 2));
+      });
+    });
+  });
+});
