A new disk of a voter is known from the membership, not from the request to join

Cause: the leader removes the voter of a lost disk only if it has received the request to join itself. The next leader finds the VM as a learner beside its old incarnation, and the VM sends no further request, as it is a member and hears a leader. Ruled out: a lost request; the learner is in the membership of all members. Promotions after a removal follow from the number of voters, and need nothing that one process remembers. Change: a learner on the VM of a voter tells by its incarnation that the disk of that voter is gone.

--- a/packages/gateway/src/control/VoterManager.ts
+++ b/packages/gateway/src/control/VoterManager.ts
@@ -31,8 +31,6 @@
 }
 
 export class VoterManager extends DisposableStore {
-  private readonly joinRequests = new Map<string, Member>();
-
   /** Time (monotonic ms) since which this member has been the leader. */
   private leaderSince: number | undefined;
 
@@ -55,7 +53,6 @@
     const { log, logger } = this.ctx;
     const status = log.status();
     if (status.role !== 'leader') return false;
-    this.joinRequests.set(member.vm, member);
     const { voters, learners } = status.membership;
     if (isIn([...voters, ...learners], member)) return true;
     const { vm, incarnation, address } = member;
@@ -91,7 +88,6 @@
     const { log, logger, desiredVoters } = this.ctx;
     const change = nextVoterChange(status, {
       desired: desiredVoters,
-      joinRequests: [...this.joinRequests.values()],
       now,
       leaderSince: this.leaderSince ?? now,
     });
--- a/packages/gateway/src/control/nextVoterChange.test.ts
+++ b/packages/gateway/src/control/nextVoterChange.test.ts
@@ -39,7 +39,7 @@
 }
 
 function makeInputs(overrides: Partial<VoterChangeInputs> = {}): VoterChangeInputs {
-  return { desired: 3, joinRequests: [], now: NOW, leaderSince: 0, ...overrides };
+  return { desired: 3, now: NOW, leaderSince: 0, ...overrides };
 }
 
 const voters = ['a', 'b', 'c'].map((vm) => makeMember(vm));
@@ -72,7 +72,6 @@
   it('removes a voter whose disk was replaced once its new incarnation has caught up', () => {
     const renewed = makeMember('b', 'second');
     const status = makeStatus({ voters, learners: [renewed] });
-    const inputs = makeInputs({ joinRequests: [renewed] });
-    expect(nextVoterChange(status, inputs)).toEqual({ kind: 'remove', member: voters[1]! });
+    expect(nextVoterChange(status, makeInputs())).toEqual({ kind: 'remove', member: voters[1]! });
   });
 });
--- a/packages/gateway/src/control/nextVoterChange.ts
+++ b/packages/gateway/src/control/nextVoterChange.ts
@@ -16,8 +16,6 @@
 export interface VoterChangeInputs {
   /** Desired number of voters: 2 x tolerated losses + 1. */
   readonly desired: number;
-  /** Members that sent a join request, with the incarnation of their data folder. */
-  readonly joinRequests: readonly Member[];
   readonly now: number;
   /** Time (monotonic ms) since which this member has been the leader. */
   readonly leaderSince: number;
@@ -44,13 +42,11 @@
     const found = progress.find((item) => item.isLearner && item.member.vm === member.vm);
     return found !== undefined && found.matchIndex >= status.commitIndex && !isUnreachable(member);
   };
-  const hasNewDisk = (voter: Member): boolean =>
-    inputs.joinRequests.some(
-      ({ vm, incarnation }) => vm === voter.vm && incarnation !== voter.incarnation,
-    );
   const caughtUp = membership.learners.filter(isCaughtUp);
-  const replaced = membership.voters.find(
-    (voter) => hasNewDisk(voter) && caughtUp.some(({ vm }) => vm === voter.vm),
+  // A learner on the VM of a voter has another incarnation: the disk of the voter is gone. This is read from the membership,
+  // which a new leader knows as well.
+  const replaced = membership.voters.find(({ vm }) =>
+    caughtUp.some((learner) => learner.vm === vm),
   );
   if (replaced !== undefined) return { kind: 'remove', member: replaced };
   const candidates = caughtUp.filter(({ vm }) =>
--- a/packages/gateway/src/control/voter-replacement.test.ts
+++ b/packages/gateway/src/control/voter-replacement.test.ts
@@ -67,3 +67,45 @@
     });
   });
 });
+
+/** A VM loses its disk, and the leader is restarted as soon as the VM is a learner. Returns the group once none counts as lost. */
+async function restartLeaderAtJoin(seed: number): Promise<[FakeVoterGroup, string, string]> {
+  const group = await FakeVoterGroup.start(FOUNDERS, seed);
+  await group.commit(1, 5_000);
+  await group.advance(CATCH_UP_MS);
+  const leader = group.leader!;
+  const [renewed, other] = FOUNDERS.filter((vm) => vm !== leader) as [string, string];
+  await group.restartWithoutDisk(renewed, OFF_MS);
+  expect(await group.waitFor(() => group.isLearner(renewed), 5_000)).toEqual(true);
+  group.kill(leader);
+  await group.advance(300);
+  await group.startVm(leader);
+  await group.advance(CATCH_UP_MS);
+  return [group, renewed, other];
+}
+
+// Guards against a VM that stays a learner for good: the request to join, by which its new disk was known, was lost with the
+// leader that had received it.
+describe('a VM with a new disk whose leader is lost as it joins', () => {
+  it('becomes a voter under the next leader', async () => {
+    const isVoter = await Promise.all(
+      SEEDS.map(async (seed) => {
+        const [group, renewed] = await restartLeaderAtJoin(seed);
+        return group.isVoter(renewed);
+      }),
+    );
+    expect(isVoter).toEqual(SEEDS.map(() => true));
+  });
+
+  it('keeps what is committed when another disk is lost afterwards', async () => {
+    const versions = await Promise.all(
+      SEEDS.map(async (seed) => {
+        const [group, , other] = await restartLeaderAtJoin(seed);
+        await group.commit(2, CATCH_UP_MS);
+        await group.restartWithoutDisk(other, OFF_MS);
+        return group.read(RECOVERY_MS);
+      }),
+    );
+    expect(versions).toEqual(SEEDS.map(() => 2));
+  });
+});
--- a/packages/gateway/src/testing/FakeVoterGroup.ts
+++ b/packages/gateway/src/testing/FakeVoterGroup.ts
@@ -77,6 +77,20 @@
     return this.processes.get(leader)!.log.status().membership.voters;
   }
 
+  /** Whether a VM is a voter with the disk that it has now. */
+  public isVoter(vm: string): boolean {
+    const { incarnation } = this.disks.get(vm)!.identity;
+    return this.voters.some((voter) => voter.vm === vm && voter.incarnation === incarnation);
+  }
+
+  /** Whether any process knows a VM, with the disk that it has now, as a learner. */
+  public isLearner(vm: string): boolean {
+    const { incarnation } = this.disks.get(vm)!.identity;
+    return [...this.processes.values()].some(({ log }) =>
+      log.status().membership.learners.some((other) => other.incarnation === incarnation),
+    );
+  }
+
   /** Starts the log process of a VM on the disk that the VM has, or on an empty one. */
   public async startVm(vm: string): Promise<void> {
     const { network, random } = this;
