A failure of a target whose status reads as a refusal is answered 502 for requests that may run once

Cause: SendAttempt passed on any answer with a seal or a status of 500 or more. A target states by a header that it did not run a request; to callers 408, 429 and 503 state that by themselves. Ruled out: refusals of the entry itself; all of the answers in question bear the seal of the target. Change: for a request that may run once, such a status without the header is a failure that may have run: 502 without the seal. Requests that may be repeated get the status as before.

--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -71,8 +71,8 @@
   };
 }
 
-function run({ ctx }: Fixture): Promise<RunOutcome> {
-  return new RequestRun(ctx, makeRunRequest(clock.now(), false)).run();
+function run({ ctx }: Fixture, isIdempotent = false): Promise<RunOutcome> {
+  return new RequestRun(ctx, makeRunRequest(clock.now(), isIdempotent)).run();
 }
 
 function startTarget(status: number, headers: Record<string, string>): Promise<Server> {
@@ -173,6 +173,22 @@
     });
   });
 
+  // Guards against orders that are placed twice: a target that had run one answered 503 by itself, the caller got that status, which
+  // says that the request was not run, and sent it again.
+  [408, 429, 503].forEach((status) => {
+    it(`does not pass on ${status} of a target that may have run a request that may run once`, async () => {
+      const target = await startTarget(status, { 'x-seal': 's' });
+      const outcome = await run(await makeCase(addressOf(target), target));
+      expect(outcome.kind === 'refused' && outcome.error.kind).toEqual('upstreamFailed');
+    });
+
+    it(`passes on ${status} of a target for a request that may be repeated`, async () => {
+      const target = await startTarget(status, { 'x-seal': 's' });
+      const outcome = await run(await makeCase(addressOf(target), target), true);
+      expect(outcome.kind === 'answered' && outcome.response.status).toEqual(status);
+    });
+  });
+
   // A limit that cannot be read would have counted as the end of the limit.
   ['many', '', '2, 2', '-1', '1e9'].forEach((value) => {
     it(`keeps the limit that a target has named when an answer says "${value}"`, async () => {
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -362,6 +362,7 @@
         checkDispatch: () => undefined,
       },
       () => duration.slowThresholdMs,
+      req.route.isIdempotent,
     );
     this.pending.set(
       attempt,
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -25,6 +25,12 @@
 
 const FIRST_ERROR_STATUS = 500;
 
+/**
+ * To a caller these statuses say that the request was not run and may be sent again. A target states that by a header, so
+ * that without it they are failures of a request that may have run. (421 always says that another target was meant.)
+ */
+const NOT_RUN_STATUSES = [408, 429, 503];
+
 /** Result of an attempt. */
 export type AttemptResult =
   /** The response to a request that the target ran. `rest` delivers what follows the buffered part. */
@@ -83,6 +89,8 @@
     request: UpstreamRequest,
     /** Duration above which the response counts as slow. */
     private readonly slowThresholdMs: () => number,
+    /** Whether the request may run more than once. */
+    private readonly isIdempotent: boolean,
   ) {
     this.startedAt = ctx.clock.now();
     this.target.ownInFlight += 1;
@@ -137,6 +145,11 @@
       reporter.recordOutcome(id, 'failed');
       return { kind: 'mayHaveRun', detail: 'the response bears no seal', isLost: false, target };
     }
+    if (!this.isIdempotent && NOT_RUN_STATUSES.includes(status)) {
+      this.discardBody();
+      this.complete(status);
+      return { kind: 'mayHaveRun', detail: `target answered ${status}`, isLost: false, target };
+    }
     return this.collect(status, headers);
   }
 
