The replacement of a voter is promoted before the voter is removed

Operators see: a control VM is silent for a moment, another one loses its disk while the first is replaced; all VMs return, and what was acknowledged is never read back. Cause: the silent voter was removed first. Until the replacement was promoted, two of the three voters were left and both were needed, so that one lost disk ended the group, while the silent voter still had everything on its disk. Ruled out: the time that the silent voter is given; the same happens with any. Change: promotion first, then removal. An even number of voters above three tells any leader that one is to be removed: the one that is gone, or the newest if it is back. Founders in excess of the desired voters stay, as before.

--- a/packages/gateway/src/control/nextVoterChange.ts
+++ b/packages/gateway/src/control/nextVoterChange.ts
@@ -12,6 +12,12 @@
  */
 export const UNREACHABLE_MS = 1_500;
 
+/**
+ * Voters of the smallest group that tolerates a loss. Larger groups with an even number have one voter too many, since they
+ * tolerate no more losses without it; odd ones may have more founders than are desired, and keep them.
+ */
+const SMALLEST_GROUP = 3;
+
 /** Inputs of the leader in addition to the status of its log. */
 export interface VoterChangeInputs {
   /** Desired number of voters: 2 x tolerated losses + 1. */
@@ -22,9 +28,10 @@
 }
 
 /**
- * Promotes a learner that has caught up with the log while voters are missing. Replaces one voter at a time: one whose
- * disk was replaced once its new incarnation has caught up, an unreachable one once a learner on a VM without a voter
- * has. The old voter is removed before the learner is promoted, so that two incarnations of a VM never vote together.
+ * Promotes a learner that has caught up with the log while voters are missing. Replaces one voter at a time: one whose disk
+ * is lost, or an unreachable one. The learner is promoted before the voter is removed: removed first, it would leave a
+ * group in which one more lost disk takes the majority, even if the voter comes back. A learner on the VM of the voter itself
+ * is promoted after the removal, so that two incarnations of a VM never vote together.
  */
 export function nextVoterChange(
   status: LogStatus,
@@ -45,16 +52,16 @@
   const caughtUp = membership.learners.filter(isCaughtUp);
   // A learner on the VM of a voter has another incarnation: the disk of the voter is gone. This is read from the membership,
   // which a new leader knows as well.
-  const replaced = membership.voters.find(({ vm }) =>
-    caughtUp.some((learner) => learner.vm === vm),
-  );
-  if (replaced !== undefined) return { kind: 'remove', member: replaced };
-  const candidates = caughtUp.filter(({ vm }) =>
-    membership.voters.every((voter) => voter.vm !== vm),
-  );
-  const next = candidates[0];
-  if (next === undefined) return undefined;
-  if (membership.voters.length < inputs.desired) return { kind: 'promote', vm: next.vm };
-  const unreachable = membership.voters.find(isUnreachable);
-  return unreachable === undefined ? undefined : { kind: 'remove', member: unreachable };
+  const renewed = membership.voters.find(({ vm }) => caughtUp.some((other) => other.vm === vm));
+  const gone = renewed ?? membership.voters.find(isUnreachable);
+  const count = membership.voters.length;
+  if (count > inputs.desired && count > SMALLEST_GROUP && count % 2 === 0) {
+    // A replacement was promoted. If the voter that it replaces is back, another one is too many.
+    const others = membership.voters.filter(({ vm }) => vm !== self.vm);
+    return { kind: 'remove', member: gone ?? others.at(-1)! };
+  }
+  const candidate = caughtUp.find(({ vm }) => membership.voters.every((voter) => voter.vm !== vm));
+  const isWanted = count < inputs.desired || gone !== undefined;
+  if (candidate !== undefined && isWanted) return { kind: 'promote', vm: candidate.vm };
+  return renewed === undefined ? undefined : { kind: 'remove', member: renewed };
 }
--- a/packages/gateway/src/control/voter-replacement.test.ts
+++ b/packages/gateway/src/control/voter-replacement.test.ts
@@ -109,3 +109,26 @@
     expect(versions).toEqual(SEEDS.map(() => 2));
   });
 });
+
+// Guards against a group that a lost disk ends for good although all VMs return: the silent voter was removed before its
+// replacement was promoted, so that the two remaining voters were both needed.
+describe('a disk that is lost while a silent voter is replaced', () => {
+  it('loses no committed plan once the silent voter is back', async () => {
+    const versions = await Promise.all(
+      SEEDS.map(async (seed) => {
+        const group = await FakeVoterGroup.start(FOUNDERS, seed);
+        await group.startVm(SPARE);
+        await group.commit(1, 5_000);
+        await group.advance(CATCH_UP_MS);
+        const [silent, other] = FOUNDERS.filter((vm) => vm !== group.leader) as [string, string];
+        group.kill(silent);
+        await group.commit(2, CATCH_UP_MS);
+        expect(await group.waitFor(() => group.voters.length !== 3, 5_000)).toEqual(true);
+        await group.restartWithoutDisk(other, OFF_MS);
+        await group.startVm(silent);
+        return group.read(RECOVERY_MS);
+      }),
+    );
+    expect(versions).toEqual(SEEDS.map(() => 2));
+  });
+});
