Announcements that repeat earlier ones wake no hub

Cause, of a part of that load: each of 415 targets announces itself every 1.5 s, and each announcement was passed on to the hub within 40 ms, by an answer that costs log process and hub as much as several announcements. Nearly all only say that a target still lives.

--- a/packages/gateway/src/control/AnnouncementFeed.test.ts
+++ b/packages/gateway/src/control/AnnouncementFeed.test.ts
@@ -53,7 +53,7 @@
   it('ignores an announcement that is older than the newest one', () => {
     const feed = new AnnouncementFeed();
     feed.add(makeAnnouncement({ seq: 5 }), 100);
-    expect(feed.add(makeAnnouncement({ seq: 4 }), 200)).toEqual(false);
+    expect(feed.add(makeAnnouncement({ seq: 4 }), 200)).toEqual('outdated');
     expect(feed.position).toEqual(1);
   });
 
@@ -64,7 +64,7 @@
     expect(idsAfter(feed, 0)).toEqual(['i-2']);
     feed.remove('i-2', 2_000);
     expect(idsAfter(feed, 0)).toEqual([]);
-    expect(feed.add(makeAnnouncement({ id: 'i-2', born: 2_000, seq: 9 }), 300)).toEqual(false);
+    expect(feed.add(makeAnnouncement({ id: 'i-2', born: 2_000, seq: 9 }), 300)).toEqual('outdated');
   });
 
   it('drops a target without announcements for 20 s', () => {
--- a/packages/gateway/src/control/AnnouncementFeed.ts
+++ b/packages/gateway/src/control/AnnouncementFeed.ts
@@ -1,6 +1,6 @@
 /** Announcements that this control VM has received, numbered in the order of their arrival. */
 import type { Announcement } from '../announcement.js';
-import { TargetRegistry } from './TargetRegistry.js';
+import { TargetRegistry, type AnnouncementEffect } from './TargetRegistry.js';
 import { toTargetMessage, type TargetInit } from './targets-codec.js';
 
 /** Announcements after a position, and the position that they lead to. */
@@ -17,18 +17,27 @@
 
   private lastPosition = 0;
 
+  private changedAt = 0;
+
   public get position(): number {
     return this.lastPosition;
   }
 
-  /** Adds an announcement that was received at `now` (monotonic ms). Returns false if a newer one is known. */
-  public add(announcement: Announcement, now: number): boolean {
+  /** Position of the newest announcement that was not a mere repetition. */
+  public get changePosition(): number {
+    return this.changedAt;
+  }
+
+  /** Adds an announcement that was received at `now` (monotonic ms), unless a newer one is known. */
+  public add(announcement: Announcement, now: number): AnnouncementEffect {
     const displaced = this.registry.displacedBy(announcement);
-    if (this.registry.announce(announcement, now) === 'outdated') return false;
+    const effect = this.registry.announce(announcement, now);
+    if (effect === 'outdated') return effect;
     if (displaced !== undefined) this.remove(displaced, 0);
     this.lastPosition += 1;
     this.positions.set(announcement.id, this.lastPosition);
-    return true;
+    if (effect === 'changed') this.changedAt = this.lastPosition;
+    return effect;
   }
 
   /** Removes a target that has left. Later announcements of incarnations up to `born` are ignored. */
--- a/packages/gateway/src/control/LogFeed.ts
+++ b/packages/gateway/src/control/LogFeed.ts
@@ -19,7 +19,7 @@
 /** Commands are kept up to this size; a hub that has missed more gets a snapshot. */
 const MAX_COMMAND_BYTES = 4_194_304;
 
-/** Delays of answers after commands or confirmations, and after announcements, of which several share one answer. */
+/** Delays of answers after commands or confirmations, and after new or changed targets, of which several share one answer. */
 const NEWS_DELAY_MS = 1;
 const ANNOUNCEMENT_DELAY_MS = 40;
 
@@ -73,7 +73,11 @@
   public announce(announcement: Announcement): void {
     const now = this.ctx.clock.now();
     this.announcements.expire(now);
-    if (this.announcements.add(announcement, now)) this.batcher.request(ANNOUNCEMENT_DELAY_MS);
+    // A repetition only says that the target still lives. It goes along with the next answer, which costs as much as several
+    // announcements.
+    if (this.announcements.add(announcement, now) === 'changed') {
+      this.batcher.request(ANNOUNCEMENT_DELAY_MS);
+    }
   }
 
   /** Answers when there is something that the sender does not have yet, or after the time that it names. */
@@ -94,7 +98,7 @@
     return (
       lifetime !== this.ctx.lifetime ||
       log.status().commitIndex > Number(afterIndex) ||
-      this.announcements.position > Number(afterAnnouncement)
+      this.announcements.changePosition > Number(afterAnnouncement)
     );
   }
 
--- a/packages/gateway/src/control/LogFollower.test.ts
+++ b/packages/gateway/src/control/LogFollower.test.ts
@@ -10,7 +10,7 @@
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { LogStatus } from '@marigoldbank/replicated-log';
 import { expect } from 'earl';
-import { makeEmptyPlan } from '../testing/fixtures.js';
+import { makeAnnouncement, makeEmptyPlan } from '../testing/fixtures.js';
 import { encodeCommand, type CommandInit } from './commands.js';
 import { LogFeed } from './LogFeed.js';
 import { LogFollower, type LogFollowerContext } from './LogFollower.js';
@@ -38,6 +38,10 @@
   readonly stateMachine: PlanStateMachine;
   /** Versions of the plan that the hub had, in order. */
   readonly versions: number[];
+  /** Targets of which the hub was told, in order. */
+  readonly announced: string[];
+  /** Requests that the hub has sent. */
+  requests: number;
   process: LogProcess;
   /** Time that an answer takes in addition; requests of a stopped process are never answered. */
   delayMs: number;
@@ -83,11 +87,14 @@
     ages,
     stateMachine: new PlanStateMachine(),
     versions: [],
+    announced: [],
+    requests: 0,
   };
   const { stateMachine } = fixture as Fixture;
   fixture.process = startProcess(fixture as Fixture, 'first');
   const watch: LogFollowerContext['client']['watch'] = async (req) => {
     const { feed } = fixture.process!;
+    fixture.requests! += 1;
     const res = await feed.watch(create(WatchRequestSchema, req));
     await new Promise<void>((resolve, reject) => {
       const isTimedOut = fixture.delayMs! > 1_000;
@@ -106,10 +113,25 @@
     stateMachine,
     client: { watch },
   });
+  follower.onDidAnnounce(({ announcement }) => fixture.announced!.push(announcement.id));
   follower.run().catch(() => undefined);
   return Object.assign(fixture, { follower }) as Fixture;
 }
 
+const ANNOUNCE_INTERVAL_MS = 1_500;
+
+/** Lets targets announce themselves to the log process again and again, evenly over the interval. */
+async function announceInTurn(fixture: Fixture, targets: number, rounds: number): Promise<void> {
+  const { clock, process } = fixture;
+  const firstSeq = Math.ceil(clock.now()) + 1;
+  for (let i = 0; i < targets * rounds; i += 1) {
+    const id = i % targets;
+    const address = `10.1.0.1:${id + 1}`;
+    process.feed.announce(makeAnnouncement({ id: `t-${id}`, address, seq: firstSeq + i }));
+    await clock.advanceAsync(ANNOUNCE_INTERVAL_MS / targets);
+  }
+}
+
 const ANSWER_MS = 100;
 
 const COMMAND = encodeCommand({ kind: 'putPlan', document: 'two', plan: makeEmptyPlan(2) });
@@ -209,6 +231,29 @@
     expect(fixture.stateMachine.leavingMark('i-1', 5)).not.toEqual(undefined);
   });
 
+  // Guards against log processes that stay saturated after a restart: each announcement that only said that a target still
+  // lives was passed on within 40 ms, which cost log process and hub more than the announcements themselves.
+  [60, 120].forEach((targets) => {
+    it(`does not ask more often since ${targets} targets repeat their announcements`, async () => {
+      const fixture = makeFixture();
+      await announceInTurn(fixture, targets, 1);
+      const { requests } = fixture;
+      const announced = fixture.announced.length;
+      await announceInTurn(fixture, targets, 2);
+      const mostRequests = Math.ceil((2 * ANNOUNCE_INTERVAL_MS) / LONGEST_WAIT_MS) + 1;
+      expect(fixture.requests - requests).toBeLessThanOrEqual(mostRequests);
+      expect(fixture.announced.length - announced).toBeGreaterThanOrEqual(targets);
+    });
+  });
+
+  it('learns of a new target within 50 ms', async () => {
+    const fixture = makeFixture();
+    await announceInTurn(fixture, 60, 2);
+    fixture.process.feed.announce(makeAnnouncement({ id: 'new', address: '10.1.0.2:1' }));
+    await fixture.clock.advanceAsync(50);
+    expect(fixture.announced.includes('new')).toEqual(true);
+  });
+
   // A hub that takes itself for the leader grants tokens of team budgets.
   it('is no leader any more one second after the last answer of the log process', async () => {
     const fixture = makeFixture();
