Bodies of operators and targets are read without a web stream

A web stream on top of the request of Node.js took a fifth of the processor time of an announcement. Change: the request is read directly.

--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -30,6 +30,8 @@
 /** A member that has answered the leader within this time takes announcements of targets. */
 const MEMBER_CONTACT_MS = 1_000;
 
+const TOO_LARGE = JSON.stringify({ error: 'body too large' });
+
 const JSON_HEADERS = { 'content-type': 'application/json' };
 
 export interface ControlApiContext {
@@ -56,21 +58,25 @@
   return jsonResponse(status, JSON.stringify({ error: detail }));
 }
 
-/** Reads a body. Returns undefined if it is too large, whatever length it was announced with. */
-async function readText({ body }: H3Event['req']): Promise<string | undefined> {
+/**
+ * Reads a body. Returns undefined if it is too large, whatever length it was announced with. Rejects if the connection ends
+ * before. The stream of Node.js is read: a web stream on top of it takes a fifth of the time of an announcement.
+ */
+async function readText(event: H3Event): Promise<string | undefined> {
   const collected = new ByteCollector();
-  if (body === null) return '';
-  const reader = body.getReader();
-  let piece = await reader.read();
-  while (!piece.done) {
-    if (collected.size + piece.value.length > MAX_BODY_BYTES) {
-      await reader.cancel();
-      return undefined;
-    }
-    collected.add(Buffer.from(piece.value.buffer, piece.value.byteOffset, piece.value.length));
-    piece = await reader.read();
-  }
-  return Buffer.concat(collected.take()).toString();
+  const stream = event.runtime!.node!.req;
+  return new Promise((resolve, reject) => {
+    stream.on('data', (piece: Buffer) => {
+      if (collected.size + piece.length <= MAX_BODY_BYTES) {
+        collected.add(piece);
+        return;
+      }
+      stream.pause();
+      resolve(undefined);
+    });
+    stream.once('end', () => resolve(Buffer.concat(collected.take()).toString()));
+    stream.once('error', reject);
+  });
 }
 
 export class ControlApi {
@@ -130,9 +136,9 @@
     const call = this.ctx.protocol.parseControlCall(req.method, requestTarget);
     if (call.kind === 'unknown') return errorResponse(404, 'not found');
     const length = Number(req.headers.get('content-length') ?? 0);
-    if (length > MAX_BODY_BYTES) return errorResponse(413, 'body too large');
-    const body = await readText(req);
-    if (body === undefined) return errorResponse(413, 'body too large');
+    const body = length > MAX_BODY_BYTES ? undefined : await readText(event);
+    // The connection is closed, so that the rest of the body need not be read.
+    if (body === undefined) return jsonResponse(413, TOO_LARGE, { connection: 'close' });
     return this.respond(call, requestTarget, body);
   }
 
