Voter changes and announcements: comments and a name

A comment stood above the wrong line, and a position was named like a time. Change: wording only; no change of behaviour.

--- a/packages/gateway/src/control/AnnouncementFeed.ts
+++ b/packages/gateway/src/control/AnnouncementFeed.ts
@@ -17,7 +17,7 @@
 
   private lastPosition = 0;
 
-  private changedAt = 0;
+  private lastChangePosition = 0;
 
   public get position(): number {
     return this.lastPosition;
@@ -25,7 +25,7 @@
 
   /** Position of the newest announcement that was not a mere repetition. */
   public get changePosition(): number {
-    return this.changedAt;
+    return this.lastChangePosition;
   }
 
   /** Adds an announcement that was received at `now` (monotonic ms), unless a newer one is known. */
@@ -36,7 +36,7 @@
     if (displaced !== undefined) this.remove(displaced, 0);
     this.lastPosition += 1;
     this.positions.set(announcement.id, this.lastPosition);
-    if (effect === 'changed') this.changedAt = this.lastPosition;
+    if (effect === 'changed') this.lastChangePosition = this.lastPosition;
     return effect;
   }
 
--- a/packages/gateway/src/control/nextVoterChange.ts
+++ b/packages/gateway/src/control/nextVoterChange.ts
@@ -31,9 +31,9 @@
 
 /**
  * Promotes a learner that has caught up with the log while voters are missing. Replaces one voter at a time: one whose disk
- * is lost, an unreachable one, or one that is about to stop. The learner is promoted before the voter is removed: removed first, it would leave a
- * group in which one more lost disk takes the majority, even if the voter comes back. A learner on the VM of the voter itself
- * is promoted after the removal, so that two incarnations of a VM never vote together.
+ * is lost, an unreachable one, or one that is about to stop. The learner is promoted before the voter is removed: removed
+ * first, it would leave a group in which one more lost disk takes the majority, even if the voter comes back. A learner on
+ * the VM of the voter itself is promoted after the removal, so that two incarnations of a VM never vote together.
  */
 export function nextVoterChange(
   status: LogStatus,
@@ -52,10 +52,10 @@
     return found !== undefined && found.matchIndex >= status.commitIndex && !isUnreachable(member);
   };
   const caughtUp = membership.learners.filter(isCaughtUp);
-  // A learner on the VM of a voter has another incarnation: the disk of the voter is gone. This is read from the membership,
-  // which a new leader knows as well.
   const isLeaving = ({ vm, incarnation }: Member): boolean =>
     inputs.leaving.some((other) => other.vm === vm && other.incarnation === incarnation);
+  // A learner on the VM of a voter has another incarnation: the disk of the voter is gone. This is read from the membership,
+  // which a new leader knows as well.
   const renewed = membership.voters.find(({ vm }) => caughtUp.some((other) => other.vm === vm));
   const gone =
     renewed ?? membership.voters.find(isUnreachable) ?? membership.voters.find(isLeaving);
