Control VMs log each call with a change, its parts and the calls between log processes

Of a call with a change of the configuration only the leader wrote a line, without its duration. A redirect or a 503 had none, and what a leader without processor time spends it on could not be read: the parts of a change, or its calls to the other members.

Each control VM now writes a line for each such call, with the digest of the document and the time for a leader, validation and commit, and every 5 s the calls to other log processes with its processor time. Metrics have the same.

--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -1,4 +1,5 @@
 /** HTTP interface of a control VM for operators and targets. */
+import { createHash } from 'node:crypto';
 import { H3, HTTPResponse, toNodeHandler, type H3Event } from 'h3';
 import { createServer, type Server } from 'node:http';
 import { delay, type Clock } from '@marigoldbank/base/clock';
@@ -7,7 +8,9 @@
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
 import type { IReplicatedLog, Member, ProposeOutcome } from '@marigoldbank/replicated-log';
 import { isUsable } from '../announcement.js';
+import { controlCallsTotal } from '../metrics.js';
 import type { ControlCall, ProtocolAdapter } from '../ProtocolAdapter.js';
+import { CallTrace } from './CallTrace.js';
 import { encodeCommand, type CommandInit } from './commands.js';
 import type { LogFeed } from './LogFeed.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
@@ -30,6 +33,9 @@
 /** A member that has answered the leader within this time takes announcements of targets. */
 const MEMBER_CONTACT_MS = 1_000;
 
+/** Digits of the digest that stands for a document in the log. */
+const DIGEST_LENGTH = 8;
+
 const TOO_LARGE = JSON.stringify({ error: 'body too large' });
 
 const JSON_HEADERS = { 'content-type': 'application/json' };
@@ -109,8 +115,18 @@
     });
   }
 
-  /** Answers a call. A redirect keeps the request target, the path and query of the request. */
-  public respond(call: ControlCall, requestTarget: string, body: string): Promise<HTTPResponse> {
+  /** Answers a call and counts the answer. A redirect keeps the request target, the path and query of the request. */
+  public async respond(
+    call: ControlCall,
+    requestTarget: string,
+    body: string,
+  ): Promise<HTTPResponse> {
+    const res = await this.dispatch(call, requestTarget, body);
+    controlCallsTotal.inc({ kind: call.kind, status: res.status ?? 200 });
+    return res;
+  }
+
+  private dispatch(call: ControlCall, requestTarget: string, body: string): Promise<HTTPResponse> {
     switch (call.kind) {
       case 'announce':
         return this.announce(call.id, requestTarget, body);
@@ -184,28 +200,55 @@
     if (mark !== undefined && (mark.isGone || !isGone)) return jsonResponse(200, '{}');
     const start = born === 0 ? this.ctx.feed.announcements.bornOf(id) : born;
     const command: CommandInit = { kind: 'markLeaving', id, born: start, isGone, at: Date.now() };
-    return this.propose(command, requestTarget);
+    return this.propose('leave', command, requestTarget);
   }
 
+  /** Logs each call with the digest of the document, which tells calls with the same change on different VMs. */
   private async putPlan(requestTarget: string, document: string): Promise<HTTPResponse> {
+    const { clock, logger, stateMachine } = this.ctx;
+    const trace = new CallTrace(clock);
+    const res = await this.proposePlan(requestTarget, document, trace);
+    logger.info('change of the configuration answered', {
+      digest: createHash('sha256').update(document).digest('hex').slice(0, DIGEST_LENGTH),
+      bytes: document.length,
+      status: res.status,
+      location: res.headers.get('location') ?? '',
+      held: stateMachine.current?.plan.version ?? 0,
+      ...trace.fields(),
+    });
+    return res;
+  }
+
+  private async proposePlan(
+    requestTarget: string,
+    document: string,
+    trace: CallTrace,
+  ): Promise<HTTPResponse> {
     const { protocol, logger, stateMachine } = this.ctx;
     // Only the leader validates the document: validating a large one on every member would cost each as much CPU time.
-    const leader = await this.findLeader();
+    const leader = await trace.measure('leader', () => this.findLeader('putPlan'));
     if (!this.isSelf(leader)) return this.redirect(leader, requestTarget);
-    const parsed = protocol.parsePlan(document);
+    const parsed = await trace.measure('parse', () => protocol.parsePlan(document));
     if (parsed.kind === 'invalid') {
       logger.warn('configuration refused', { problems: parsed.problems.join('; ').slice(0, 500) });
       return errorResponse(400, parsed.problems.join('; '));
     }
     const { version } = parsed.plan;
-    const res = await this.propose({ kind: 'putPlan', document, plan: parsed.plan }, requestTarget);
+    const command: CommandInit = { kind: 'putPlan', document, plan: parsed.plan };
+    const res = await trace.measure('commit', () =>
+      this.propose('putPlan', command, requestTarget),
+    );
     const currentVersion = stateMachine.current?.plan.version ?? 0;
     logger.info('configuration received', { version, status: res.status, held: currentVersion });
     return res;
   }
 
-  private async propose(command: CommandInit, requestTarget: string): Promise<HTTPResponse> {
-    const leader = await this.findLeader();
+  private async propose(
+    kind: ControlCall['kind'],
+    command: CommandInit,
+    requestTarget: string,
+  ): Promise<HTTPResponse> {
+    const leader = await this.findLeader(kind);
     if (!this.isSelf(leader)) return this.redirect(leader, requestTarget);
     const outcome: ProposeOutcome = await this.ctx.log.propose(encodeCommand(command));
     if (outcome.kind === 'committed') return jsonResponse(200, '{}');
@@ -214,7 +257,7 @@
   }
 
   private async getPlan(requestTarget: string): Promise<HTTPResponse> {
-    const leader = await this.findLeader();
+    const leader = await this.findLeader('getPlan');
     if (!this.isSelf(leader)) return this.redirect(leader, requestTarget);
     const read = await this.ctx.log.confirmRead();
     if (read.kind === 'notLeader') return this.redirect(read.leader, requestTarget);
@@ -228,7 +271,7 @@
    * Waits for a leader that answers this VM. If there is none in time, returns the one whose heartbeats still arrive: its
    * answers are late when a majority is slow, which does not keep it from committing. Undefined without any.
    */
-  private async findLeader(): Promise<Member | undefined> {
+  private async findLeader(call: ControlCall['kind']): Promise<Member | undefined> {
     const { clock, confirmation, log, logger } = this.ctx;
     const startedAt = clock.now();
     let leader = confirmation.reachableLeader();
@@ -238,7 +281,7 @@
     }
     const waitedMs = Math.round(clock.now() - startedAt);
     if (waitedMs >= LEADER_CHECK_MS) {
-      logger.info('a call waited for a leader', { waitedMs, leader: leader?.vm ?? '' });
+      logger.info('a call waited for a leader', { call, waitedMs, leader: leader?.vm ?? '' });
     }
     return leader ?? log.status().leader;
   }
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -31,6 +31,7 @@
 import { DirectoryListener } from './DirectoryListener.js';
 import { HubDirectory } from './HubDirectory.js';
 import { LogFeed } from './LogFeed.js';
+import { MeteredTransport } from './MeteredTransport.js';
 import { registerLogService, type LogServiceParts } from './log-routes.js';
 import { CommitHistory } from './CommitHistory.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
@@ -71,6 +72,8 @@
     outgoingAddress: undefined,
   });
 
+  private transport: MeteredTransport | undefined;
+
   private log: ReplicatedLog | undefined;
 
   private confirmation: StateConfirmation | undefined;
@@ -153,6 +156,7 @@
     this.confirmation?.dispose();
     this.feed?.dispose();
     await this.log?.close();
+    this.transport?.dispose();
     this.channels.dispose();
     this.listener?.close();
     await this.server?.close();
@@ -170,12 +174,18 @@
       address: consensusAddress(settings, ip),
       incarnation: '',
     }));
+    const transport = new MeteredTransport(
+      new ConnectConsensusTransport(this.channels),
+      this.logger,
+      this.clock,
+    );
+    this.transport = transport;
     const open = (): Promise<ReplicatedLog> =>
       openReplicatedLog({
         vm: settings.ip,
         address: consensusAddress(settings, settings.ip),
         storage: new FileLogStorage(dataFolder),
-        transport: new ConnectConsensusTransport(this.channels),
+        transport,
         stateMachine,
         bootstrap: isFounder ? founders : undefined,
         clock: this.clock,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -80,6 +80,35 @@
   registers: [registry],
 });
 
+export const controlCallsTotal = new Counter({
+  name: 'marigoldbank_control_calls_total',
+  help: 'Calls of operators and targets to a control VM, by kind and status',
+  labelNames: ['kind', 'status'] as const,
+  registers: [registry],
+});
+
+export const controlCallPartSeconds = new Histogram({
+  name: 'marigoldbank_control_call_part_duration_seconds',
+  help: 'Time that calls of operators and targets take at a control VM, by part: leader, parse, commit',
+  labelNames: ['part'] as const,
+  buckets: DURATION_BUCKETS_S,
+  registers: [registry],
+});
+
+export const consensusCallsTotal = new Counter({
+  name: 'marigoldbank_consensus_calls_total',
+  help: 'Messages to other members of the replicated log by kind, member and outcome',
+  labelNames: ['kind', 'member', 'outcome'] as const,
+  registers: [registry],
+});
+
+export const openConsensusCalls = new Gauge({
+  name: 'marigoldbank_consensus_calls_open',
+  help: 'Messages to other members of the replicated log without an answer yet',
+  labelNames: ['member'] as const,
+  registers: [registry],
+});
+
 /** Answers every request with the metrics as text. */
 export function metricsHandler(): (req: IncomingMessage, res: ServerResponse) => void {
   return (_req, res) => {
