Test: no acknowledgement of changes while the leader is saturated

The turns of the leader's event loop take up to 220 ms, so that a call of an operator takes 1.1 s there and a message between log processes one turn.

--- a/packages/gateway/src/testing/FakeControlGroup.ts
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -31,6 +31,9 @@
 
 const CONTROL_PORT = 8_080;
 
+/** Turns of the event loop that a call on a new connection takes: accept, head, body, answer, and a task between two of them. */
+const CALL_TURNS = 5;
+
 const WAIT_LIMIT_MS = 20_000;
 
 const adapter = new VersionAdapter();
@@ -183,6 +186,34 @@
     this.network.thaw(logAddress(vm.ip));
   }
 
+  /**
+   * Lets each turn of the event loop of a log process take `turnMs`, as on a VM without processor time left. Messages on open
+   * connections wait for the next turn, calls of operators for several.
+   */
+  public saturate(vm: FakeControlVm, turnMs: number): void {
+    const { clock, network, random } = this;
+    network.setReceiver(logAddress(vm.ip), (_from, handle) => {
+      clock.setTimeout(handle, random.float() * turnMs);
+    });
+    network.setReceiver(vm.address, (_from, handle) => {
+      clock.setTimeout(handle, CALL_TURNS * turnMs);
+    });
+  }
+
+  /** Drops all messages between the log processes of two groups of VMs, until `healCut`. */
+  public cut(side: readonly FakeControlVm[], other: readonly FakeControlVm[]): void {
+    side.forEach((a) => {
+      other.forEach((b) => {
+        this.network.block(logAddress(a.ip), logAddress(b.ip));
+        this.network.block(logAddress(b.ip), logAddress(a.ip));
+      });
+    });
+  }
+
+  public healCut(): void {
+    this.network.unblockAll();
+  }
+
   /** Keeps the process of each VM busy for a random part of the time, up to `maxBusyMs` at once. */
   public keepBusy(maxBusyMs: number, maxFreeMs: number): void {
     const occupy = (vm: FakeControlVm): void => {
