Any member acknowledges a change, and pursues one that it has received

Cause: only the leader acknowledged, and only on a call that it answered within the second that a caller waits. All other members redirected the caller to it, after up to 850 ms if it had not confirmed its leadership within 350 ms, and forgot the change. A leader without processor time answers later than that; members that had applied the change long ago sent callers there.

Ruled out as the cause: the parts of a change, of which validation took 2 to 26 ms.

Change: the member that is called validates the change and submits it (CommandSubmitter). It is acknowledged as soon as it is committed here, or if it is in effect already. A member that does not lead forwards it to the leader over the log service, whose answer is not needed, sends it to the next leader, and goes on for 4 s after its caller has left. Notices of targets that leave take the same way, many in one call. 503 still says that a change was sent to no leader and will not run; a change without an outcome is answered 504. The leader appends what several members forward once.

--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -6,12 +6,13 @@
 import { ByteCollector } from '@marigoldbank/daemon/entry/ByteCollector';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
-import type { IReplicatedLog, Member, ProposeOutcome } from '@marigoldbank/replicated-log';
+import type { IReplicatedLog, Member } from '@marigoldbank/replicated-log';
 import { isUsable } from '../announcement.js';
 import { controlCallsTotal } from '../metrics.js';
 import type { ControlCall, ProtocolAdapter } from '../ProtocolAdapter.js';
 import { CallTrace } from './CallTrace.js';
-import { encodeCommand, type CommandInit } from './commands.js';
+import type { CommandInit } from './commands.js';
+import type { CommandSubmitter } from './CommandSubmitter.js';
 import type { LogFeed } from './LogFeed.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import type { StateConfirmation } from './StateConfirmation.js';
@@ -23,10 +24,11 @@
 const MAX_BODY_BYTES = 33_554_432;
 
 /**
- * Time for which a call waits for a leader that answers, during an election or while the leader may be frozen. Callers
- * give up after a second; one that is redirected to a frozen leader loses that second. An election takes about as long.
+ * Time for which a read waits for a leader that answers, and a change for its commit, during an election or while the leader
+ * may be frozen. Callers give up after a second; one that is redirected to a frozen leader loses that second. An election takes
+ * about as long.
  */
-const LEADER_WAIT_MS = 850;
+const WAIT_MS = 850;
 
 const LEADER_CHECK_MS = 20;
 
@@ -44,7 +46,8 @@
   readonly clock: Clock;
   readonly protocol: ProtocolAdapter;
   readonly feed: Pick<LogFeed, 'announce' | 'announcements'>;
-  readonly log: Pick<IReplicatedLog, 'status' | 'propose' | 'confirmRead'>;
+  readonly log: Pick<IReplicatedLog, 'status' | 'confirmRead'>;
+  readonly submitter: Pick<CommandSubmitter, 'submit'>;
   readonly confirmation: Pick<StateConfirmation, 'reachableLeader'>;
   readonly stateMachine: PlanStateMachine;
   readonly logger: Logger;
@@ -200,60 +203,54 @@
     if (mark !== undefined && (mark.isGone || !isGone)) return jsonResponse(200, '{}');
     const start = born === 0 ? this.ctx.feed.announcements.bornOf(id) : born;
     const command: CommandInit = { kind: 'markLeaving', id, born: start, isGone, at: Date.now() };
-    return this.propose('leave', command, requestTarget);
+    return this.submit(command, requestTarget);
   }
 
   /** Logs each call with the digest of the document, which tells calls with the same change on different VMs. */
   private async putPlan(requestTarget: string, document: string): Promise<HTTPResponse> {
     const { clock, logger, stateMachine } = this.ctx;
     const trace = new CallTrace(clock);
-    const res = await this.proposePlan(requestTarget, document, trace);
+    const res = await this.submitPlan(requestTarget, document, trace);
     logger.info('change of the configuration answered', {
       digest: createHash('sha256').update(document).digest('hex').slice(0, DIGEST_LENGTH),
       bytes: document.length,
       status: res.status,
-      location: res.headers.get('location') ?? '',
       held: stateMachine.current?.plan.version ?? 0,
       ...trace.fields(),
     });
     return res;
   }
 
-  private async proposePlan(
+  /** Only the member that is called validates the document, and not the leader, which has the most to do. */
+  private async submitPlan(
     requestTarget: string,
     document: string,
     trace: CallTrace,
   ): Promise<HTTPResponse> {
     const { protocol, logger, stateMachine } = this.ctx;
-    // Only the leader validates the document: validating a large one on every member would cost each as much CPU time.
-    const leader = await trace.measure('leader', () => this.findLeader('putPlan'));
-    if (!this.isSelf(leader)) return this.redirect(leader, requestTarget);
+    if (stateMachine.current?.document === document) return jsonResponse(200, '{}');
     const parsed = await trace.measure('parse', () => protocol.parsePlan(document));
     if (parsed.kind === 'invalid') {
       logger.warn('configuration refused', { problems: parsed.problems.join('; ').slice(0, 500) });
       return errorResponse(400, parsed.problems.join('; '));
     }
-    const { version } = parsed.plan;
     const command: CommandInit = { kind: 'putPlan', document, plan: parsed.plan };
-    const res = await trace.measure('commit', () =>
-      this.propose('putPlan', command, requestTarget),
-    );
-    const currentVersion = stateMachine.current?.plan.version ?? 0;
-    logger.info('configuration received', { version, status: res.status, held: currentVersion });
-    return res;
+    return trace.measure('commit', () => this.submit(command, requestTarget));
   }
 
-  private async propose(
-    kind: ControlCall['kind'],
-    command: CommandInit,
-    requestTarget: string,
-  ): Promise<HTTPResponse> {
-    const leader = await this.findLeader(kind);
-    if (!this.isSelf(leader)) return this.redirect(leader, requestTarget);
-    const outcome: ProposeOutcome = await this.ctx.log.propose(encodeCommand(command));
-    if (outcome.kind === 'committed') return jsonResponse(200, '{}');
-    if (outcome.kind === 'notLeader') return this.redirect(outcome.leader, requestTarget);
-    return errorResponse(503, 'the outcome is not known');
+  /** Responds once the command is committed, by any leader. */
+  private async submit(command: CommandInit, requestTarget: string): Promise<HTTPResponse> {
+    const { submitter, log } = this.ctx;
+    switch (await submitter.submit(command, WAIT_MS)) {
+      case 'committed':
+        return jsonResponse(200, '{}');
+      case 'pending':
+        return errorResponse(504, 'the outcome is not known yet');
+      case 'unsupported':
+        return this.redirect(log.status().leader, requestTarget);
+      default:
+        return errorResponse(503, 'no leader is known');
+    }
   }
 
   private async getPlan(requestTarget: string): Promise<HTTPResponse> {
@@ -275,7 +272,7 @@
     const { clock, confirmation, log, logger } = this.ctx;
     const startedAt = clock.now();
     let leader = confirmation.reachableLeader();
-    while (leader === undefined && clock.now() - startedAt < LEADER_WAIT_MS) {
+    while (leader === undefined && clock.now() - startedAt < WAIT_MS) {
       await delay(clock, LEADER_CHECK_MS);
       leader = confirmation.reachableLeader();
     }
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -27,6 +27,7 @@
   portOf,
   type GatewaySettings,
 } from '../settings.js';
+import { CommandSubmitter } from './CommandSubmitter.js';
 import { ControlApi } from './ControlApi.js';
 import { DirectoryListener } from './DirectoryListener.js';
 import { HubDirectory } from './HubDirectory.js';
@@ -80,6 +81,8 @@
 
   private feed: LogFeed | undefined;
 
+  private submitter: CommandSubmitter | undefined;
+
   private voterManager: VoterManager | undefined;
 
   private api: ControlApi | undefined;
@@ -114,6 +117,8 @@
       seeds: () => this.seedAddresses(),
       clientOf,
     });
+    const submitter = new CommandSubmitter({ clock, log, stateMachine, logger, clientOf });
+    this.submitter = submitter;
     this.confirmation = confirmation;
     this.feed = feed;
     this.voterManager = voterManager;
@@ -126,7 +131,15 @@
       },
     });
     const history = new CommitHistory({ clock, stateMachine, confirmation, log });
-    await this.serveLog(log, { log, feed, directory, history, confirmation, voterManager });
+    await this.serveLog(log, {
+      log,
+      feed,
+      directory,
+      history,
+      confirmation,
+      submitter,
+      voterManager,
+    });
     this.listener = new DirectoryListener(directory, history, logger);
     await this.listener.listen(consensusAddress(settings, settings.ip));
     this.api = new ControlApi({
@@ -134,6 +147,7 @@
       protocol,
       feed,
       log,
+      submitter,
       confirmation,
       stateMachine,
       logger,
@@ -153,6 +167,7 @@
     this.api?.close();
     await Promise.all([delay(this.clock, FINISH_MS), this.voterManager?.leave()]);
     this.voterManager?.dispose();
+    this.submitter?.dispose();
     this.confirmation?.dispose();
     this.feed?.dispose();
     await this.log?.close();
--- a/packages/gateway/src/control/PlanStateMachine.ts
+++ b/packages/gateway/src/control/PlanStateMachine.ts
@@ -6,6 +6,7 @@
   commandSchema,
   stateSchema,
   type Command,
+  type CommandInit,
   type CommandResult,
   type LeavingMark,
 } from './commands.js';
@@ -63,6 +64,17 @@
     return isLaterIncarnation ? undefined : mark;
   }
 
+  /** Whether a command is applied or superseded, so that proposing it would change nothing. */
+  public isInEffect(command: CommandInit): boolean {
+    if (command.kind === 'putPlan') {
+      return this.committed !== undefined && command.plan.version <= this.committed.plan.version;
+    }
+    const mark = this.leavingMark(command.id, command.born);
+    if (mark === undefined) return false;
+    const isLater = command.born !== 0 && mark.born > command.born;
+    return isLater || mark.isGone || !command.isGone;
+  }
+
   public override apply(index: number, data: Uint8Array): Uint8Array {
     this.appliedIndex = index;
     const parsed = commandSchema.safeParse(JSON.parse(Buffer.from(data).toString()));
--- a/packages/gateway/src/control/commands.ts
+++ b/packages/gateway/src/control/commands.ts
@@ -1,4 +1,5 @@
 /** Schemas of the commands in the replicated log and of the snapshot of their state. */
+import { createHash } from 'node:crypto';
 import { z } from 'zod';
 import { planSchema, type RoutingPlan } from '@marigoldbank/routing/plan';
 
@@ -67,6 +68,16 @@
   return Buffer.from(JSON.stringify({ ...head, ...command }));
 }
 
+/** Names the effect of a command: the same for one that is sent again later, when its time differs. */
+export function commandKey(command: CommandInit): string {
+  if (command.kind === 'markLeaving') {
+    const { id, born, isGone } = command;
+    return JSON.stringify(['leaving', id, born, isGone]);
+  }
+  const digest = createHash('sha256').update(command.document).digest('base64');
+  return JSON.stringify(['plan', command.plan.version, digest]);
+}
+
 const PLAN_HEAD = /^\{"kind":"putPlan","version":(\d+),/;
 const PLAN_HEAD_BYTES = 64;
 
--- a/packages/gateway/src/control/log-routes.ts
+++ b/packages/gateway/src/control/log-routes.ts
@@ -4,6 +4,7 @@
 import type { IReplicatedLog } from '@marigoldbank/replicated-log';
 import type { HubDirectory } from './HubDirectory.js';
 import type { LogFeed } from './LogFeed.js';
+import type { CommandSubmitter } from './CommandSubmitter.js';
 import type { CommitHistory } from './CommitHistory.js';
 import type { StateConfirmation } from './StateConfirmation.js';
 import type { VoterManager } from './VoterManager.js';
@@ -15,12 +16,13 @@
   readonly directory: Pick<HubDirectory, 'setHubs'>;
   readonly history: Pick<CommitHistory, 'updateFrom'>;
   readonly confirmation: Pick<StateConfirmation, 'confirmLeadership'>;
+  readonly submitter: Pick<CommandSubmitter, 'accept'>;
   readonly voterManager: Pick<VoterManager, 'admit' | 'release'>;
 }
 
 /** Registers the service with a router. */
 export function registerLogService(router: ConnectRouter, parts: LogServiceParts): void {
-  const { log, feed, directory, history, confirmation, voterManager } = parts;
+  const { log, feed, directory, history, confirmation, submitter, voterManager } = parts;
   router.service(LogService, {
     watch: (req) => {
       directory.setHubs(req.hubs);
@@ -32,6 +34,8 @@
       return index === undefined ? { isLeader: false } : { isLeader: true, index: BigInt(index) };
     },
 
+    submit: async ({ commands }) => ({ isCommitted: await submitter.accept(commands) }),
+
     fetchPlan: ({ heldPlan, isStored }) => history.updateFrom(Number(heldPlan), isStored) ?? {},
 
     join: async (req) => {
--- a/packages/gateway/src/control/state.test.ts
+++ b/packages/gateway/src/control/state.test.ts
@@ -46,6 +46,23 @@
     expect(machine.leavingMark('i-1', 60)?.isGone).toEqual(false);
   });
 
+  // A command that counts as in effect is acknowledged, one that does not is proposed again and again.
+  it('knows which commands would change nothing', () => {
+    const machine = new PlanStateMachine();
+    const isPlanInEffect = (version: number): boolean =>
+      machine.isInEffect({ kind: 'putPlan', document: '', plan: makeEmptyPlan(version) });
+    const isMarkInEffect = (born: number, isGone: boolean): boolean =>
+      machine.isInEffect({ kind: 'markLeaving', id: 'i-1', born, isGone, at: 0 });
+    expect([isPlanInEffect(1), isMarkInEffect(50, false)]).toEqual([false, false]);
+    putPlan(machine, 7, 'seven');
+    expect([6, 7, 8].map(isPlanInEffect)).toEqual([true, true, false]);
+    markLeaving(machine, 50, false);
+    expect([isMarkInEffect(50, false), isMarkInEffect(50, true)]).toEqual([true, false]);
+    expect([isMarkInEffect(40, true), isMarkInEffect(60, false)]).toEqual([true, false]);
+    markLeaving(machine, 50, true);
+    expect(isMarkInEffect(50, true)).toEqual(true);
+  });
+
   it('skips commands that it cannot parse', () => {
     const machine = new PlanStateMachine();
     const command = Buffer.from(JSON.stringify({ kind: 'later' }));
--- a/packages/gateway/src/testing/FakeControlGroup.ts
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -14,6 +14,11 @@
   ProcessClock,
 } from '@marigoldbank/replicated-log/testing';
 import { AnnouncementFeed } from '../control/AnnouncementFeed.js';
+import {
+  CommandSubmitter,
+  type CommandSubmitterContext,
+  type ForwardedCommand,
+} from '../control/CommandSubmitter.js';
 import { ControlApi } from '../control/ControlApi.js';
 import { TUNING } from '../control/ControlProcess.js';
 import { waitForFirstLeader } from '../control/waitForFirstLeader.js';
@@ -38,7 +43,11 @@
 
 const adapter = new VersionAdapter();
 
-type ClientOf = ConfirmationContext['clientOf'];
+type ClientOf = ConfirmationContext['clientOf'] & CommandSubmitterContext['clientOf'];
+
+interface CallOptions {
+  readonly timeoutMs: number;
+}
 
 /** What a control VM does when its power returns, in ms of a whole core, and the core that it has. */
 export interface StartCosts {
@@ -68,6 +77,7 @@
   readonly log: ReplicatedLog;
   readonly stateMachine: PlanStateMachine;
   readonly confirmation: StateConfirmation;
+  readonly submitter: CommandSubmitter;
   readonly api: ControlApi;
 }
 
@@ -124,10 +134,11 @@
 
   /** Ends the processes of all VMs at the same moment. Their disks keep what was synced. */
   public cutPower(): void {
-    this.vms.forEach(({ ip, address, clock, storage, confirmation }) => {
+    this.vms.forEach(({ ip, address, clock, storage, confirmation, submitter }) => {
       clock.stop();
       storage.crash();
       confirmation.dispose();
+      submitter.dispose();
       this.network.detach(address);
       this.network.detach(logAddress(ip));
     });
@@ -309,33 +320,53 @@
     });
     network.attach(logAddress(ip), log);
     network.attach(address, log);
-    const confirmation = new StateConfirmation({ clock, log, logger, clientOf: this.clientOf(ip) });
+    const clientOf = this.clientOf(ip);
+    const confirmation = new StateConfirmation({ clock, log, logger, clientOf });
+    const submitter = new CommandSubmitter({ clock, log, stateMachine, logger, clientOf });
     const api = new ControlApi({
       clock,
       protocol: adapter,
       feed: { announce: () => undefined, announcements: new AnnouncementFeed() },
       log,
+      submitter,
       confirmation,
       stateMachine,
       logger,
       controlPort: CONTROL_PORT,
     });
-    return { ip, address, clock, disk, storage, log, stateMachine, confirmation, api };
+    return { ip, address, clock, disk, storage, log, stateMachine, confirmation, submitter, api };
   }
 
   /** Clients of the log service with which a VM reaches the others. */
   private clientOf(from: string): ClientOf {
-    const confirm = async (to: string, timeoutMs: number): Promise<object> => {
-      const vm = this.vms.find(({ ip }) => logAddress(ip) === to)!;
+    const call = <T>(
+      to: string,
+      timeoutMs: number,
+      handle: (vm: FakeControlVm) => Promise<T>,
+    ): Promise<T> => {
       const self = this.vms.find(({ ip }) => ip === from)!;
       const answer = this.network.call(logAddress(from), to, () =>
-        vm.confirmation.confirmLeadership(),
+        handle(this.vms.find(({ ip }) => logAddress(ip) === to)!),
       );
-      const index = await withTimeout(self.clock, answer, timeoutMs);
+      return withTimeout(self.clock, answer, timeoutMs);
+    };
+    const confirm = async (to: string, timeoutMs: number): Promise<object> => {
+      const index = await call(to, timeoutMs, (vm) => vm.confirmation.confirmLeadership());
       return index === undefined ? { isLeader: false } : { isLeader: true, index: BigInt(index) };
     };
+    const submit = async (
+      to: string,
+      commands: readonly ForwardedCommand[],
+      timeoutMs: number,
+    ): Promise<object> => ({
+      isCommitted: await call(to, timeoutMs, (vm) => vm.submitter.accept(commands)),
+    });
     return ((to: string) => ({
-      confirm: (_req: object, { timeoutMs }: { timeoutMs: number }) => confirm(to, timeoutMs),
+      confirm: (_req: object, { timeoutMs }: CallOptions) => confirm(to, timeoutMs),
+      submit: (
+        { commands }: { commands: readonly ForwardedCommand[] },
+        { timeoutMs }: CallOptions,
+      ) => submit(to, commands, timeoutMs),
     })) as unknown as ClientOf;
   }
 }
