Any control VM answers a read of the configuration

Callers saw: with a leader whose event loop is saturated, a read of the configuration is not answered at any control VM, since all of them redirect it to the leader, which answers later than a caller waits.

A member answers once a leader has confirmed its state after the call arrived: it asks every 200 ms anyway, and the answer is dated by when it was asked, so that the read contains all that was acknowledged before it. Without a confirmation in 850 ms it redirects the caller as before.

reachableLeader, by which calls were redirected, has no caller left and goes with its test.

--- a/packages/gateway/src/control/CallTrace.ts
+++ b/packages/gateway/src/control/CallTrace.ts
@@ -4,8 +4,8 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** `leader`: wait for a leader that answers; `parse`: validation; `commit`: from the proposal until it is applied. */
-export type CallPart = 'leader' | 'parse' | 'commit';
+/** `parse`: validation; `commit`: until the change is applied; `confirm`: until the state is confirmed for a read. */
+export type CallPart = 'parse' | 'commit' | 'confirm';
 
 export class CallTrace {
   private readonly startedAt: number;
@@ -33,7 +33,7 @@
     }
   }
 
-  /** Fields for a log line: `leaderMs`, `parseMs` and `commitMs`, as far as there were such parts, and `tookMs`. */
+  /** Fields for a log line: `parseMs`, `commitMs` and `confirmMs`, as far as there were such parts, and `tookMs`. */
   public fields(): Record<string, number> {
     const parts = [...this.durations].map(([part, ms]) => [`${part}Ms`, Math.round(ms)] as const);
     return { ...Object.fromEntries(parts), tookMs: this.tookMs };
--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -24,13 +24,13 @@
 const MAX_BODY_BYTES = 33_554_432;
 
 /**
- * Time for which a read waits for a leader that answers, and a change for its commit, during an election or while the leader
- * may be frozen. Callers give up after a second; one that is redirected to a frozen leader loses that second. An election takes
- * about as long.
+ * Time for which a read waits for the confirmation of the state, and a change for its commit, also during an election or while
+ * the leader may be frozen. Callers give up after a second; one that is redirected to a frozen leader loses that second. An
+ * election takes about as long.
  */
 const WAIT_MS = 850;
 
-const LEADER_CHECK_MS = 20;
+const CHECK_MS = 20;
 
 /** A member that has answered the leader within this time takes announcements of targets. */
 const MEMBER_CONTACT_MS = 1_000;
@@ -48,7 +48,7 @@
   readonly feed: Pick<LogFeed, 'announce' | 'announcements'>;
   readonly log: Pick<IReplicatedLog, 'status' | 'confirmRead'>;
   readonly submitter: Pick<CommandSubmitter, 'submit'>;
-  readonly confirmation: Pick<StateConfirmation, 'reachableLeader'>;
+  readonly confirmation: Pick<StateConfirmation, 'confirmedAgeMs'>;
   readonly stateMachine: PlanStateMachine;
   readonly logger: Logger;
   /** Port on which every control VM serves operators. */
@@ -253,34 +253,39 @@
     }
   }
 
+  /**
+   * Any member answers a read once a leader has confirmed its state after the call. One that gets no confirmation in time
+   * sends the caller to the leader, if its heartbeats still arrive.
+   */
   private async getPlan(requestTarget: string): Promise<HTTPResponse> {
-    const leader = await this.findLeader('getPlan');
-    if (!this.isSelf(leader)) return this.redirect(leader, requestTarget);
-    const read = await this.ctx.log.confirmRead();
-    if (read.kind === 'notLeader') return this.redirect(read.leader, requestTarget);
-    const committed = this.ctx.stateMachine.current;
+    const { clock, log, stateMachine } = this.ctx;
+    const trace = new CallTrace(clock);
+    const isConfirmed = await trace.measure('confirm', () => this.confirmState(clock.now()));
+    const { leader } = log.status();
+    if (!isConfirmed) {
+      const { tookMs } = trace;
+      this.ctx.logger.info('a read was not confirmed', { tookMs, leader: leader?.vm ?? '' });
+      return this.redirect(this.isSelf(leader) ? undefined : leader, requestTarget);
+    }
+    const committed = stateMachine.current;
     return committed === undefined
       ? errorResponse(503, 'no configuration yet')
       : jsonResponse(200, committed.document);
   }
 
-  /**
-   * Waits for a leader that answers this VM. If there is none in time, returns the one whose heartbeats still arrive: its
-   * answers are late when a majority is slow, which does not keep it from committing. Undefined without any.
-   */
-  private async findLeader(call: ControlCall['kind']): Promise<Member | undefined> {
-    const { clock, confirmation, log, logger } = this.ctx;
-    const startedAt = clock.now();
-    let leader = confirmation.reachableLeader();
-    while (leader === undefined && clock.now() - startedAt < WAIT_MS) {
-      await delay(clock, LEADER_CHECK_MS);
-      leader = confirmation.reachableLeader();
+  /** Whether the state of this member contains everything that was committed by `since`. Waits for up to `WAIT_MS`. */
+  private async confirmState(since: number): Promise<boolean> {
+    const { clock, confirmation, log } = this.ctx;
+    const elapsedMs = (): number => clock.now() - since;
+    // As leader this member is confirmed at once, by messages of its own.
+    if (log.status().role === 'leader') {
+      const read = await log.confirmRead();
+      if (read.kind === 'confirmed') return true;
     }
-    const waitedMs = Math.round(clock.now() - startedAt);
-    if (waitedMs >= LEADER_CHECK_MS) {
-      logger.info('a call waited for a leader', { call, waitedMs, leader: leader?.vm ?? '' });
+    while (confirmation.confirmedAgeMs() > elapsedMs() && elapsedMs() < WAIT_MS) {
+      await delay(clock, CHECK_MS);
     }
-    return leader ?? log.status().leader;
+    return confirmation.confirmedAgeMs() <= elapsedMs();
   }
 
   private isSelf(leader: Member | undefined): boolean {
--- a/packages/gateway/src/control/StateConfirmation.ts
+++ b/packages/gateway/src/control/StateConfirmation.ts
@@ -28,12 +28,6 @@
 const MAX_UNANSWERED = 2;
 const ASK_TIMEOUT_MS = 1_000;
 
-/**
- * A leader that has confirmed nothing to this VM for longer may be frozen or cut off. Less than the shortest election
- * timeout: later there is another leader, and more than the interval of confirmations.
- */
-const LEADER_TIMEOUT_MS = 350;
-
 export interface ConfirmationContext {
   readonly clock: Clock;
   readonly log: Pick<IReplicatedLog, 'status' | 'confirmedState' | 'confirmReadByHeartbeat'>;
@@ -44,9 +38,6 @@
 export class StateConfirmation extends DisposableStore {
   private readonly tracker = new ConfirmationTracker();
 
-  /** VM of the leader that confirmed last. */
-  private confirmedBy: string | undefined;
-
   private readonly confirmEmitter = new Emitter<void>();
 
   /** Fires when a leader has confirmed the state of this VM. */
@@ -76,14 +67,6 @@
     return this.tracker.arrivalAgeMs(this.ctx.clock.now());
   }
 
-  /** The leader, if it is this VM or has confirmed its leadership to it recently. */
-  public reachableLeader(): Member | undefined {
-    const { role, leader, self } = this.ctx.log.status();
-    if (role === 'leader') return self;
-    const isRecent = this.confirmedBy === leader?.vm && this.leaderAgeMs() < LEADER_TIMEOUT_MS;
-    return isRecent ? leader : undefined;
-  }
-
   /** Last committed index if this VM leads, confirmed by answers to messages that it sends after the call. */
   public async confirmLeadership(): Promise<number | undefined> {
     const read = await this.ctx.log.confirmReadByHeartbeat();
@@ -93,10 +76,10 @@
   /** Takes new commits and, as leader, the answers of the voters into account. */
   private update(): void {
     const { log } = this.ctx;
-    const { commitIndex, self } = log.status();
+    const { commitIndex } = log.status();
     const confirmed = log.confirmedState();
     if (confirmed === undefined) this.tracker.advance(commitIndex);
-    else this.record(self.vm, confirmed.index, confirmed.at, confirmed.at);
+    else this.record(confirmed.index, confirmed.at, confirmed.at);
   }
 
   private tick(): void {
@@ -143,12 +126,11 @@
     const client = this.ctx.clientOf(leader.address);
     const res = await client.confirm({}, { timeoutMs: ASK_TIMEOUT_MS });
     if (!res.isLeader || res.index === undefined) return;
-    this.record(leader.vm, Number(res.index), askedAt, this.ctx.clock.now());
+    this.record(Number(res.index), askedAt, this.ctx.clock.now());
     this.confirmEmitter.fire();
   }
 
-  private record(vm: string, index: number, at: number, arrivedAt: number): void {
+  private record(index: number, at: number, arrivedAt: number): void {
     this.tracker.record(index, at, this.ctx.log.status().commitIndex, arrivedAt);
-    this.confirmedBy = vm;
   }
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -89,7 +89,7 @@
 
 export const controlCallPartSeconds = new Histogram({
   name: 'marigoldbank_control_call_part_duration_seconds',
-  help: 'Time that calls of operators and targets take at a control VM, by part: leader, parse, commit',
+  help: 'Time that calls of operators and targets take at a control VM, by part: parse, commit, confirm',
   labelNames: ['part'] as const,
   buckets: DURATION_BUCKETS_S,
   registers: [registry],
