A leader that reads answers late goes on leading

Cause: a leader stepped down unless a majority had answered messages that it had sent within the last 0.7 s. If its messages wait that long for its event loop, all answers are older when it reads them, although its followers answer each heartbeat and hear it.

Change: for stepping down it counts when answers were read. A leader that is cut off reads none and steps down as before; confirmations and reads still count from when a message was sent, and changes of the membership still need recent answers.

late-logs.test.ts: with answers that wait up to 1.4 s, 4 of 4 leaders of 7 VMs and 2 of 4 of 11 VMs were deposed within 10 s before, none now; one that is cut off steps down in time before and now. power-loss.test.ts is unchanged by it: there a leader reads no answer at all in its first 0.7 s.

--- a/packages/gateway/src/control/late-logs.test.ts
+++ b/packages/gateway/src/control/late-logs.test.ts
@@ -55,3 +55,34 @@
     expect(await findLateOrders(400)).toEqual([]);
   });
 });
+
+// A leader stepped down although a majority answered all of its heartbeats, since it read the answers late. Its successor has as
+// much to do after a loss of power of all control VMs, so that no change was acknowledged for seconds.
+describe('a leader that reads the answers of the others late', () => {
+  [7, 11].forEach((vms) => {
+    it(`goes on leading, at answers that wait up to 1.4 s: ${vms} VMs`, async () => {
+      const deposed: string[] = [];
+      await inTurn(SEEDS, async (seed) => {
+        const group = await FakeControlGroup.start(vms, seed);
+        const { leader } = group;
+        const { term } = leader.log.status();
+        group.saturate(leader, 1_400);
+        await group.advance(10_000);
+        const { role, term: laterTerm } = leader.log.status();
+        if (role !== 'leader' || laterTerm !== term) {
+          deposed.push(`seed ${seed}: term ${laterTerm}`);
+        }
+      });
+      expect(deposed).toEqual([]);
+    });
+  });
+
+  it('steps down when no majority answers any more', async () => {
+    const group = await FakeControlGroup.start(VMS, 1);
+    const { leader } = group;
+    group.saturate(leader, 300);
+    group.cut([leader], group.followers);
+    await group.advance(300 + 700 + 2 * 150);
+    expect(leader.log.status().role).toEqual('follower');
+  });
+});
--- a/packages/replicated-log/src/Leader.ts
+++ b/packages/replicated-log/src/Leader.ts
@@ -272,11 +272,26 @@
 
   private checkQuorum(): boolean {
     if (this.store.isDisposed) return false;
-    if (this.hasQuorumContact()) return true;
+    if (this.hasRecentAnswers()) return true;
     this.listener.stepDown();
     return false;
   }
 
+  /**
+   * Whether answers of a majority were read within the shortest election timeout. When they were sent does not matter: a leader
+   * without processor time reads them late, while its followers still hear it.
+   */
+  private hasRecentAnswers(): boolean {
+    const { state, clock, tuning } = this.ctx;
+    const now = clock.now();
+    const readAt = state.membership.voters.map((voter) =>
+      isSameMember(voter, state.self)
+        ? now
+        : Math.max(this.startedAt, this.replicatorOf(voter)?.lastContactAt ?? -Infinity),
+    );
+    return majorityValue(readAt) >= now - tuning.electionTimeoutMinMs;
+  }
+
   private contactOf(voter: Member, now: number, since: number): number {
     if (isSameMember(voter, this.ctx.state.self)) return now;
     return Math.max(since, this.replicatorOf(voter)?.answeredSentAt ?? -Infinity);
