--- a/packages/gateway/src/control/CommandSubmitter.ts
+++ b/packages/gateway/src/control/CommandSubmitter.ts
@@ -28,6 +28,9 @@
 /** A command counts as committed as soon as it is in effect here, so a later answer is not needed. */
 const CALL_TIMEOUT_MS = 1_000;
 
+/** Commits that take longer are logged. */
+const SLOW_COMMIT_MS = 250;
+
 /** A command is pursued for this long after the last call that asked for it. */
 const PURSUE_MS = 4_000;
 
@@ -106,8 +109,16 @@
    * lost its leadership meanwhile.
    */
   public async accept(commands: readonly ForwardedCommand[]): Promise<boolean> {
+    const { clock, logger } = this.ctx;
+    const startedAt = clock.now();
     const outcomes = await Promise.all(commands.map((command) => this.propose(command)));
-    return outcomes.every(Boolean);
+    const isCommitted = outcomes.every(Boolean);
+    const tookMs = Math.round(clock.now() - startedAt);
+    // A slow commit delays everything that waits for an acknowledgement.
+    if (tookMs >= SLOW_COMMIT_MS || !isCommitted) {
+      logger.info('commands were committed late', { count: commands.length, tookMs, isCommitted });
+    }
+    return isCommitted;
   }
 
   public override dispose(): void {
@@ -177,6 +188,7 @@
     const { clock, log, logger } = this.ctx;
     const { called } = this;
     const sentAt = clock.now();
+    const count = due.length;
     due.forEach((submission) => Object.assign(submission, { sentAt, sentTo: leader.vm }));
     called.open += 1;
     const isSelf = leader.vm === log.status().self.vm;
@@ -187,7 +199,9 @@
         else this.retrySoon(due);
       })
       .catch((err: unknown) => {
-        logger.debug('commands were not forwarded', { leader: leader.vm, error: String(err) });
+        const tookMs = Math.round(clock.now() - sentAt);
+        const error = String(err);
+        logger.info('commands were not forwarded', { leader: leader.vm, count, tookMs, error });
         if (err instanceof ConnectError && err.code === Code.Unimplemented) {
           due.forEach((submission) => this.settle(submission, 'unsupported'));
         } else this.retrySoon(due);
