A forwarded change does not wait for the answers to earlier calls

A member that does not lead had at most two calls open to the leader, each until its commands were committed, a second at a saturated leader. A change waited for one of them behind notices of targets that leave.

Change: beyond two open calls another one is sent every 150 ms, with all commands that wait.

CommandSubmitter.test.ts: of four commands the leader had two after 200 ms before, all four now.

--- a/packages/gateway/src/control/CommandSubmitter.test.ts
+++ b/packages/gateway/src/control/CommandSubmitter.test.ts
@@ -3,8 +3,8 @@
 import { expect } from 'earl';
 import { FakeControlGroup, type FakeControlVm } from '../testing/FakeControlGroup.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
-import { encodeCommand, type CommandInit } from './commands.js';
-import type { SubmitOutcome } from './CommandSubmitter.js';
+import { commandKey, encodeCommand, type CommandInit } from './commands.js';
+import type { ForwardedCommand, SubmitOutcome } from './CommandSubmitter.js';
 
 const VMS = 5;
 
@@ -125,6 +125,27 @@
     expect(calls).toBeLessThan(6);
   });
 
+  // A change waited for a second behind notices of targets, whose calls a busy leader had not answered.
+  it('does not let a command wait for the answers to earlier calls', async () => {
+    const group = await FakeControlGroup.start(VMS, 9);
+    const [follower] = group.followers;
+    const { leader } = group;
+    const received: string[] = [];
+    Object.assign(leader.submitter, {
+      accept: (commands: readonly ForwardedCommand[]) => {
+        received.push(...commands.map(({ key }) => key));
+        return new Promise(() => {});
+      },
+    });
+    const commands = [leaving(1), plan(1), plan(2), plan(3)];
+    const outcomes = Promise.all(
+      commands.map((command) => follower!.submitter.submit(command, WAIT_MS)),
+    );
+    await group.advance(200);
+    expect(received).toEqual(commands.map(commandKey));
+    expect(await group.settle(outcomes)).toEqual(commands.map(() => 'pending'));
+  });
+
   it('says so if the leader takes no commands from other members', async () => {
     const group = await FakeControlGroup.start(VMS, 8);
     Object.assign(group.leader.submitter, {
--- a/packages/gateway/src/control/CommandSubmitter.ts
+++ b/packages/gateway/src/control/CommandSubmitter.ts
@@ -22,8 +22,12 @@
 /** The same after an answer without the commit or a failure: the member may have lost its leadership a moment ago. */
 const RETRY_MS = 100;
 
-/** Calls to one leader at a time. Further commands wait and share the next call. */
+/**
+ * Calls to one leader at a time. Further commands wait and share the next call, for 150 ms at most: a leader without processor
+ * time answers a call only after a second.
+ */
 const MAX_CALLS = 2;
+const NEXT_CALL_MS = 150;
 
 /** A command counts as committed as soon as it is in effect here, so a later answer is not needed. */
 const CALL_TIMEOUT_MS = 1_000;
@@ -73,8 +77,8 @@
   /** Proposals of this member as leader that are not applied yet, by key. */
   private readonly proposals = new Map<string, Promise<boolean>>();
 
-  /** Leader that was called last, and the calls to it without an answer. */
-  private called = { vm: '', open: 0 };
+  /** Leader that was called last, when, and the calls to it without an answer. */
+  private called = { vm: '', at: -Infinity, open: 0 };
 
   private timer: IDisposable | undefined;
 
@@ -177,11 +181,12 @@
     this.timer = clock.setTimeout(() => this.check(), CHECK_MS);
     const { leader } = log.status();
     if (leader === undefined) return;
-    if (this.called.vm !== leader.vm) this.called = { vm: leader.vm, open: 0 };
+    if (this.called.vm !== leader.vm) this.called = { vm: leader.vm, at: -Infinity, open: 0 };
     const due = [...this.submissions.values()].filter(
       ({ sentTo, sentAt }) => sentTo !== leader.vm || now - sentAt >= RESEND_MS,
     );
-    if (due.length > 0 && this.called.open < MAX_CALLS) this.send(leader, due);
+    const isReady = this.called.open < MAX_CALLS || now - this.called.at >= NEXT_CALL_MS;
+    if (due.length > 0 && isReady) this.send(leader, due);
   }
 
   private send(leader: Member, due: readonly Submission[]): void {
@@ -190,6 +195,7 @@
     const sentAt = clock.now();
     const count = due.length;
     due.forEach((submission) => Object.assign(submission, { sentAt, sentTo: leader.vm }));
+    called.at = sentAt;
     called.open += 1;
     const isSelf = leader.vm === log.status().self.vm;
     const call = isSelf ? this.accept(due) : this.forward(leader, due);
