Commands are sent to the same leader again after a second

Sent again every half second, and given up after one, the calls of the members that have received a change keep a leader busy that answers late. The leader is asked at once if it was replaced, and after 0.1 s if it has answered without the commit.

--- a/packages/gateway/src/control/CommandSubmitter.ts
+++ b/packages/gateway/src/control/CommandSubmitter.ts
@@ -16,8 +16,11 @@
 /** Interval at which commands without an outcome are checked and sent again where that is due. */
 const CHECK_MS = 20;
 
-/** A command is sent to the same leader again after this time: the connection may have gone silent. */
-const RESEND_MS = 500;
+/**
+ * A command is sent to the same leader again after this time: the connection may have gone silent. Sooner would keep a leader
+ * busy that answers late.
+ */
+const RESEND_MS = 1_000;
 
 /** The same after an answer without the commit or a failure: the member may have lost its leadership a moment ago. */
 const RETRY_MS = 100;
@@ -30,7 +33,7 @@
 const NEXT_CALL_MS = 150;
 
 /** A command counts as committed as soon as it is in effect here, so a later answer is not needed. */
-const CALL_TIMEOUT_MS = 1_000;
+const CALL_TIMEOUT_MS = 2_000;
 
 /** Commits that take longer are logged. */
 const SLOW_COMMIT_MS = 250;
--- a/packages/gateway/src/control/power-loss.test.ts
+++ b/packages/gateway/src/control/power-loss.test.ts
@@ -1,7 +1,8 @@
 /** Control VMs that all lose power, in virtual time: log and hub start on the same VM, which has a share of a core. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { FakeControlGroup, type StartCosts } from '../testing/FakeControlGroup.js';
+import type { StartCosts } from '../testing/fake-control-parts.js';
+import { FakeControlGroup } from '../testing/FakeControlGroup.js';
 import { OperatorClient } from '../testing/OperatorClient.js';
 import { PUT_TARGET } from '../testing/VersionAdapter.js';
 
--- a/packages/gateway/src/testing/FakeControlGroup.ts
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -27,6 +27,12 @@
 import { ELECTION_WAIT_MS } from '../control/waitForLog.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
 import { StateConfirmation, type ConfirmationContext } from '../control/StateConfirmation.js';
+import {
+  datagramAddress,
+  internalAddresses,
+  logAddress,
+  type StartCosts,
+} from './fake-control-parts.js';
 import type { ControlReply } from './OperatorClient.js';
 import { TimedTransport, withTimeout } from './TimedTransport.js';
 import { VersionAdapter } from './VersionAdapter.js';
@@ -52,25 +58,6 @@
   readonly timeoutMs: number;
 }
 
-/** What a control VM does when its power returns, in ms of a whole core, and the core that it has. */
-export interface StartCosts {
-  /** Share of a core that the log process and the hub have together; half of it each while both are busy. */
-  readonly share: number;
-  /** Part of that which the log process spends on questions of entries and announcements of targets once it has started. */
-  readonly otherLoad: number;
-  /** Start of the log process, of the hub until it waits for that, and of the hub afterwards. */
-  readonly logMs: number;
-  readonly hubBaseMs: number;
-  readonly hubMs: number;
-  /** The first message from another process, which opens a connection and compiles what handles it. */
-  readonly firstMessageMs: number;
-  readonly messageMs: number;
-  readonly datagramMs: number;
-  readonly timerMs: number;
-  /** Longest sync of the disk. */
-  readonly syncMs: number;
-}
-
 export interface FakeControlVm {
   readonly ip: string;
   /** Address at which operators reach the VM. */
@@ -93,18 +80,6 @@
   readonly syncMs: number | undefined;
 }
 
-function logAddress(ip: string): string {
-  return `${ip}:7600`;
-}
-
-function datagramAddress(ip: string): string {
-  return `${logAddress(ip)}/udp`;
-}
-
-function internalAddresses(ip: string): string[] {
-  return [logAddress(ip), datagramAddress(ip)];
-}
-
 export class FakeControlGroup {
   public readonly clock = new VirtualClock();
 
--- /dev/null
+++ b/packages/gateway/src/testing/fake-control-parts.ts
@@ -0,0 +1,32 @@
+/** Costs and internal addresses of fake control VMs. */
+
+/** What a control VM does when its power returns, in ms of a whole core, and the core that it has. */
+export interface StartCosts {
+  /** Share of a core that the log process and the hub have together; half of it each while both are busy. */
+  readonly share: number;
+  /** Part of that which the log process spends on questions of entries and announcements of targets once it has started. */
+  readonly otherLoad: number;
+  /** Start of the log process, of the hub until it waits for that, and of the hub afterwards. */
+  readonly logMs: number;
+  readonly hubBaseMs: number;
+  readonly hubMs: number;
+  /** The first message from another process, which opens a connection and compiles what handles it. */
+  readonly firstMessageMs: number;
+  readonly messageMs: number;
+  readonly datagramMs: number;
+  readonly timerMs: number;
+  /** Longest sync of the disk. */
+  readonly syncMs: number;
+}
+
+export function logAddress(ip: string): string {
+  return `${ip}:7600`;
+}
+
+export function datagramAddress(ip: string): string {
+  return `${logAddress(ip)}/udp`;
+}
+
+export function internalAddresses(ip: string): string[] {
+  return [logAddress(ip), datagramAddress(ip)];
+}
