Answers to a former process are not taken for those of its successor

Datagrams were numbered from one in each process. A log process that restarts on the same port could take an answer to its predecessor for that to its own question, and a confirmation from before its restart for one of the present. Numbers now start at random.

HubDirectory.test.ts: the first questions of four processes have four numbers; they had one.

--- a/packages/gateway/src/control/HubDirectory.test.ts
+++ b/packages/gateway/src/control/HubDirectory.test.ts
@@ -1,10 +1,13 @@
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
 import { describe, it } from 'node:test';
+import { fromBinary } from '@bufbuild/protobuf';
 import { SystemClock } from '@marigoldbank/base/clock';
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
+import { ListHubsRequestSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import { expect } from 'earl';
 import { DirectoryClient } from '../sync/DirectoryClient.js';
 import type { HubCandidate } from '../sync/HubCandidate.js';
@@ -111,4 +114,26 @@
     client.dispose();
     listener.close();
   });
+
+  // A process that restarts may get the port of the former one, and the answers to its questions: an old confirmation would
+  // pass for one of the present state.
+  it('is asked with other ids by each process', async () => {
+    const server = createSocket('udp4');
+    const ids: number[] = [];
+    server.on('message', (bytes) => ids.push(fromBinary(ListHubsRequestSchema, bytes).id));
+    const address = await findUdpAddress();
+    const { host, port } = parseAddress(address);
+    await new Promise<void>((resolve) => {
+      server.bind(port, host, resolve);
+    });
+    const ask = async (): Promise<void> => {
+      const client = new DirectoryClient(new SystemClock(), new NullLogger());
+      await client.confirmLeadership(address, 100);
+      client.dispose();
+    };
+    await Promise.all(Array.from({ length: 4 }, ask));
+    server.close();
+    expect(ids.length).toEqual(4);
+    expect(new Set(ids).size).toEqual(4);
+  });
 });
--- a/packages/gateway/src/sync/DirectoryClient.ts
+++ b/packages/gateway/src/sync/DirectoryClient.ts
@@ -1,4 +1,5 @@
 /** Asks control VMs by datagrams which hubs there are, what is committed, and whether they lead. */
+import { randomInt } from 'node:crypto';
 import { createSocket, type Socket } from 'node:dgram';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type { Clock } from '@marigoldbank/base/clock';
@@ -15,6 +16,9 @@
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { HeldState } from './HeldState.js';
 
+/** Ids are unsigned 32-bit numbers. */
+const MAX_ID = 2 ** 32;
+
 /** Index that a leader confirms, as in the answer to the call `Confirm`. */
 export type LeadershipAnswer = Pick<ConfirmResponse, 'isLeader' | 'index'> | 'unsupported';
 
@@ -32,7 +36,8 @@
 
   private readonly waiting = new Map<number, (res: ListHubsResponse) => void>();
 
-  private lastId = 0;
+  /** Starts at random, so that a late answer to a former process at this port matches no question of this one. */
+  private lastId = randomInt(MAX_ID);
 
   private isDisposed = false;
 
@@ -91,7 +96,7 @@
     timeoutMs: number,
   ): Promise<ListHubsResponse | undefined> {
     if (this.isDisposed) return Promise.resolve(undefined);
-    this.lastId += 1;
+    this.lastId = (this.lastId + 1) % MAX_ID;
     const id = this.lastId;
     const req = { ...question, id };
     const { host, port } = parseAddress(address);
