A connection to each new leader is opened before a change needs it

Cause: the first call that each member forwards to the saturated leader after its start is not answered for 2 s (dc4-1, dc3-1 and dc1-2), later ones of the same members are in 0.1 to 0.5 s, and the leader commits its own calls in 0.14 s: a new connection to it takes seconds. Since confirmations are asked for by datagrams, no earlier call had opened it. That new connections wait in the queue of the leader is inferred from these times, no log shows it.

Change: each new leader is asked for its confirmation by a call as well, once.

--- a/packages/gateway/src/control/StateConfirmation.ts
+++ b/packages/gateway/src/control/StateConfirmation.ts
@@ -32,6 +32,9 @@
 const MAX_UNANSWERED = 2;
 const ASK_TIMEOUT_MS = 1_000;
 
+/** A connection to a leader without processor time may take seconds. */
+const CONNECT_TIMEOUT_MS = 10_000;
+
 export interface ConfirmationContext {
   readonly clock: Clock;
   readonly log: Pick<IReplicatedLog, 'status' | 'confirmedState' | 'confirmReadByHeartbeat'>;
@@ -94,7 +97,10 @@
     this.logChanges();
     const { role, leader } = this.ctx.log.status();
     if (!isDue || role === 'leader' || leader === undefined) return;
-    if (this.asked.vm !== leader.vm) this.asked = { vm: leader.vm, unanswered: 0 };
+    if (this.asked.vm !== leader.vm) {
+      this.asked = { vm: leader.vm, unanswered: 0 };
+      this.connect(leader);
+    }
     const { asked } = this;
     const isRepeated = asked.unanswered > 0;
     if (isRepeated && (asked.unanswered >= MAX_UNANSWERED || now - this.askedAt < REPEAT_MS)) {
@@ -111,6 +117,19 @@
       });
   }
 
+  /**
+   * Asks a new leader by a call as well, which opens the connection for later calls: changes that are forwarded would wait for it
+   * while the leader has much to do.
+   */
+  private connect({ vm, address }: Member): void {
+    this.ctx
+      .clientOf(address)
+      .confirm({}, { timeoutMs: CONNECT_TIMEOUT_MS })
+      .catch((err: unknown) => {
+        this.ctx.logger.info('no connection to the leader', { leader: vm, error: String(err) });
+      });
+  }
+
   /** Elections and changes of the voters explain calls without an answer, and hubs that are not confirmed. */
   private logChanges(): void {
     const { role, term, leader, membership } = this.ctx.log.status();
