Log what becomes of the questions of entries for the plan

An entry logged when it began to ask control VMs for the plan and when it knew, so that answers which come late, do not come, or do not suffice for a majority could not be told apart. Rounds that end without knowledge get a line, once a second at most, with the answers in time, late and missing, and the voters that count. Log processes count the datagrams that they answer and the time that it takes, in metrics and a line every 5 s. Datagrams that the socket drops are not counted anywhere; they are the difference of both sides.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -143,7 +143,7 @@
       submitter,
       voterManager,
     });
-    this.listener = new DirectoryListener({ directory, history, confirmation, logger });
+    this.listener = new DirectoryListener({ clock, directory, history, confirmation, logger });
     await this.listener.listen(consensusAddress(settings, settings.ip));
     this.api = new ControlApi({
       clock,
--- a/packages/gateway/src/control/HubDirectory.test.ts
+++ b/packages/gateway/src/control/HubDirectory.test.ts
@@ -101,7 +101,7 @@
     directory.setHubs(makeHubs(40));
     const history = { stateFor: () => undefined };
     const confirmation = { confirmLeadership: () => Promise.resolve(7) };
-    const listener = new DirectoryListener({ directory, history, confirmation, logger });
+    const listener = new DirectoryListener({ clock, directory, history, confirmation, logger });
     const [address, closed] = [await findUdpAddress(), await findUdpAddress()];
     await listener.listen(address);
     const client = new DirectoryClient(clock, logger);
--- a/packages/gateway/src/entry/MajorityRead.test.ts
+++ b/packages/gateway/src/entry/MajorityRead.test.ts
@@ -92,4 +92,14 @@
     VOTERS.forEach((from) => majority.record(makeStored({ from, version: 1 }), 0));
     expect(majority.result(3_001)).toEqual(undefined);
   });
+
+  it('tells how many voters have answered, without learners and answers that are too old', () => {
+    const majority = new MajorityRead();
+    majority.record(makeStored({ from: 'a', version: 1 }), 0);
+    majority.record(makeStored({ from: 'b', version: 1 }), 1_000);
+    majority.record(makeStored({ from: 'c', version: 1 }), 2_000);
+    majority.record(makeStored({ from: 'learner', version: 1 }), 2_000);
+    expect(majority.coverage(3_500)).toEqual({ voters: 5, counted: 2, oldestMs: 2_500 });
+    expect(majority.coverage(9_000)).toEqual({ voters: 0, counted: 0, oldestMs: 0 });
+  });
 });
--- a/packages/gateway/src/entry/MajorityRead.ts
+++ b/packages/gateway/src/entry/MajorityRead.ts
@@ -22,6 +22,15 @@
   readonly address: string;
 }
 
+/** How much of the voters an entry knows. */
+export interface VoterCoverage {
+  readonly voters: number;
+  /** Voters whose answers count. */
+  readonly counted: number;
+  /** Age of the oldest of these answers, 0 if there is none. */
+  readonly oldestMs: number;
+}
+
 function keyOf({ address, incarnation }: LogMember): string {
   return `${address}/${incarnation}`;
 }
@@ -63,6 +72,15 @@
       : { version: Number(version), at, address: member!.address };
   }
 
+  /** Voters according to the newest log, and those of them whose answers count. */
+  public coverage(now: number): VoterCoverage {
+    const voters = this.newest(now)?.voters ?? [];
+    const ages = voters
+      .map((voter) => now - (this.answers.get(keyOf(voter))?.askedAt ?? -Infinity))
+      .filter((age) => age <= MAX_AGE_MS);
+    return { voters: voters.length, counted: ages.length, oldestMs: Math.max(0, ...ages) };
+  }
+
   private newest(now: number): StoredState | undefined {
     const recent = [...this.answers.values()].filter(({ askedAt }) => now - askedAt <= MAX_AGE_MS);
     return recent
--- a/packages/gateway/src/entry/PlanClient.test.ts
+++ b/packages/gateway/src/entry/PlanClient.test.ts
@@ -61,6 +61,7 @@
     });
     await server.listen();
     listener = new DirectoryListener({
+      clock,
       directory: { list: () => ({ hubs: [], isSettled: true }) },
       history,
       confirmation: { confirmLeadership: () => Promise.resolve(undefined) },
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -21,6 +21,7 @@
 import type { EntryState } from './EntryState.js';
 import { MajorityRead } from './MajorityRead.js';
 import type { IPlanClient } from './PlanClient.js';
+import { PlanQuestionLog } from './PlanQuestionLog.js';
 
 /** Shares of the 2 s: age at which the entry asks, interval of checks, time for the questions, time for a call. */
 const ASK_AGE_MS = 1_000;
@@ -75,6 +76,8 @@
 
   private readonly majority = new MajorityRead();
 
+  private readonly questions: PlanQuestionLog;
+
   /** Newest plan that was logged as possibly in force. */
   private loggedPossible = 0;
 
@@ -86,6 +89,7 @@
 
   public constructor(private readonly ctx: RefresherContext) {
     super();
+    this.questions = new PlanQuestionLog(ctx.clock, ctx.logger, ASK_TIMEOUT_MS);
     this.add(setPeriodic(ctx.clock, () => this.check(), CHECK_MS));
   }
 
@@ -116,6 +120,7 @@
   private logChange(isDue: boolean, now: number): void {
     const { state, logger } = this.ctx;
     this.isAsking = isDue;
+    if (!isDue) this.questions.reset();
     logger.info(isDue ? 'control VMs are asked for the plan' : 'the plan is confirmed again', {
       version: state.planVersion,
       planAgeMs: Math.round(Math.min(state.planAgeMs(now), Number.MAX_SAFE_INTEGER)),
@@ -139,6 +144,8 @@
     while (left.length > 0 && !this.isKnown()) {
       await Promise.all(left.splice(0, ASKED_AT_ONCE).map((address) => this.askWithin(address)));
     }
+    if (this.isKnown()) return;
+    this.questions.noteRoundInVain(this.majority.coverage(this.ctx.clock.now()));
   }
 
   private isKnown(): boolean {
@@ -194,8 +201,12 @@
 
   /** Asks again while there are more targets that leave than fit into a datagram. Returns the last answer. */
   private async askForAll(address: string, parts: number): Promise<PlanAnswer> {
-    const { held } = this;
-    const answer = await this.ctx.client.ask(address, held, LATE_ANSWER_MS);
+    const { held, questions } = this;
+    const { client, clock } = this.ctx;
+    const askedAt = clock.now();
+    questions.noteAsked();
+    const answer = await client.ask(address, held, LATE_ANSWER_MS);
+    questions.noteOutcome(answer === undefined ? undefined : clock.now() - askedAt);
     if (answer !== undefined) this.takeLeaving(answer.leaving, Number(answer.index));
     const hasMore = answer?.hasMoreLeaving === true && parts > 1;
     return hasMore ? this.askForAll(address, parts - 1) : { answer, heldVersion: held.planVersion };
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -4,6 +4,8 @@
 
 const DURATION_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
+const DATAGRAM_BUCKETS_S = [0.0001, 0.0002, 0.0005, 0.001, 0.005, 0.02, 0.1, 0.5];
+
 const registry = new Registry();
 
 export const requestsTotal = new Counter({
@@ -40,6 +42,28 @@
   registers: [registry],
 });
 
+export const planAnswerSeconds = new Histogram({
+  name: 'marigoldbank_plan_answer_duration_seconds',
+  help: 'Time from a question to a control VM for the plan to its answer; questions without an answer are not in it',
+  buckets: DURATION_BUCKETS_S,
+  registers: [registry],
+});
+
+export const datagramsTotal = new Counter({
+  name: 'marigoldbank_datagrams_answered_total',
+  help: 'Datagrams that a log process has answered, by what they ask for: hubs, plan, leadership',
+  labelNames: ['kind'] as const,
+  registers: [registry],
+});
+
+export const datagramSeconds = new Histogram({
+  name: 'marigoldbank_datagram_duration_seconds',
+  help: 'Time from the arrival of a datagram in the event loop of a log process to its answer, by what it asks for',
+  labelNames: ['kind'] as const,
+  buckets: DATAGRAM_BUCKETS_S,
+  registers: [registry],
+});
+
 export const requestSeconds = new Histogram({
   name: 'marigoldbank_request_duration_seconds',
   help: 'Time from the head of a request to its answer',
