--- a/packages/gateway/src/testing/FakeLogClients.ts
+++ b/packages/gateway/src/testing/FakeLogClients.ts
@@ -1,6 +1,7 @@
 /** Clients of the log processes of control VMs in virtual time. */
 import { create } from '@bufbuild/protobuf';
 import { delay, type Clock } from '@marigoldbank/base/clock';
+import { Random } from '@marigoldbank/base/random';
 import {
   CommittedStateSchema,
   ListHubsResponseSchema,
@@ -20,6 +21,11 @@
   /** Time for a call for the plan, besides. */
   public planFetchMs = 0;
 
+  /** Share of the questions for the plan that are lost on their way. */
+  public planLoss = 0;
+
+  private readonly random = new Random(1);
+
   /** `hubAt` returns the VM whose log process an address names: that of its hub. */
   public constructor(
     private readonly clock: Clock,
@@ -44,12 +50,17 @@
   public planClient(): IPlanClient {
     const call = async (address: string, timeoutMs: number): Promise<FakeHub | undefined> => {
       const hub = this.hubAt(address);
-      const isAnswering = !hub.isLogDown && this.clock.now() >= hub.logFrozenUntil;
+      const isRunning = !hub.isLogDown && this.clock.now() >= hub.logFrozenUntil;
+      const isAnswering = isRunning && this.planAnswerMs <= timeoutMs;
       await delay(this.clock, isAnswering ? this.planAnswerMs : timeoutMs);
-      return isAnswering && this.planAnswerMs <= timeoutMs ? hub : undefined;
+      return isAnswering ? hub : undefined;
     };
     return {
       ask: async (address, held, timeoutMs) => {
+        if (this.planLoss > 0 && this.random.float() < this.planLoss) {
+          await delay(this.clock, timeoutMs);
+          return undefined;
+        }
         const state = (await call(address, timeoutMs))?.history.stateFor(held);
         return state === undefined ? undefined : create(CommittedStateSchema, state);
       },
--- a/packages/gateway/src/testing/losePower.ts
+++ b/packages/gateway/src/testing/losePower.ts
@@ -9,17 +9,23 @@
 
 /**
  * Lets all control VMs of a fleet lose power for `downMs`, right after a plan was acknowledged that a majority of the voters has
- * stored and nobody else has. Afterwards the log processes answer, without a leader, and the hubs do not.
+ * stored and nobody else has. Afterwards the log processes answer, without a leader, and the hubs do not. They start within
+ * `startWithinMs`, one after the other.
  */
-export function losePower(fleet: FakeFleet, plan: RoutingPlan, downMs: number): void {
+export function losePower(
+  fleet: FakeFleet,
+  plan: RoutingPlan,
+  downMs: number,
+  startWithinMs = 0,
+): void {
   const voters = fleet.hubs.slice(0, VOTERS);
   const command: CommandInit = { kind: 'putPlan', document: '', plan };
   voters
     .slice(0, Math.floor(voters.length / 2) + 1)
     .forEach(({ storedLog }) => storedLog.store(command));
   Object.assign(fleet, { isLeaderless: true });
-  fleet.hubs.forEach((hub) => {
-    fleet.freeze(hub, downMs);
+  fleet.hubs.forEach((hub, i) => {
+    fleet.freeze(hub, downMs + (startWithinMs * i) / Math.max(1, fleet.hubs.length - 1));
     fleet.occupy(hub, HUB_START_MS);
     const { storedLog } = hub;
     storedLog.commitIndex = 0;
