Count answers of log processes that take up to 3 s

What callers saw: requests were handled by a replaced plan after a loss of power of all control VMs. Cause: an entry threw away what came more than a second after its question, and asked anew, so that it learnt nothing for as long as all log processes took longer. A majority is read from answers of 3 s, dated by their questions, anyway. Ruled out: a longer time for each question; the entry goes on to the next control VMs after 0.1 s as before, so nothing waits longer and no more is asked. PlanRefresher.test.ts failed before.

--- a/packages/gateway/src/entry/MajorityRead.ts
+++ b/packages/gateway/src/entry/MajorityRead.ts
@@ -5,8 +5,8 @@
  */
 import type { LogMember, StoredState } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 
-/** An answer counts for as long. The result is dated by the oldest one that it needs. */
-const MAX_AGE_MS = 3_000;
+/** An answer counts for as long from its question on. The result is dated by the oldest one that it needs. */
+export const MAX_ANSWER_AGE_MS = 3_000;
 
 interface Answer {
   /** Time of the question (monotonic ms). */
@@ -67,7 +67,7 @@
       .map((voter) => this.answers.get(keyOf(voter))?.askedAt ?? -Infinity)
       .sort((a, b) => b - a);
     const at = times[Math.floor(voters.length / 2)] ?? -Infinity;
-    return now - at > MAX_AGE_MS
+    return now - at > MAX_ANSWER_AGE_MS
       ? undefined
       : { version: Number(version), at, address: member!.address };
   }
@@ -77,12 +77,14 @@
     const voters = this.newest(now)?.voters ?? [];
     const ages = voters
       .map((voter) => now - (this.answers.get(keyOf(voter))?.askedAt ?? -Infinity))
-      .filter((age) => age <= MAX_AGE_MS);
+      .filter((age) => age <= MAX_ANSWER_AGE_MS);
     return { voters: voters.length, counted: ages.length, oldestMs: Math.max(0, ...ages) };
   }
 
   private newest(now: number): StoredState | undefined {
-    const recent = [...this.answers.values()].filter(({ askedAt }) => now - askedAt <= MAX_AGE_MS);
+    const recent = [...this.answers.values()].filter(
+      ({ askedAt }) => now - askedAt <= MAX_ANSWER_AGE_MS,
+    );
     return recent
       .map(({ stored }) => stored)
       .reduce<StoredState | undefined>(
--- a/packages/gateway/src/entry/PlanRefresher.test.ts
+++ b/packages/gateway/src/entry/PlanRefresher.test.ts
@@ -124,6 +124,18 @@
     expect(state.planAgeMs(clock.now())).toBeGreaterThan(350);
   });
 
+  // Beyond a second they were thrown away, so that an entry learnt nothing for as long as all control VMs were that slow.
+  it('counts an answer that takes up to 3 s', async () => {
+    const { clock, state, start } = makeFixture(
+      { x: { version: 2, hasChanges: true } },
+      { askMs: 2_900 },
+    );
+    start();
+    await clock.advanceAsync(1_100 + 2_950);
+    expect(state.planVersion).toEqual(2);
+    expect(state.planAgeMs(clock.now())).toBeGreaterThan(2_900);
+  });
+
   it('takes changes from a datagram', async () => {
     const { clock, state, start } = makeFixture({
       x: { version: 2, hasChanges: true },
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -19,7 +19,7 @@
 import { planQuestionsTotal } from '../metrics.js';
 import type { HeldState } from '../sync/HeldState.js';
 import type { EntryState } from './EntryState.js';
-import { MajorityRead } from './MajorityRead.js';
+import { MAX_ANSWER_AGE_MS, MajorityRead } from './MajorityRead.js';
 import type { IPlanClient } from './PlanClient.js';
 import { PlanQuestionLog } from './PlanQuestionLog.js';
 
@@ -29,9 +29,6 @@
 const ASK_TIMEOUT_MS = 100;
 const FETCH_TIMEOUT_MS = 400;
 
-/** An answer that comes after its share of the time still counts, as one of the time of its question. */
-const LATE_ANSWER_MS = 1_000;
-
 /** Questions to one control VM in a row, for targets that leave, of which 16 fit into an answer. */
 const MAX_PARTS = 8;
 
@@ -205,7 +202,7 @@
     const { client, clock } = this.ctx;
     const askedAt = clock.now();
     questions.noteAsked();
-    const answer = await client.ask(address, held, LATE_ANSWER_MS);
+    const answer = await client.ask(address, held, MAX_ANSWER_AGE_MS);
     questions.noteOutcome(answer === undefined ? undefined : clock.now() - askedAt);
     if (answer !== undefined) this.takeLeaving(answer.leaving, Number(answer.index));
     const hasMore = answer?.hasMoreLeaving === true && parts > 1;
@@ -246,7 +243,7 @@
   private fetchPossible(address: string, version: number, at: number): void {
     const { client, state, logger } = this.ctx;
     this.fetching ??= client
-      .fetchPlan(address, state.planVersion, true, LATE_ANSWER_MS)
+      .fetchPlan(address, state.planVersion, true, MAX_ANSWER_AGE_MS)
       .then((update) => {
         if (Number(update.version) !== version) return;
         const changes = decodePlanChanges(update.changes);
