Know from one log that a newer plan may be in force

What callers saw: requests were handled by a replaced plan after a loss of power of all control VMs. Cause: an entry concluded nothing before a majority of the voters had answered, 3 of 5, although a majority is needed only to know that nothing newer exists. A plan in the newest log that is known may have been acknowledged. Ruled out: counting one log at any time. On the smaller side of a split a log may have what was never committed, so that requests would be refused beside a valid confirmation; one log counts only while the plan has not been confirmed for a second. A stored plan that was never committed is refused until a majority or a leader answers; entries ask on until then. 'knows from one log' in PlanRefresher.test.ts failed before.

--- a/packages/gateway/src/entry/MajorityRead.test.ts
+++ b/packages/gateway/src/entry/MajorityRead.test.ts
@@ -102,4 +102,22 @@
     expect(majority.coverage(3_500)).toEqual({ voters: 5, counted: 2, oldestMs: 2_500 });
     expect(majority.coverage(9_000)).toEqual({ voters: 0, counted: 0, oldestMs: 0 });
   });
+
+  // Entries served by a replaced plan until the third of five voters had answered.
+  it('tells of a plan that one log has, before a majority has answered', () => {
+    const majority = new MajorityRead();
+    majority.record(makeStored({ from: 'a', version: 1 }), 0);
+    expect(majority.newestPlan(100)).toEqual({ version: 1, at: 0, address: 'a' });
+    majority.record(makeStored({ from: 'b', version: 2 }), 40);
+    expect(majority.newestPlan(100)).toEqual({ version: 2, at: 40, address: 'b' });
+    expect(majority.result(100)).toEqual(undefined);
+    expect(majority.newestPlan(4_000)).toEqual(undefined);
+  });
+
+  it('does not tell of a plan that is only in the log of an older term', () => {
+    const majority = new MajorityRead();
+    majority.record(makeStored({ from: 'a', version: 2, lastTerm: 1 }), 0);
+    majority.record(makeStored({ from: 'b', version: 1, lastTerm: 2 }), 10);
+    expect(majority.newestPlan(100)?.version).toEqual(1);
+  });
 });
--- a/packages/gateway/src/entry/MajorityRead.ts
+++ b/packages/gateway/src/entry/MajorityRead.ts
@@ -1,7 +1,8 @@
 /**
- * Finds out without a leader which plan may be in force, from what a majority of the voters of the replicated log has stored.
- * A plan that was acknowledged is in the logs of a majority, so at least one of any majority has it, and the newest log among
- * them has all that was committed. It may have more, which was never committed: that cannot be told apart without a leader.
+ * Finds out without a leader which plan may be in force, from what the voters of the replicated log have stored. A plan that was
+ * acknowledged is in the logs of a majority, so at least one of any majority has it, and the newest log among them has all that
+ * was committed. It may have more, which was never committed: that cannot be told apart without a leader. So one log is enough
+ * to know that a newer plan may be in force, and a majority is needed to know that none is.
  */
 import type { LogMember, StoredState } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 
@@ -41,6 +42,10 @@
   return a.lastIndex > b.lastIndex;
 }
 
+function toPossiblePlan({ version, member }: StoredState, at: number): PossiblePlan {
+  return { version: Number(version), at, address: member!.address };
+}
+
 export class MajorityRead {
   private readonly answers = new Map<string, Answer>();
 
@@ -55,40 +60,40 @@
 
   /** Addresses of the voters according to the newest log, none if no answer counts. */
   public voterAddresses(now: number): string[] {
-    return this.newest(now)?.voters.map(({ address }) => address) ?? [];
+    return this.newest(now)?.stored.voters.map(({ address }) => address) ?? [];
   }
 
   /** Returns undefined unless a majority of the voters has answered. */
   public result(now: number): PossiblePlan | undefined {
     const newest = this.newest(now);
     if (newest === undefined) return undefined;
-    const { voters, version, member } = newest;
-    const times = voters
+    const times = newest.stored.voters
       .map((voter) => this.answers.get(keyOf(voter))?.askedAt ?? -Infinity)
       .sort((a, b) => b - a);
-    const at = times[Math.floor(voters.length / 2)] ?? -Infinity;
-    return now - at > MAX_ANSWER_AGE_MS
-      ? undefined
-      : { version: Number(version), at, address: member!.address };
+    const at = times[Math.floor(times.length / 2)] ?? -Infinity;
+    return now - at > MAX_ANSWER_AGE_MS ? undefined : toPossiblePlan(newest.stored, at);
+  }
+
+  /** The plan of the newest log that is known, whether a majority has answered or not. */
+  public newestPlan(now: number): PossiblePlan | undefined {
+    const newest = this.newest(now);
+    return newest === undefined ? undefined : toPossiblePlan(newest.stored, newest.askedAt);
   }
 
   /** Voters according to the newest log, and those of them whose answers count. */
   public coverage(now: number): VoterCoverage {
-    const voters = this.newest(now)?.voters ?? [];
+    const voters = this.newest(now)?.stored.voters ?? [];
     const ages = voters
       .map((voter) => now - (this.answers.get(keyOf(voter))?.askedAt ?? -Infinity))
       .filter((age) => age <= MAX_ANSWER_AGE_MS);
     return { voters: voters.length, counted: ages.length, oldestMs: Math.max(0, ...ages) };
   }
 
-  private newest(now: number): StoredState | undefined {
-    const recent = [...this.answers.values()].filter(
-      ({ askedAt }) => now - askedAt <= MAX_ANSWER_AGE_MS,
-    );
-    return recent
-      .map(({ stored }) => stored)
-      .reduce<StoredState | undefined>(
-        (best, other) => (best === undefined || isNewer(other, best) ? other : best),
+  private newest(now: number): Answer | undefined {
+    return [...this.answers.values()]
+      .filter(({ askedAt }) => now - askedAt <= MAX_ANSWER_AGE_MS)
+      .reduce<Answer | undefined>(
+        (best, other) => (best === undefined || isNewer(other.stored, best.stored) ? other : best),
         undefined,
       );
   }
--- a/packages/gateway/src/entry/PlanRefresher.test.ts
+++ b/packages/gateway/src/entry/PlanRefresher.test.ts
@@ -1,10 +1,14 @@
 import { describe, it } from 'node:test';
-import { create } from '@bufbuild/protobuf';
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import { delay } from '@marigoldbank/base/clock';
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
-import { CommittedStateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
+import {
+  CommittedStateSchema,
+  type CommittedState,
+  type LogMemberSchema,
+} from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import { PlanUpdateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { encodePlanChanges, toPlanItems } from '@marigoldbank/routing/plan-items';
 import { expect } from 'earl';
@@ -22,6 +26,8 @@
 
 interface FakeVm {
   readonly version: number;
+  /** Plan in its log, which it tells instead of a confirmation. */
+  readonly stored?: number;
   readonly confirmedAgeMs?: number;
   /** Whether the changes fit into a datagram. */
   readonly hasChanges?: boolean;
@@ -40,12 +46,37 @@
   readonly fetchMs?: number;
   /** Number of questions that are not answered. */
   readonly unanswered?: number;
+  /** Control VMs that do not answer. */
+  readonly silent?: readonly string[];
+}
+
+/** What a log process without a leader answers. */
+function makeStoredAnswer(
+  address: string,
+  version: number,
+  voters: readonly string[],
+): CommittedState {
+  const toMember = (voter: string): MessageInitShape<typeof LogMemberSchema> => ({
+    address: voter,
+    incarnation: 'a',
+  });
+  return create(CommittedStateSchema, {
+    version: 1n,
+    stored: {
+      member: toMember(address),
+      lastTerm: 1n,
+      lastIndex: BigInt(version),
+      voters: voters.map(toMember),
+      version: BigInt(version),
+      changes: CHANGES,
+    },
+  });
 }
 
 /** An entry with plan 1, whose hub confirmed it at the time 0 and never again. */
 function makeFixture(
   vms: Record<string, FakeVm>,
-  { askMs = 2, fetchMs = 2, unanswered = 0 }: Delays = {},
+  { askMs = 2, fetchMs = 2, unanswered = 0, silent = [] }: Delays = {},
 ): Fixture {
   const clock = new VirtualClock();
   const state = new EntryState(BOUNDS, new Random(1), () => clock.now());
@@ -54,9 +85,11 @@
     ask: async (address, { planVersion }, timeoutMs) => {
       asked.push(address);
       const vm = vms[address]!;
-      const isAnswered = asked.length > unanswered && askMs <= timeoutMs;
+      const isRunning = asked.length > unanswered && !silent.includes(address);
+      const isAnswered = isRunning && askMs <= timeoutMs;
       await delay(clock, isAnswered ? askMs : timeoutMs);
       if (!isAnswered) return undefined;
+      if (vm.stored !== undefined) return makeStoredAnswer(address, vm.stored, Object.keys(vms));
       const isNewer = vm.version > planVersion;
       return create(CommittedStateSchema, {
         version: BigInt(vm.version),
@@ -225,4 +258,42 @@
     await refresher.confirm(1_800);
     expect([asked.length, state.planVersion]).toEqual([count, 1]);
   });
+
+  const storedVms = (versions: readonly number[]): Record<string, FakeVm> =>
+    Object.fromEntries(versions.map((stored, i) => [`vm-${i}`, { version: 1, stored }]));
+
+  // Two of five voters answered, one of them with a newer plan, and the entry went on serving by the plan before.
+  it('knows from one log that a newer plan may be in force', async () => {
+    const vms = storedVms([2, 1, 1, 1, 1]);
+    const { clock, state, start } = makeFixture(vms, { silent: ['vm-1', 'vm-2', 'vm-3', 'vm-4'] });
+    start();
+    await clock.advanceAsync(2_000);
+    expect(state.possiblePlan?.version).toEqual(2);
+  });
+
+  it('does not take one log for a newer plan while its plan is confirmed', async () => {
+    const { clock, state, start } = makeFixture(storedVms([2, 1, 1, 1, 1]), { askMs: 300 });
+    start();
+    await clock.advanceAsync(1_200);
+    state.confirmPlan(clock.now() - 50, clock.now());
+    await clock.advanceAsync(120);
+    expect(state.possiblePlan).toEqual(undefined);
+  });
+
+  it('asks on while a newer plan may be in force, until that is refuted', async () => {
+    const vms: Record<string, FakeVm> = { ...storedVms([2]) };
+    const { clock, state, start, asked } = makeFixture(vms);
+    start();
+    await clock.advanceAsync(1_200);
+    expect(state.possiblePlan?.version).toEqual(2);
+    // Confirmed as of a time before the question.
+    state.confirmPlan(clock.now() - 900, clock.now());
+    const before = asked.length;
+    vms['vm-0'] = { version: 1, confirmedAgeMs: 0 };
+    await clock.advanceAsync(400);
+    expect(state.possiblePlan?.version).toEqual(2);
+    await clock.advanceAsync(1_100);
+    expect(asked.length).toBeGreaterThan(before);
+    expect(state.possiblePlan).toEqual(undefined);
+  });
 });
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -105,7 +105,7 @@
     const { clock, state } = this.ctx;
     const now = clock.now();
     if (state.planVersion === 0) return;
-    const isDue = state.planAgeMs(now) > ASK_AGE_MS;
+    const isDue = state.planAgeMs(now) > ASK_AGE_MS || state.possiblePlan !== undefined;
     if (isDue !== this.isAsking) this.logChange(isDue, now);
     if (isDue && now >= this.nextRoundAt) {
       this.startRound().catch((err: unknown) =>
@@ -149,8 +149,9 @@
     const { clock, state } = this.ctx;
     const now = clock.now();
     const { possiblePlan } = state;
-    const isPossibleKnown = possiblePlan?.table !== undefined && now - possiblePlan.at < ASK_AGE_MS;
-    return this.isDisposed || isPossibleKnown || state.planAgeMs(now) < ASK_AGE_MS;
+    if (this.isDisposed) return true;
+    if (possiblePlan === undefined) return state.planAgeMs(now) < ASK_AGE_MS;
+    return possiblePlan.table !== undefined && now - possiblePlan.at < ASK_AGE_MS;
   }
 
   /** In random order, voters first if they are needed for a majority, and those that did not help last time at the end. */
@@ -217,13 +218,18 @@
   private takeStored(stored: StoredState, askedAt: number, heldVersion: number): void {
     const { clock, state, logger } = this.ctx;
     this.majority.record(stored, askedAt);
-    const result = this.majority.result(clock.now());
-    if (result === undefined) return;
-    const { version, at, address } = result;
-    if (version <= state.planVersion) {
-      state.confirmPlan(at, clock.now());
+    const now = clock.now();
+    const result = this.majority.result(now);
+    if (result !== undefined && result.version <= state.planVersion) {
+      state.confirmPlan(result.at, now);
       return;
     }
+    // One log is enough for a plan that may be in force. While the confirmation of the plan in effect holds, that can wait for
+    // others: a log on the smaller side of a split may have what was never committed.
+    const isConfirmed = state.planAgeMs(now) < ASK_AGE_MS;
+    const possible = result ?? (isConfirmed ? undefined : this.majority.newestPlan(now));
+    if (possible === undefined || possible.version <= state.planVersion) return;
+    const { version, at, address } = possible;
     const { changes } = stored;
     const isAbout = Number(stored.version) === version && changes !== undefined;
     state.notePossiblePlan(
