--- a/packages/gateway/src/control/CommitHistory.test.ts
+++ b/packages/gateway/src/control/CommitHistory.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { expect } from 'earl';
 import { FakeStoredLog } from '../testing/FakeStoredLog.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
@@ -23,6 +24,7 @@
     stateMachine,
     confirmation,
     log: new FakeStoredLog(),
+    logger: new NullLogger(),
   });
   return { clock, stateMachine, history };
 }
--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -5,6 +5,7 @@
  */
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import type { Clock } from '@marigoldbank/base/clock';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type {
   CommittedStateSchema,
   LogMemberSchema,
@@ -43,6 +44,7 @@
   >;
   readonly confirmation: Pick<StateConfirmation, 'confirmedAgeMs'>;
   readonly log: Pick<IReplicatedLog, 'status' | 'storedAfter'>;
+  readonly logger: Logger;
 }
 
 interface Leaving {
@@ -69,6 +71,9 @@
 
   private leaving: readonly Leaving[] = [];
 
+  /** Versions between which changes were logged as left out. */
+  private loggedLeftOut = '';
+
   private readonly encoder = new PlanEncoder();
 
   private readonly storedEncoder = new PlanEncoder();
@@ -139,6 +144,7 @@
     const changes = isNewer && base !== undefined ? this.encoder.encode(base, current) : undefined;
     const doesFit = (changes?.length ?? 0) <= MAX_DATAGRAM_CHANGES;
     const isLeftOut = isNewer && (changes === undefined || !doesFit);
+    if (isLeftOut) this.logLeftOut(held.planVersion, version, changes);
     return {
       version: BigInt(version),
       ...(Number.isFinite(ageMs) ? { confirmedAgeMs: Math.ceil(Math.max(0, ageMs)) } : {}),
@@ -148,6 +154,19 @@
     };
   }
 
+  /** Each entry that holds that plan has to fetch the changes, which costs much more than a datagram. */
+  private logLeftOut(from: number, to: number, changes: Uint8Array | undefined): void {
+    const key = `${from} ${to}`;
+    if (key === this.loggedLeftOut) return;
+    this.loggedLeftOut = key;
+    this.ctx.logger.info('changes of the plan are left out of datagrams', {
+      from,
+      version: to,
+      bytes: changes?.length ?? 0,
+      isBaseKnown: changes !== undefined,
+    });
+  }
+
   /** The changes from a version to the current plan, or the complete plan. Undefined before the first plan. */
   public updateFrom(
     heldVersion: number,
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -133,7 +133,7 @@
         return voters.length + learners.length;
       },
     });
-    const history = new CommitHistory({ clock, stateMachine, confirmation, log });
+    const history = new CommitHistory({ clock, stateMachine, confirmation, log, logger });
     await this.serveLog(log, {
       log,
       feed,
--- a/packages/gateway/src/entry/PlanClient.test.ts
+++ b/packages/gateway/src/entry/PlanClient.test.ts
@@ -43,6 +43,7 @@
     stateMachine,
     confirmation: { confirmedAgeMs: () => 120 },
     log: new FakeStoredLog(),
+    logger,
   });
   const datagrams = new DirectoryClient(clock, logger);
   const channels = new Channels({ secret: SECRET, outgoingAddress: undefined });
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -1,5 +1,6 @@
 /** What the fake fleet consists of, and what its processes start with. */
 import type { Clock } from '@marigoldbank/base/clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import type { HubUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { Hub } from '../control/Hub.js';
 import type { HubDirectory } from '../control/HubDirectory.js';
@@ -117,7 +118,13 @@
   log: FakeStoredLog,
 ): CommitHistory {
   const confirmedAgeMs = (): number => clock.now() - hub().logConfirmedAt;
-  return new CommitHistory({ clock, stateMachine, confirmation: { confirmedAgeMs }, log });
+  return new CommitHistory({
+    clock,
+    stateMachine,
+    confirmation: { confirmedAgeMs },
+    log,
+    logger: new NullLogger(),
+  });
 }
 
 /** No majority answers such a VM, so that its log gets no commits and no confirmations. */
