A fetch of a plan goes on beyond its share of the time

Cause: a call for a plan was given up after 400 ms and made again at the next control VM, which had as much to do: 130 calls of 111 entries ended so while the log processes were saturated, and each cost them the work all the same. Two calls at most are under way, to different control VMs.

--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -27,7 +27,13 @@
 const ASK_AGE_MS = 1_000;
 const CHECK_MS = 100;
 const ASK_TIMEOUT_MS = 100;
-const FETCH_TIMEOUT_MS = 400;
+const FETCH_SHARE_MS = 400;
+
+/**
+ * Calls for a committed plan that are under way at a time, to different control VMs. One that takes longer than its share goes on:
+ * given up and repeated, it costs a busy log process the same again and never ends.
+ */
+const MAX_FETCHES = 2;
 
 /** Questions to one control VM in a row, for targets that leave, of which 16 fit into an answer. */
 const MAX_PARTS = 8;
@@ -81,11 +87,14 @@
   /** Newest plan that was logged as possibly in force. */
   private loggedPossible = 0;
 
-  /** The fetch of a plan that is under way. */
-  private fetching: Promise<void> | undefined;
+  /** The fetch of a plan that may be in force. */
+  private fetchingPossible: Promise<void> | undefined;
 
-  /** Whether that plan is committed. Answers of others would tell the same, so no round starts meanwhile. */
-  private isFetchingCommitted = false;
+  /** Control VMs from which a committed plan is being fetched. */
+  private readonly fetchedFrom = new Set<string>();
+
+  /** Such a fetch within its share of the time. Answers of others would tell the same, so no round starts meanwhile. */
+  private fetchInTime: Promise<void> | undefined;
 
   /** Index in the log up to which this entry knows which targets leave. */
   private heldIndex = 0;
@@ -113,7 +122,7 @@
     if (state.planVersion === 0) return;
     const isDue = state.planAgeMs(now) > ASK_AGE_MS || state.possiblePlan !== undefined;
     if (isDue !== this.isAsking) this.logChange(isDue, now);
-    if (isDue && now >= this.nextRoundAt && !this.isFetchingCommitted) {
+    if (isDue && now >= this.nextRoundAt && this.fetchInTime === undefined) {
       this.startRound().catch((err: unknown) =>
         this.ctx.logger.error('the plan cannot be confirmed', { error: String(err) }),
       );
@@ -191,7 +200,7 @@
     if (answer?.stored !== undefined) this.takeStored(answer.stored, askedAt, heldVersion);
     if (answer !== undefined) {
       await this.takePlan(address, answer, heldVersion).catch((err: unknown) =>
-        logger.info('the plan could not be fetched', { from: address, error: String(err) }),
+        logger.warn('the plan could not be applied', { from: address, error: String(err) }),
       );
     }
     const ageMs = answer?.confirmedAgeMs;
@@ -254,19 +263,17 @@
 
   /** Fetches a plan that may be in force, so that only requests are refused that it could change. */
   private fetchPossible(address: string, version: number, at: number): void {
-    const { client, state, logger } = this.ctx;
-    this.fetching ??= client
+    const { client, state } = this.ctx;
+    this.fetchingPossible ??= client
       .fetchPlan(address, state.planVersion, true, MAX_ANSWER_AGE_MS)
       .then((update) => {
         if (Number(update.version) !== version) return;
         const changes = decodePlanChanges(update.changes);
         state.notePossiblePlan(version, at, { fromVersion: Number(update.fromVersion), changes });
       })
-      .catch((err: unknown) =>
-        logger.info('the plan could not be fetched', { from: address, error: String(err) }),
-      )
+      .catch((err: unknown) => this.logFetchError(address, err))
       .finally(() => {
-        this.fetching = undefined;
+        this.fetchingPossible = undefined;
       });
   }
 
@@ -279,23 +286,31 @@
     if (changes !== undefined) {
       this.applyPlan(address, { fromVersion: BigInt(heldVersion), version, changes });
     }
-    // A call costs a log process many times a datagram, so an entry makes one at a time.
     const { planVersion } = this.ctx.state;
     if (!isPlanLeftOut || Number(version) <= planVersion) return;
-    this.fetching ??= this.fetchCommitted(address, planVersion);
-    await this.fetching;
+    if (this.fetchInTime === undefined) {
+      if (this.fetchedFrom.size >= MAX_FETCHES || this.fetchedFrom.has(address)) return;
+      this.fetchInTime = this.fetchCommitted(address, planVersion).finally(() => {
+        this.fetchInTime = undefined;
+      });
+    }
+    await this.fetchInTime;
   }
 
+  /** Resolves after the share of the time for a fetch at the latest. The plan is applied whenever it comes. */
   private async fetchCommitted(address: string, heldVersion: number): Promise<void> {
-    this.isFetchingCommitted = true;
-    try {
-      const { client } = this.ctx;
-      const update = await client.fetchPlan(address, heldVersion, false, FETCH_TIMEOUT_MS);
-      this.applyPlan(address, update);
-    } finally {
-      this.fetching = undefined;
-      this.isFetchingCommitted = false;
-    }
+    const { client, clock } = this.ctx;
+    this.fetchedFrom.add(address);
+    const fetch = client
+      .fetchPlan(address, heldVersion, false, MAX_ANSWER_AGE_MS)
+      .then((update) => this.applyPlan(address, update))
+      .catch((err: unknown) => this.logFetchError(address, err))
+      .finally(() => this.fetchedFrom.delete(address));
+    await Promise.race([fetch, delay(clock, FETCH_SHARE_MS)]);
+  }
+
+  private logFetchError(address: string, err: unknown): void {
+    this.ctx.logger.info('the plan could not be fetched', { from: address, error: String(err) });
   }
 
   /** Applies a newer plan, unless another one has been put in force meanwhile to which the changes do not fit. */
