Answers to entries have changes of a plan up to 4 kB

What callers saw: after a loss of power of all control VMs entries refused all requests, also those of routes that a change does not concern, for up to two seconds, and had the next change late. Cause: an answer had room for 900 bytes of changes, 600 if they are only stored.

Change: 4,000 bytes together. The datagram may take several packets, and one of them may be lost; the entry asks the next control VM 0.1 s later. Ruled out: compression, which has no synchronous call here, and one beside the event loop takes several turns of a saturated one; parts in answers to further questions, a round trip each. Tests that failed before: CommitHistory.test.ts 'has the changes of six routes in an answer', plan-after-power-loss.test.ts '6 more routes' (all 111 entries refused all requests).

--- a/packages/gateway/src/control/CommitHistory.test.ts
+++ b/packages/gateway/src/control/CommitHistory.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import { makeRoute } from '@marigoldbank/routing/fixtures';
 import { expect } from 'earl';
 import { FakeStoredLog } from '../testing/FakeStoredLog.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
@@ -75,4 +76,28 @@
     const state = history.stateFor({ planVersion: 1, index: 0 });
     expect([state?.version, state?.confirmedAgeMs]).toEqual([1n, undefined]);
   });
+
+  // A change of six routes did not fit, so that each entry of a fleet fetched it by a call while the log processes were saturated, and
+  // refused all requests until it came.
+  it('has the changes of six routes in an answer, committed or stored', () => {
+    const clock = new VirtualClock();
+    const stateMachine = new PlanStateMachine();
+    const log = new FakeStoredLog();
+    const logger = new NullLogger();
+    const confirmation = { confirmedAgeMs: () => Infinity };
+    const history = new CommitHistory({ clock, stateMachine, confirmation, log, logger });
+    const routes = Array.from({ length: 6 }, (_, i) => makeRoute({ prefix: `/route-${i}/` }));
+    const plans = [1, 2, 3].map((version) => ({
+      ...makeEmptyPlan(version),
+      routes: routes.slice(0, 6 * (version - 1)).map((route) => ({ ...route, timeoutMs: version })),
+    }));
+    const commands = plans.map((plan) => ({ kind: 'putPlan', document: '', plan }) as const);
+    commands.forEach((command) => log.store(command));
+    commands.slice(0, 2).forEach((command, i) => stateMachine.apply(i + 1, encodeCommand(command)));
+    log.commitIndex = 2;
+    const state = history.stateFor({ planVersion: 1, index: 0 });
+    expect(state?.changes?.length ?? 0).toBeGreaterThan(900);
+    expect(state?.isPlanLeftOut).toEqual(false);
+    expect(state?.stored?.changes?.length ?? 0).toBeGreaterThan(900);
+  });
 });
--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -25,17 +25,19 @@
 /** Targets that leave end within seconds. An entry that was without any control VM for longer gets them from its next hub. */
 const LEAVING_MS = 60_000;
 
-/** With both at most, an answer fits into one packet: a datagram of several packets is lost more often. */
-const MAX_DATAGRAM_CHANGES = 900;
+/**
+ * Bytes of the changes in an answer. A change of a few routes takes 1 to 2 kB, so that the datagram may take several packets. It is
+ * lost more often then, which costs less than a call by each entry of the fleet while the log processes are saturated.
+ */
+const MAX_DATAGRAM_CHANGES = 4_000;
+
+/** Without changes an answer fits into one packet. */
 const MAX_DATAGRAM_LEAVING = 16;
 const MAX_RESTORED = 4;
 
 /** Age of the confirmation above which an entry is told what is stored here. Entries count a younger one. */
 const MAX_CONFIRMED_MS = 1_000;
 
-/** An answer that names voters has less room for changes. */
-const MAX_STORED_CHANGES = 600;
-
 export interface CommitHistoryContext {
   readonly clock: Clock;
   readonly stateMachine: Pick<
@@ -96,7 +98,8 @@
     const ageMs = this.ctx.confirmation.confirmedAgeMs();
     const committed = this.committedFor(held, ageMs);
     if (ageMs <= MAX_CONFIRMED_MS) return committed;
-    const stored = this.storedFor(held);
+    const room = MAX_DATAGRAM_CHANGES - (committed?.changes?.length ?? 0);
+    const stored = this.storedFor(held, room);
     if (stored === undefined) return committed;
     const leaving = this.stored
       .read()
@@ -111,7 +114,7 @@
     };
   }
 
-  private storedFor(held: HeldState): CommittedStateInit['stored'] {
+  private storedFor(held: HeldState, room: number): CommittedStateInit['stored'] {
     const { membership, self } = this.ctx.log.status();
     const { lastTerm, lastIndex, plan } = this.stored.read();
     const toMember = ({ incarnation, address }: Member): LogMemberInit => ({
@@ -131,7 +134,7 @@
       lastIndex: BigInt(lastIndex),
       voters: membership.voters.map(toMember),
       version: BigInt(version),
-      ...(changes !== undefined && changes.length <= MAX_STORED_CHANGES ? { changes } : {}),
+      ...(changes !== undefined && changes.length <= room ? { changes } : {}),
     };
   }
 
--- a/packages/gateway/src/control/plan-after-power-loss.test.ts
+++ b/packages/gateway/src/control/plan-after-power-loss.test.ts
@@ -126,4 +126,17 @@
       await startWithoutLeader({ hubs: 11, entries: 276, answerMs: 1_500, startWithinMs: 1_000 }),
     );
   });
+
+  // Changes of six routes did not fit into a datagram, so that entries refused all requests until a call for them ended.
+  it('leaves the rest served without any call for the plan: 111 entries, 6 more routes', async () => {
+    expectKnownEverywhere(
+      await startWithoutLeader({
+        hubs: 7,
+        entries: 111,
+        answerMs: 1_050,
+        routeCount: 6,
+        fetchMs: 60_000,
+      }),
+    );
+  });
 });
