Pause between questions for hubs while control VMs know none

What callers saw: log processes answer late for seconds after a loss of power of all control VMs, so that plans and changes are late. Cause: a log process that has just started knows no hub and answers so at once, and an entry asked the next one at once, over all control VMs, and again after 0.1 s. Change: two such answers end a round, and the next one begins 0.15 to 0.45 s later. Ruled out: answers with a time to wait, which older entries do not know; the hubs are served 0.8 s after the log processes at the earliest.

--- a/packages/gateway/src/entry/HubLocator.test.ts
+++ b/packages/gateway/src/entry/HubLocator.test.ts
@@ -101,4 +101,28 @@
       expect(result!.tookMs).toBeLessThanOrEqual(600);
     });
   });
+
+  // After a loss of power of all control VMs 111 entries asked their log processes 4,389 times for hubs that had not started yet,
+  // beside the election.
+  it('asks 10 times a second at most while control VMs answer and know no hub', async () => {
+    const known = Array.from({ length: 7 }, (_, i) => `vm-${i}`);
+    const answer: Answer = (at) => listOf(at < 100 ? 3 : 0, at < 100);
+    const fixture = makeLocator(Object.fromEntries([...known, 'seed-1'].map((vm) => [vm, answer])));
+    const { clock, asked } = fixture;
+    await locate(fixture, known, 1_000);
+    await clock.advanceAsync(200);
+    const [startedAt, before] = [clock.now(), asked.length];
+    while (clock.now() - startedAt < 3_000) await locate(fixture, known, 1_000);
+    expect(asked.length - before).toBeLessThanOrEqual(30);
+  });
+
+  it('goes on asking behind a control VM that has just started', async () => {
+    const fixture = makeLocator({
+      'seed-1': (at) => listOf(at < 100 ? 3 : 0, true),
+      'vm-1': () => listOf(5, true),
+    });
+    await locate(fixture, [], 1_000);
+    await fixture.clock.advanceAsync(200);
+    expect((await locate(fixture, ['vm-1'], 1_000))?.hubs).toEqual(5);
+  });
 });
--- a/packages/gateway/src/entry/HubLocator.ts
+++ b/packages/gateway/src/entry/HubLocator.ts
@@ -21,6 +21,13 @@
 /** Time after which an entry with a list goes on with what it knows. Half of the control VMs may be frozen. */
 const LIMIT_MS = 600;
 
+/**
+ * Answers without any hub, from control VMs that have just started, after which an entry with a list stops asking, and mean time until it
+ * goes on. The hubs start later than the log processes, which have an election to hold meanwhile.
+ */
+const MAX_EMPTY_ANSWERS = 2;
+const EMPTY_PAUSE_MS = 300;
+
 export interface LocatorContext {
   readonly clock: Clock;
   readonly random: Random;
@@ -81,13 +88,19 @@
    * cut off as well; its list is taken if there is no other.
    */
   private async askEach(known: readonly string[]): Promise<ListHubsResponse | undefined> {
-    const { clock } = this.ctx;
+    const { clock, random } = this.ctx;
     const until = clock.now() + LIMIT_MS;
     const left = this.addresses(known);
     let best: ListHubsResponse | undefined;
-    while (!isOfUse(best) && left.length > 0 && clock.now() < until) {
+    let emptyCount = 0;
+    const isDone = (): boolean => isOfUse(best) || emptyCount >= MAX_EMPTY_ANSWERS;
+    while (!isDone() && left.length > 0 && clock.now() < until) {
       const answer = await this.ask(left.shift()!, TIMEOUT_MS);
-      if (isOfUse(answer) || (best === undefined && answer?.hubs.length !== 0)) best = answer;
+      if (answer?.hubs.length === 0) emptyCount += 1;
+      else if (isOfUse(answer) || best === undefined) best = answer;
+    }
+    if (best === undefined && emptyCount > 0) {
+      await delay(clock, EMPTY_PAUSE_MS * (0.5 + random.float()));
     }
     return best;
   }
