A second call for a plan that may be in force, to another control VM

Change: calls for stored and for committed plans share the rule: another control VM after 400 ms, two calls at most. The control VM that has just answered is called. PlanRefresher.test.ts 'fetches a plan that may be in force from another control VM if the first call does not end' failed before (one call in 3 s).

--- a/packages/gateway/src/entry/PlanRefresher.test.ts
+++ b/packages/gateway/src/entry/PlanRefresher.test.ts
@@ -40,6 +40,8 @@
   readonly version: number;
   /** Plan in its log, which it tells instead of a confirmation. */
   readonly stored?: number;
+  /** Whether calls to it never end. */
+  readonly isFetchSilent?: boolean;
   readonly confirmedAgeMs?: number;
   /** Whether the changes fit into a datagram. */
   readonly hasChanges?: boolean;
@@ -104,7 +106,13 @@
       const isAnswered = isRunning && askMs <= timeoutMs;
       await delay(clock, isAnswered ? askMs : timeoutMs);
       if (!isAnswered) return undefined;
-      if (vm.stored !== undefined) return makeStoredAnswer(address, vm.stored, Object.keys(vms));
+      if (vm.stored !== undefined) {
+        const answer = makeStoredAnswer(address, vm.stored, Object.keys(vms));
+        return {
+          ...answer,
+          stored: { ...answer.stored!, ...(vm.hasChanges === false ? { changes: undefined } : {}) },
+        };
+      }
       const isNewer = vm.version > planVersion;
       return create(CommittedStateSchema, {
         version: BigInt(vm.version),
@@ -115,9 +123,11 @@
     },
     fetchPlan: async (address, _held, _isStored, timeoutMs) => {
       fetched.push(address);
-      await delay(clock, Math.min(fetchMs, timeoutMs));
-      if (fetchMs > timeoutMs) throw new Error('timed out');
-      const { version } = vms[address]!;
+      const { version: committed, stored, isFetchSilent = false } = vms[address]!;
+      const version = stored ?? committed;
+      const tookMs = isFetchSilent ? Infinity : fetchMs;
+      await delay(clock, Math.min(tookMs, timeoutMs));
+      if (tookMs > timeoutMs) throw new Error('timed out');
       const items = [...toPlanItems(makeEmptyPlan(version))];
       const changes = encodePlanChanges(items.map(([key, value]) => ({ key, value })));
       return create(PlanUpdateSchema, { version: BigInt(version), changes });
@@ -340,6 +350,22 @@
     expect(state.possiblePlan?.version).toEqual(2);
   });
 
+  // All requests were refused for up to 3 s, since a second call waited for the first one, whose control VM had lost power again.
+  it('fetches a plan that may be in force from another control VM if the first call does not end', async () => {
+    const vm = { version: 1, stored: 2, hasChanges: false };
+    const { clock, state, start, fetched } = makeFixture({
+      a: { ...vm, isFetchSilent: true },
+      b: { ...vm, isFetchSilent: true },
+      c: vm,
+      d: vm,
+      e: vm,
+    });
+    start();
+    await clock.advanceAsync(3_100);
+    expect(fetched.length).toBeGreaterThan(1);
+    expect(state.possiblePlan?.table).not.toEqual(undefined);
+  });
+
   it('does not take one log for a newer plan while its plan is confirmed', async () => {
     const { clock, state, start } = makeFixture(storedVms([2, 1, 1, 1, 1]), { askMs: 300 });
     start();
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -30,7 +30,7 @@
 const FETCH_SHARE_MS = 400;
 
 /**
- * Calls for a committed plan that are under way at a time, to different control VMs. One that takes longer than its share goes on:
+ * Calls for a plan that are under way at a time, to different control VMs. One that takes longer than its share goes on:
  * given up and repeated, it costs a busy log process the same again and never ends.
  */
 const MAX_FETCHES = 2;
@@ -90,10 +90,7 @@
   /** Newest plan that was logged as possibly in force. */
   private loggedPossible = 0;
 
-  /** The fetch of a plan that may be in force. */
-  private fetchingPossible: Promise<void> | undefined;
-
-  /** Control VMs from which a committed plan is being fetched. */
+  /** Control VMs from which a plan is being fetched. */
   private readonly fetchedFrom = new Set<string>();
 
   /** Such a fetch within its share of the time. Answers of others would tell the same, so no round starts meanwhile. */
@@ -270,35 +267,31 @@
     const possible = result ?? (isConfirmed ? undefined : this.majority.newestPlan(now));
     if (possible === undefined || possible.version <= state.planVersion) return;
     const { version, at, address } = possible;
-    const { changes } = stored;
-    const isAbout = Number(stored.version) === version && changes !== undefined;
-    state.notePossiblePlan(
-      version,
-      at,
-      isAbout ? { fromVersion: heldVersion, changes: decodePlanChanges(changes) } : undefined,
-    );
+    const { changes, member } = stored;
+    const isAbout = Number(stored.version) === version;
+    const update =
+      isAbout && changes !== undefined
+        ? { fromVersion: heldVersion, changes: decodePlanChanges(changes) }
+        : undefined;
+    state.notePossiblePlan(version, at, update);
     if (this.loggedPossible < version) {
       this.loggedPossible = version;
       logger.info('a newer plan may be in force', { version, held: state.planVersion });
     }
     const isMissing = state.possiblePlan !== undefined && state.possiblePlan.table === undefined;
-    if (isMissing) this.fetchPossible(address, version, at);
+    // A control VM that has just answered is the most likely to do so again.
+    const from = isAbout ? (member?.address ?? address) : address;
+    if (isMissing) this.fetchPossible(from, version, at);
   }
 
   /** Fetches a plan that may be in force, so that only requests are refused that it could change. */
   private fetchPossible(address: string, version: number, at: number): void {
-    const { client, state } = this.ctx;
-    this.fetchingPossible ??= client
-      .fetchPlan(address, state.planVersion, true, MAX_ANSWER_AGE_MS)
-      .then((update) => {
-        if (Number(update.version) !== version) return;
-        const changes = decodePlanChanges(update.changes);
-        state.notePossiblePlan(version, at, { fromVersion: Number(update.fromVersion), changes });
-      })
-      .catch((err: unknown) => this.logFetchError(address, err))
-      .finally(() => {
-        this.fetchingPossible = undefined;
-      });
+    this.fetch(address, true, (update) => {
+      if (Number(update.version) !== version) return;
+      const changes = decodePlanChanges(update.changes);
+      const fromVersion = Number(update.fromVersion);
+      this.ctx.state.notePossiblePlan(version, at, { fromVersion, changes });
+    }).catch((err: unknown) => this.logFetchError(address, err));
   }
 
   /** Puts a newer plan in force: from the answer, or fetched if its changes do not fit into a datagram. */
@@ -312,27 +305,34 @@
     }
     const { planVersion } = this.ctx.state;
     if (!isPlanLeftOut || Number(version) <= planVersion) return;
+    await this.fetch(address, false, (update) => this.applyPlan(address, update));
+  }
+
+  /**
+   * Fetches a plan, unless that is under way. Resolves after the share of the time for it at the latest; the plan is taken whenever
+   * it comes.
+   */
+  private async fetch(
+    address: string,
+    isStored: boolean,
+    take: (update: PlanUpdate) => void,
+  ): Promise<void> {
+    const { client, clock, state } = this.ctx;
     if (this.fetchInTime === undefined) {
       if (this.fetchedFrom.size >= MAX_FETCHES || this.fetchedFrom.has(address)) return;
-      this.fetchInTime = this.fetchCommitted(address, planVersion).finally(() => {
+      this.fetchedFrom.add(address);
+      const call = client
+        .fetchPlan(address, state.planVersion, isStored, MAX_ANSWER_AGE_MS)
+        .then(take)
+        .catch((err: unknown) => this.logFetchError(address, err))
+        .finally(() => this.fetchedFrom.delete(address));
+      this.fetchInTime = Promise.race([call, delay(clock, FETCH_SHARE_MS)]).finally(() => {
         this.fetchInTime = undefined;
       });
     }
     await this.fetchInTime;
   }
 
-  /** Resolves after the share of the time for a fetch at the latest. The plan is applied whenever it comes. */
-  private async fetchCommitted(address: string, heldVersion: number): Promise<void> {
-    const { client, clock } = this.ctx;
-    this.fetchedFrom.add(address);
-    const fetch = client
-      .fetchPlan(address, heldVersion, false, MAX_ANSWER_AGE_MS)
-      .then((update) => this.applyPlan(address, update))
-      .catch((err: unknown) => this.logFetchError(address, err))
-      .finally(() => this.fetchedFrom.delete(address));
-    await Promise.race([fetch, delay(clock, FETCH_SHARE_MS)]);
-  }
-
   private logFetchError(address: string, err: unknown): void {
     this.ctx.logger.info('the plan could not be fetched', { from: address, error: String(err) });
   }
