--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -51,8 +51,8 @@
 const ASKED_IN_A_ROUND = 6;
 
 /**
- * Mean time from the begin of a round without a confirmation to the next one. While no control VM runs the questions cost
- * nobody but the entry, and the time to the first one that runs again is a part of the bound.
+ * Mean time from the start of a round without a confirmation to that of the next one. The time until control VMs that run again
+ * are asked is a part of the bound for a plan that was acknowledged before they lost power.
  */
 const ROUND_INTERVAL_MS = 450;
 
@@ -93,7 +93,7 @@
   /** Control VMs from which a plan is being fetched. */
   private readonly fetchedFrom = new Set<string>();
 
-  /** Such a fetch within its share of the time. Answers of others would tell the same, so no round starts meanwhile. */
+  /** A fetch within its share of the time. No round starts meanwhile, since other answers would tell the same. */
   private fetchInTime: Promise<void> | undefined;
 
   /** Newest plan that a control VM has named as committed. */
