--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -3,8 +3,8 @@
  * acknowledged once it is committed, and has to be in force here 2 s later, whatever has become of the hub: it may be cut
  * off without knowing it, be late, or be lost, and a stream of another hub takes the longer the more entries move. So an
  * entry whose plan has not been confirmed for half of that time asks control VMs by datagrams, of which one that a majority
- * confirms is enough, and fetches what it lacks. While there is no leader, what a majority of them has stored tells whether a
- * newer plan may be in force; requests that it could change are refused then.
+ * confirms is enough, and fetches what it lacks. While there is no leader, what they have stored tells whether a newer plan may be
+ * in force; requests that it could change are refused then. A plan that is known to be replaced is not used beyond the 2 s.
  */
 import { delay, setPeriodic, type Clock } from '@marigoldbank/base/clock';
 import { DisposableStore } from '@marigoldbank/base/lifecycle';
