Commit a first plan of version 0 instead of only acknowledging it

Cause: the leader compared the version of a command with 0 if it held no plan, and reported a command that is not newer as committed without proposing it. Ruled out: the member that is called, which asks the state machine and finds no plan; the schema, which allows 0. Change: a plan is superseded only by one that is held. `isNewerVersion` compares with a version or with none. Evidence: the new test of CommandSubmitter failed before (no member had a plan, 5 of 5), and passes.

--- a/packages/gateway/src/control/CommandSubmitter.test.ts
+++ b/packages/gateway/src/control/CommandSubmitter.test.ts
@@ -105,6 +105,20 @@
     expect(leader.log.status().lastIndex).toEqual(before);
   });
 
+  // The first configuration of a fleet was acknowledged and stored nowhere if its version was 0.
+  it('commits a first plan of version 0 through any member', async () => {
+    const group = await FakeControlGroup.start(VMS, 10);
+    const [follower] = group.followers;
+    const before = group.leader.log.status().lastIndex;
+    expect(await submit(group, follower!, plan(0))).toEqual('committed');
+    await group.advance(500);
+    expect(group.vms.map(({ stateMachine }) => stateMachine.current?.plan.version)).toEqual(
+      group.vms.map(() => 0),
+    );
+    expect(await submit(group, group.leader, plan(0))).toEqual('committed');
+    expect(group.leader.log.status().lastIndex).toEqual(before + 1);
+  });
+
   it('shares calls among commands while the leader is busy', async () => {
     const group = await FakeControlGroup.start(VMS, 7);
     const [follower] = group.followers;
--- a/packages/gateway/src/control/CommandSubmitter.ts
+++ b/packages/gateway/src/control/CommandSubmitter.ts
@@ -10,6 +10,7 @@
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { IReplicatedLog, Member } from '@marigoldbank/replicated-log';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { commandKey, encodeCommand, readPlanVersion, type CommandInit } from './commands.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 
@@ -237,8 +238,9 @@
     const known = this.proposals.get(key);
     if (known !== undefined) return known;
     const version = readPlanVersion(data);
-    const heldVersion = this.ctx.stateMachine.current?.plan.version ?? 0;
-    if (version !== undefined && version <= heldVersion) return Promise.resolve(true);
+    const heldVersion = this.ctx.stateMachine.current?.plan.version;
+    const isSuperseded = version !== undefined && !isNewerVersion(version, heldVersion);
+    if (isSuperseded) return Promise.resolve(true);
     const proposal = this.ctx.log
       .propose(data)
       .then(({ kind }) => kind === 'committed')
--- a/packages/routing/src/plan.ts
+++ b/packages/routing/src/plan.ts
@@ -66,6 +66,11 @@
 export type PlanLimits = z.infer<typeof limitsSchema>;
 export type RoutingPlan = z.infer<typeof planSchema>;
 
+/** Whether a version is newer than the one held. Any version is if none is held: 0 is a version like any other. */
+export function isNewerVersion(version: number, held: number | undefined): boolean {
+  return held === undefined || version > held;
+}
+
 function duplicatesOf(values: readonly string[]): string[] {
   const seen = new Set<string>();
   return values.filter((value) => seen.size === seen.add(value).size);
