--- a/packages/gateway/src/control/PlanStateMachine.ts
+++ b/packages/gateway/src/control/PlanStateMachine.ts
@@ -1,7 +1,7 @@
 /** Replicated state of the gateway: the newest plan with its document, and the targets marked as leaving. */
 import { Emitter } from '@marigoldbank/base/events';
 import { StateMachine } from '@marigoldbank/replicated-log';
-import type { RoutingPlan } from '@marigoldbank/routing/plan';
+import { isNewerVersion, type RoutingPlan } from '@marigoldbank/routing/plan';
 import {
   commandSchema,
   stateSchema,
@@ -67,7 +67,7 @@
   /** Whether a command is applied or superseded, so that proposing it would change nothing. */
   public isInEffect(command: CommandInit): boolean {
     if (command.kind === 'putPlan') {
-      return this.committed !== undefined && command.plan.version <= this.committed.plan.version;
+      return !isNewerVersion(command.plan.version, this.committed?.plan.version);
     }
     const mark = this.leavingMark(command.id, command.born);
     if (mark === undefined) return false;
@@ -101,8 +101,8 @@
   public override restore(snapshot: Uint8Array): void {
     const state = stateSchema.parse(JSON.parse(Buffer.from(snapshot).toString()));
     Object.entries(state.leaving).forEach(([id, mark]) => this.mergeMark(id, mark));
-    const heldVersion = this.committed?.plan.version ?? 0;
-    if (state.plan !== null && state.plan.version > heldVersion) {
+    const heldVersion = this.committed?.plan.version;
+    if (state.plan !== null && isNewerVersion(state.plan.version, heldVersion)) {
       this.setPlan(state.plan, state.document);
     }
     this.restoreEmitter.fire();
@@ -111,9 +111,7 @@
 
   private execute(command: Command): CommandResult {
     if (command.kind === 'markLeaving') return this.markLeaving(command);
-    if (this.committed !== undefined && command.plan.version <= this.committed.plan.version) {
-      return 'superseded';
-    }
+    if (!isNewerVersion(command.plan.version, this.committed?.plan.version)) return 'superseded';
     this.setPlan(command.plan, command.document);
     return 'applied';
   }
--- a/packages/gateway/src/control/state.test.ts
+++ b/packages/gateway/src/control/state.test.ts
@@ -36,6 +36,17 @@
     expect(Buffer.from(copy.snapshot())).toEqual(Buffer.from(machine.snapshot()));
   });
 
+  // A hub gets its first plan in a snapshot, and a log process gets the plan that way after a restart.
+  it('restores a plan of version 0, and keeps it against a snapshot without a plan', () => {
+    const machine = new PlanStateMachine();
+    const empty = machine.snapshot();
+    putPlan(machine, 0, 'zero');
+    const copy = new PlanStateMachine();
+    copy.restore(machine.snapshot());
+    copy.restore(empty);
+    expect(copy.current?.document).toEqual('zero');
+  });
+
   it('marks one incarnation of a target and not a later one with the same id', () => {
     const machine = new PlanStateMachine();
     markLeaving(machine, 50, false);
