Know a stored plan of version 0 before there is a leader

Callers saw: after a loss of power of all control VMs, entries got no answer on what is stored while the newest plan had version 0, and could not confirm the plan that they held; changes from version 0 were taken from an entry of the log that sets no plan. Cause: StoredCommands used version 0 for entries that set no plan, and compared with 0 if no plan was committed. Ruled out: the index of the last entry and its term, which start at 1 and may stay numbers. Change: the version of an entry that sets no plan is undefined, and such entries are left out. Evidence: the new test failed before (no stored state), and passes.

--- a/packages/gateway/src/control/CommitHistory.test.ts
+++ b/packages/gateway/src/control/CommitHistory.test.ts
@@ -2,6 +2,8 @@
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { makeRoute } from '@marigoldbank/routing/fixtures';
+import type { Route } from '@marigoldbank/routing/plan';
+import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import { expect } from 'earl';
 import { FakeStoredLog } from '../testing/FakeStoredLog.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
@@ -77,6 +79,30 @@
     expect([state?.version, state?.confirmedAgeMs]).toEqual([1n, undefined]);
   });
 
+  // After a loss of power nothing is committed before there is a leader, and entries go by what is stored.
+  it('tells of a stored plan of version 0, and the changes from it', () => {
+    const clock = new VirtualClock();
+    const log = new FakeStoredLog();
+    const history = new CommitHistory({
+      clock,
+      stateMachine: new PlanStateMachine(),
+      confirmation: { confirmedAgeMs: () => Infinity },
+      log,
+      logger: new NullLogger(),
+    });
+    log.store({ kind: 'markLeaving', id: 'a', born: 1, isGone: false, at: 0 });
+    const putPlan = (version: number, routes: Route[]): void =>
+      log.store({ kind: 'putPlan', document: '', plan: { ...makeEmptyPlan(version), routes } });
+    const routes = [makeRoute({ prefix: '/a/' }), makeRoute({ prefix: '/b/' })];
+    putPlan(0, routes);
+    const held = { planVersion: 0, index: 0 };
+    expect(history.stateFor(held)?.stored?.version).toEqual(0n);
+    putPlan(1, [...routes, makeRoute({ prefix: '/c/' })]);
+    const stored = history.stateFor(held)?.stored;
+    expect(stored?.version).toEqual(1n);
+    expect(decodePlanChanges(stored!.changes!).length).toEqual(1);
+  });
+
   // A change of six routes did not fit, so that each entry of a fleet fetched it by a call while the log processes were saturated, and
   // refused all requests until it came.
   it('has the changes of six routes in an answer, committed or stored', () => {
--- a/packages/gateway/src/control/StoredCommands.ts
+++ b/packages/gateway/src/control/StoredCommands.ts
@@ -3,6 +3,7 @@
  * leader, but everything that was committed is in the logs of a majority.
  */
 import type { IReplicatedLog, LogEntry } from '@marigoldbank/replicated-log';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import {
   commandSchema,
   isLeavingCommand,
@@ -33,13 +34,13 @@
   return commandSchema.safeParse(JSON.parse(Buffer.from(data).toString())).data;
 }
 
-/** Version of the plan that an entry sets, 0 for another entry. */
-function versionOf(entry: LogEntry): number {
-  if (entry.kind !== 'command' || isLeavingCommand(entry.data)) return 0;
+/** Version of the plan that an entry sets, undefined for another entry. */
+function versionOf(entry: LogEntry): number | undefined {
+  if (entry.kind !== 'command' || isLeavingCommand(entry.data)) return undefined;
   const version = readPlanVersion(entry.data);
   if (version !== undefined) return version;
   const command = parse(entry);
-  return command?.kind === 'putPlan' ? command.plan.version : 0;
+  return command?.kind === 'putPlan' ? command.plan.version : undefined;
 }
 
 function toPlan(entry: LogEntry): CommittedPlan | undefined {
@@ -91,9 +92,12 @@
   private newestPlan(entries: readonly LogEntry[]): CommittedPlan | undefined {
     const { current } = this.stateMachine;
     const [newest] = entries
-      .map((entry) => ({ entry, version: versionOf(entry) }))
+      .flatMap((entry) => {
+        const version = versionOf(entry);
+        return version === undefined ? [] : [{ entry, version }];
+      })
       .sort((a, b) => b.version - a.version);
-    if (newest === undefined || newest.version <= (current?.plan.version ?? 0)) return current;
-    return toPlan(newest.entry) ?? current;
+    const isNewer = newest !== undefined && isNewerVersion(newest.version, current?.plan.version);
+    return isNewer ? (toPlan(newest.entry) ?? current) : current;
   }
 }
