Send entries a plan of version 0, and put it in force there

Callers saw (after the plan is committed and held by the hubs): all requests get 503, as no entry has a plan. Cause: a hub compared its plan with the version that the entry had named, which is 0 for an entry without a plan, and recorded the entry as having it. An entry ignored a complete plan whose version was not above its own, which was 0 without a plan, and took the status of a hub with version 0 for a confirmation of what it did not have. Weighed: versions that are moved by one where documents are parsed. In messages the fields have presence. Tests: `applyPlan(0, ...)` in tests stood for a complete plan and became `applyPlan(undefined, ...)`, versions below N became `isNewerVersion(N, version)`, which is as strict and fails without a plan as well.

--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -172,7 +172,7 @@
 
   /** The changes from a version to the current plan, or the complete plan. Undefined before the first plan. */
   public updateFrom(
-    heldVersion: number,
+    heldVersion: number | undefined,
     isStored = false,
   ): MessageInitShape<typeof PlanUpdateSchema> | undefined {
     const current = isStored ? this.stored.read().plan : this.plans.at(-1);
@@ -187,7 +187,7 @@
     };
   }
 
-  private planOf(version: number): CommittedPlan | undefined {
+  private planOf(version: number | undefined): CommittedPlan | undefined {
     return this.plans.find(({ plan }) => plan.version === version);
   }
 
--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -9,6 +9,7 @@
   TargetSchema,
   TokenAnswerSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import type { SuspectStatement } from '@marigoldbank/routing/PoisonTable';
 import type { AdvertisedEntry } from '../AddressBook.js';
 import { Batcher } from '../sync/Batcher.js';
@@ -90,8 +91,8 @@
     /** Number of the entry in evidence batches. */
     public readonly entryRef: number,
     private readonly source: SessionSource,
-    /** Version of the plan that the entry held when it connected, 0 for none. */
-    private readonly initialVersion = 0,
+    /** Version of the plan that the entry held when it connected, undefined for none. */
+    private readonly initialVersion?: number,
   ) {
     this.reportedAt = source.clock.now();
     this.batcher = new Batcher(source.clock, () => this.flush());
@@ -248,7 +249,7 @@
     if (current === undefined || current === this.sentPlan) return undefined;
     if (this.sentPlan !== undefined) return current;
     if (current.plan.version === this.initialVersion) this.sentPlan = current;
-    return current.plan.version > this.initialVersion ? current : undefined;
+    return isNewerVersion(current.plan.version, this.initialVersion) ? current : undefined;
   }
 
   private takePlan(): HubUpdateInit['plan'] {
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -7,6 +7,7 @@
 import type { EntryReport, HubRelay } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { Announcement } from '../announcement.js';
 import { ipOf, syncAddress } from '../settings.js';
+import { toVersion } from '../sync/plan-version.js';
 import { AdvertisedEntries } from './AdvertisedEntries.js';
 import { RelayHandler } from './RelayHandler.js';
 import { RetryBudgets } from './RetryBudgets.js';
@@ -276,7 +277,8 @@
     };
     this.entries.noteReportedCount(entryCount, clock.now());
     this.lastEntryRef += 1;
-    const session = new EntrySession(identity, this.lastEntryRef, source, Number(planVersion));
+    const heldVersion = toVersion(planVersion);
+    const session = new EntrySession(identity, this.lastEntryRef, source, heldVersion);
     this.sessions.set(identity.vm, session);
     session.noteReport(clock.now(), sentAtMs);
     session.sendStatus(this.messages.status(clock.now()), {
--- a/packages/gateway/src/control/HubMessages.ts
+++ b/packages/gateway/src/control/HubMessages.ts
@@ -1,6 +1,7 @@
 /** Makes the messages of a hub about its whole state: its status, and the snapshots at the start of streams. */
 import type { Clock } from '@marigoldbank/base/clock';
 import type { GatewaySettings } from '../settings.js';
+import { toVersionField } from '../sync/plan-version.js';
 import { OWN_HUB, type EntryRegistry } from './EntryRegistry.js';
 import type { EntrySession, HubStatusInit, HubUpdateInit } from './EntrySession.js';
 import type { EvidenceDistributor } from './EvidenceDistributor.js';
@@ -51,7 +52,7 @@
       isLeaderless: freshness.isLeaderless(now),
       isCutOff: freshness.isCutOff(now),
       isStarting: freshness.isStarting,
-      planVersion: BigInt(stateMachine.current?.plan.version ?? 0),
+      planVersion: toVersionField(stateMachine.current?.plan.version),
     };
   }
 
--- a/packages/gateway/src/control/StoredCommands.ts
+++ b/packages/gateway/src/control/StoredCommands.ts
@@ -80,7 +80,8 @@
   }
 
   /** A plan that is stored but not the newest one. */
-  public planOf(version: number): CommittedPlan | undefined {
+  public planOf(version: number | undefined): CommittedPlan | undefined {
+    if (version === undefined) return undefined;
     const { entries, bases } = this.read();
     if (!bases.has(version)) {
       const entry = entries.find((other) => versionOf(other) === version);
--- a/packages/gateway/src/control/change-in-force.test.ts
+++ b/packages/gateway/src/control/change-in-force.test.ts
@@ -1,6 +1,7 @@
 /** A change is in force at every entry 2 s after its acknowledgement, in virtual time, while hubs are cut off. */
 import { describe, it } from 'node:test';
 import { makeRoute } from '@marigoldbank/routing/fixtures';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { expect } from 'earl';
 import { FakeFleet } from '../testing/FakeFleet.js';
 import type { FakeHub } from '../testing/fake-fleet-parts.js';
@@ -67,7 +68,7 @@
   await keepBusy(fleet, others, load, cutBeforeMs);
   fleet.commit(makeEmptyPlan(2));
   await keepBusy(fleet, others, load, CONFIG_APPLY_MS);
-  return fleet.entries.filter(({ state }) => state.planVersion < 2).length;
+  return fleet.entries.filter(({ state }) => isNewerVersion(2, state.planVersion)).length;
 }
 
 // Entries of hubs that are cut off kept the plan before until they had moved to another hub, which took longer than the 2 s
@@ -117,7 +118,9 @@
         routes: Array.from({ length: 400 }, (_, i) => makeRoute({ prefix: `/route-${i}/` })),
       });
       await fleet.advance(CONFIG_APPLY_MS);
-      expect(fleet.entries.filter(({ state }) => state.planVersion < 2).length).toEqual(0);
+      expect(
+        fleet.entries.filter(({ state }) => isNewerVersion(2, state.planVersion)).length,
+      ).toEqual(0);
     });
   });
 });
@@ -135,6 +138,8 @@
       await fleet.advance(300);
     }
     await fleet.advance(CONFIG_APPLY_MS);
-    expect(fleet.entries.filter(({ state }) => state.planVersion < 19).length).toEqual(0);
+    expect(
+      fleet.entries.filter(({ state }) => isNewerVersion(19, state.planVersion)).length,
+    ).toEqual(0);
   });
 });
--- /dev/null
+++ b/packages/gateway/src/control/first-plan.test.ts
@@ -0,0 +1,73 @@
+/** Guards against version 0 of the plan, which an operator may choose, being taken for the absence of a plan. */
+import { describe, it } from 'node:test';
+import { makeRoute } from '@marigoldbank/routing/fixtures';
+import type { RoutingPlan } from '@marigoldbank/routing/plan';
+import { expect } from 'earl';
+import type { EntryState } from '../entry/EntryState.js';
+import { FakeFleet } from '../testing/FakeFleet.js';
+import { makeEmptyPlan } from '../testing/fixtures.js';
+
+const HOST = 'shop.example';
+
+const DATA_CENTRES = ['dc-1', 'dc-2', 'dc-3', 'dc-4'];
+
+const SIZES = [
+  { hubs: 7, entries: 111 },
+  { hubs: 14, entries: 222 },
+];
+
+interface Size {
+  readonly hubs: number;
+  readonly entries: number;
+}
+
+/** Two routes that all versions have, and one whose service and timeout are of this version. */
+function makePlan(version: number): RoutingPlan {
+  const services = ['orders', `orders-${version}`];
+  return {
+    ...makeEmptyPlan(version),
+    hasTeams: false,
+    services: services.map((name) => ({ name, maxConnections: 360 })),
+    routes: [
+      makeRoute({ host: HOST, prefix: '/first/' }),
+      makeRoute({ host: HOST, prefix: '/second/' }),
+      makeRoute({ host: HOST, prefix: '/moved/', shares: [{ service: services[1]!, weight: 1 }] }),
+    ],
+  };
+}
+
+function makeFleet({ hubs, entries }: Size): FakeFleet {
+  return new FakeFleet({
+    hubs: Array.from({ length: hubs }, (_, i) => DATA_CENTRES[i % 4]!),
+    entries: Array.from({ length: entries }, (_, i) => DATA_CENTRES[i % 4]!),
+  });
+}
+
+async function startWithFirstPlan(size: Size): Promise<FakeFleet> {
+  const fleet = makeFleet(size);
+  fleet.commit(makePlan(0));
+  await fleet.advance(5_000);
+  return fleet;
+}
+
+/** Version by which an entry handles requests of the route that moves, undefined if it does not know all three routes. */
+function handledBy({ currentRouteTable }: EntryState): string | undefined {
+  const routes = ['/first/x', '/second/x', '/moved/x'].map((path) =>
+    currentRouteTable?.findRoute(HOST, path),
+  );
+  return routes.includes(undefined) ? undefined : routes.at(-1)!.shares[0]!.service;
+}
+
+function countWithout(fleet: FakeFleet, version: number): number {
+  return fleet.entries.filter(({ state }) => handledBy(state) !== `orders-${version}`).length;
+}
+
+SIZES.forEach((size) => {
+  describe(`a first plan of version 0: ${size.entries} entries`, () => {
+    // Hubs took the plan for none and entries the one sent to them for an old one.
+    it('is in force at all entries', async () => {
+      const fleet = await startWithFirstPlan(size);
+      expect(countWithout(fleet, 0)).toEqual(0);
+    });
+  });
+});
--- a/packages/gateway/src/control/fleet-forming.test.ts
+++ b/packages/gateway/src/control/fleet-forming.test.ts
@@ -3,6 +3,7 @@
  * start, since all of them went through the hubs of three seeds, while seven other hubs were idle.
  */
 import { describe, it } from 'node:test';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { expect } from 'earl';
 import { FakeFleet } from '../testing/FakeFleet.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
@@ -47,7 +48,7 @@
 }
 
 function countUnserved(fleet: FakeFleet): number {
-  return fleet.entries.filter(({ state }) => state.planVersion === 0).length;
+  return fleet.entries.filter(({ state }) => state.planVersion === undefined).length;
 }
 
 function streamsPerEntry(fleet: FakeFleet): number {
@@ -100,7 +101,9 @@
       await fleet.advance(3_000);
       fleet.commit(makeEmptyPlan(2));
       await fleet.advance(CONFIG_APPLY_MS);
-      expect(fleet.entries.filter(({ state }) => state.planVersion < 2).length).toEqual(0);
+      expect(
+        fleet.entries.filter(({ state }) => isNewerVersion(2, state.planVersion)).length,
+      ).toEqual(0);
     });
 
     it(`keeps its streams while all hubs are late, ${size.entryCount} entries`, async () => {
--- a/packages/gateway/src/control/fleet-scenarios.test.ts
+++ b/packages/gateway/src/control/fleet-scenarios.test.ts
@@ -1,5 +1,6 @@
 /** Scenarios of whole fleets in virtual time, at the size of the grown deployments and beyond. */
 import { describe, it } from 'node:test';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { expect } from 'earl';
 import { FakeFleet } from '../testing/FakeFleet.js';
 import type { FakeHub } from '../testing/fake-fleet-parts.js';
@@ -38,7 +39,7 @@
     await overload(fleet, busy);
     fleet.commit(makeEmptyPlan(2));
     await fleet.advance(CONFIG_APPLY_MS);
-    const outdated = fleet.entries.filter(({ state }) => state.planVersion < 2);
+    const outdated = fleet.entries.filter(({ state }) => isNewerVersion(2, state.planVersion));
     expect(outdated.length).toEqual(0);
   });
 
@@ -75,7 +76,9 @@
       await fleet.advance(600);
       fleet.commit(makeEmptyPlan(2));
       await fleet.advance(CONFIG_APPLY_MS);
-      expect(fleet.entries.filter(({ state }) => state.planVersion < 2).length).toEqual(0);
+      expect(
+        fleet.entries.filter(({ state }) => isNewerVersion(2, state.planVersion)).length,
+      ).toEqual(0);
     });
   });
 });
--- a/packages/gateway/src/control/fleet-soak.test.ts
+++ b/packages/gateway/src/control/fleet-soak.test.ts
@@ -4,6 +4,7 @@
  */
 import { describe, it } from 'node:test';
 import { Random } from '@marigoldbank/base/random';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { expect } from 'earl';
 import { MAX_CONFIRMED_AGE_MS } from '../sync/confirmation.js';
 import { FakeFleet } from '../testing/FakeFleet.js';
@@ -80,7 +81,7 @@
   version += 1;
   fleet.commit(makeEmptyPlan(version));
   await fleet.advance(PLAN_MS);
-  const outdated = fleet.entries.filter(({ state }) => state.planVersion < version);
+  const outdated = fleet.entries.filter(({ state }) => isNewerVersion(version, state.planVersion));
   await fleet.advance(SETTLED_MS - PLAN_MS);
   const before = connectionsOf(fleet);
   await fleet.advance(OBSERVED_MS);
--- a/packages/gateway/src/control/hub-load.test.ts
+++ b/packages/gateway/src/control/hub-load.test.ts
@@ -3,6 +3,7 @@
  * deployments, in virtual time, at the size of those and beyond.
  */
 import { describe, it } from 'node:test';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { expect } from 'earl';
 import type { Announcement } from '../announcement.js';
 import { MAX_CONFIRMED_AGE_MS } from '../sync/confirmation.js';
@@ -85,7 +86,7 @@
 }
 
 function countOutdated(fleet: FakeFleet, version: number): number {
-  return fleet.entries.filter(({ state }) => state.planVersion < version).length;
+  return fleet.entries.filter(({ state }) => isNewerVersion(version, state.planVersion)).length;
 }
 
 function countLate(fleet: FakeFleet): number {
@@ -163,7 +164,7 @@
       await serve(fleet, 1_000, 1);
       fleet.commit(makeEmptyPlan(2));
       await serve(fleet, CONFIG_APPLY_MS, 1);
-      expect(own.filter(({ state }) => state.planVersion < 2).length).toEqual(0);
+      expect(own.filter(({ state }) => isNewerVersion(2, state.planVersion)).length).toEqual(0);
       await serve(fleet, 2_000, 1);
       expect(countOutdated(fleet, 2)).toEqual(0);
       fleet.commit(makeEmptyPlan(3));
--- a/packages/gateway/src/control/log-routes.ts
+++ b/packages/gateway/src/control/log-routes.ts
@@ -6,6 +6,7 @@
   type ConfirmResponseSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { IReplicatedLog } from '@marigoldbank/replicated-log';
+import { toVersion } from '../sync/plan-version.js';
 import type { HubDirectory } from './HubDirectory.js';
 import type { LogFeed } from './LogFeed.js';
 import type { CommandSubmitter } from './CommandSubmitter.js';
@@ -44,7 +45,7 @@
 
     submit: async ({ commands }) => ({ isCommitted: await submitter.accept(commands) }),
 
-    fetchPlan: ({ heldPlan, isStored }) => history.updateFrom(Number(heldPlan), isStored) ?? {},
+    fetchPlan: ({ heldPlan, isStored }) => history.updateFrom(toVersion(heldPlan), isStored) ?? {},
 
     join: async (req) => {
       const isAccepted = await voterManager.admit(req);
--- a/packages/gateway/src/control/plan-after-power-loss.test.ts
+++ b/packages/gateway/src/control/plan-after-power-loss.test.ts
@@ -1,7 +1,7 @@
 /** Entries after a loss of power of all control VMs, in virtual time, while the log processes answer and have no leader. */
 import { describe, it } from 'node:test';
 import { makeRoute } from '@marigoldbank/routing/fixtures';
-import type { RoutingPlan } from '@marigoldbank/routing/plan';
+import { isNewerVersion, type RoutingPlan } from '@marigoldbank/routing/plan';
 import { expect } from 'earl';
 import type { EntryState } from '../entry/EntryState.js';
 import { FakeFleet } from '../testing/FakeFleet.js';
@@ -34,7 +34,7 @@
 
 /** Whether a request is handled by the plan in effect although that was replaced. */
 function servesByOldPlan(state: EntryState, path: string): boolean {
-  return state.planVersion < 2 && !state.mayHandleOtherwise(HOST, path, undefined);
+  return isNewerVersion(2, state.planVersion) && !state.mayHandleOtherwise(HOST, path, undefined);
 }
 
 interface Scenario {
--- a/packages/gateway/src/control/stopped-log.test.ts
+++ b/packages/gateway/src/control/stopped-log.test.ts
@@ -1,5 +1,6 @@
 /** Hubs that run while the log processes of their VMs do not, in virtual time, at the size of the grown deployments. */
 import { describe, it } from 'node:test';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { expect } from 'earl';
 import { FakeFleet } from '../testing/FakeFleet.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
@@ -30,7 +31,7 @@
     Object.assign(fleet.hubs.at(-1)!, { isLogDown: true });
     fleet.commit(makeEmptyPlan(2));
     await fleet.advance(CONFIG_APPLY_MS);
-    const outdated = fleet.entries.filter(({ state }) => state.planVersion < 2);
+    const outdated = fleet.entries.filter(({ state }) => isNewerVersion(2, state.planVersion));
     expect(outdated.length).toEqual(0);
   });
 
@@ -53,7 +54,7 @@
       const unknown = { isLeader: false, leader: undefined, voters: [] };
       Object.assign(hub.log, { ...unknown, confirmedAt: -Infinity, leaderSeenAt: -Infinity });
     });
-    fleet.entries.forEach(({ state }) => state.applyPlan(0, 1, []));
+    fleet.entries.forEach(({ state }) => state.applyPlan(undefined, 1, []));
     await fleet.advance(2_000);
     const before = countConnections(fleet);
     await fleet.advance(2_000);
--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -46,7 +46,7 @@
       state.mayHandleOtherwise('shop.example', '/x', undefined);
     const start = (): EntryState => {
       const state = new EntryState(BOUNDS);
-      state.applyPlan(0, 1, wholePlan(makePlan(1, 500)));
+      state.applyPlan(undefined, 1, wholePlan(makePlan(1, 500)));
       state.confirmPlan(100, 100);
       return state;
     };
@@ -55,17 +55,20 @@
       const state = start();
       state.notePossiblePlan(2, 200);
       expect(handlesOtherwise(state)).toEqual(true);
-      state.notePossiblePlan(2, 200, { fromVersion: 0, changes: wholePlan(makePlan(2, 500)) });
+      state.notePossiblePlan(2, 200, {
+        fromVersion: undefined,
+        changes: wholePlan(makePlan(2, 500)),
+      });
       expect(handlesOtherwise(state)).toEqual(false);
     });
 
     it('could until it is in force, or until a later confirmation shows that it is not', () => {
       const [applied, confirmed] = [start(), start()];
       [applied, confirmed].forEach((state) =>
-        state.notePossiblePlan(2, 200, { fromVersion: 0, changes }),
+        state.notePossiblePlan(2, 200, { fromVersion: undefined, changes }),
       );
       expect([handlesOtherwise(applied), handlesOtherwise(confirmed)]).toEqual([true, true]);
-      applied.applyPlan(0, 2, changes);
+      applied.applyPlan(undefined, 2, changes);
       confirmed.confirmPlan(199, 300);
       expect([handlesOtherwise(applied), handlesOtherwise(confirmed)]).toEqual([false, true]);
       confirmed.confirmPlan(201, 300);
@@ -74,7 +77,7 @@
 
     it('does not count if the plan in effect was confirmed later', () => {
       const state = start();
-      state.notePossiblePlan(2, 50, { fromVersion: 0, changes });
+      state.notePossiblePlan(2, 50, { fromVersion: undefined, changes });
       expect(handlesOtherwise(state)).toEqual(false);
     });
   });
@@ -82,28 +85,28 @@
   it('applies a complete plan and then differences to it', () => {
     const state = new EntryState(BOUNDS);
     const [first, second] = [makePlan(3, 1_000), makePlan(5, 2_000)];
-    state.applyPlan(0, 3, wholePlan(first));
+    state.applyPlan(undefined, 3, wholePlan(first));
     state.applyPlan(3, 5, diffPlanItems(toPlanItems(first), toPlanItems(second)));
     expect([state.planVersion, timeoutOf(state)]).toEqual([5, 2_000]);
   });
 
   it('keeps the newer plan when the next hub has an older one', () => {
     const state = new EntryState(BOUNDS);
-    state.applyPlan(0, 5, wholePlan(makePlan(5, 2_000)));
-    state.applyPlan(0, 3, wholePlan(makePlan(3, 1_000)));
+    state.applyPlan(undefined, 5, wholePlan(makePlan(5, 2_000)));
+    state.applyPlan(undefined, 3, wholePlan(makePlan(3, 1_000)));
     expect([state.planVersion, timeoutOf(state)]).toEqual([5, 2_000]);
   });
 
   it('rejects a difference to another plan than the one in effect', () => {
     const state = new EntryState(BOUNDS);
-    state.applyPlan(0, 5, wholePlan(makePlan(5, 2_000)));
+    state.applyPlan(undefined, 5, wholePlan(makePlan(5, 2_000)));
     expect(() => state.applyPlan(3, 7, [])).toThrow('builds on 3');
     expect(state.planVersion).toEqual(5);
   });
 
   it('does not consider an old plan confirmed when a status arrives before the newer plan', () => {
     const state = new EntryState(BOUNDS);
-    state.applyPlan(0, 5, wholePlan(makePlan(5, 1_000)));
+    state.applyPlan(undefined, 5, wholePlan(makePlan(5, 1_000)));
     const status = {
       confirmedAgeMs: 0,
       budgetAgeMs: 0,
@@ -114,7 +117,7 @@
     };
     state.setStatus({ ...status, planVersion: 7, trueAt: 0 }, 0);
     expect(state.hasConfirmedPlan).toEqual(false);
-    state.applyPlan(0, 7, wholePlan(makePlan(7, 1_000)));
+    state.applyPlan(undefined, 7, wholePlan(makePlan(7, 1_000)));
     expect(state.hasConfirmedPlan).toEqual(true);
   });
 
@@ -205,14 +208,14 @@
       isCutOff: false,
       isStarting: false,
     };
-    state.applyPlan(0, 5, wholePlan(makePlan(5, 1_000)));
+    state.applyPlan(undefined, 5, wholePlan(makePlan(5, 1_000)));
     expect(state.planAgeMs(0)).toEqual(Infinity);
     state.setStatus({ ...status, planVersion: 5, trueAt: 1_000 }, 1_000);
     expect(state.planAgeMs(1_000)).toEqual(100);
     // The hub has confirmed a newer plan, which has not arrived.
     state.setStatus({ ...status, planVersion: 7, trueAt: 2_000 }, 2_000);
     expect(state.planAgeMs(2_000)).toEqual(1_100);
-    state.applyPlan(0, 7, wholePlan(makePlan(7, 1_000)));
+    state.applyPlan(undefined, 7, wholePlan(makePlan(7, 1_000)));
     expect(state.planAgeMs(2_000)).toEqual(100);
     state.confirmPlan(2_500, 2_600);
     expect([state.planAgeMs(2_600), state.confirmedAgeMs(2_600)]).toEqual([100, 700]);
@@ -223,7 +226,7 @@
   it('counts the time for which the VM was suspended as age of its plan', () => {
     let timeOfDay = 0;
     const state = new EntryState(BOUNDS, undefined, () => timeOfDay);
-    state.applyPlan(0, 5, wholePlan(makePlan(5, 1_000)));
+    state.applyPlan(undefined, 5, wholePlan(makePlan(5, 1_000)));
     state.confirmPlan(0, 0);
     timeOfDay = 5_000;
     expect(state.planAgeMs(10)).toEqual(5_000);
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -2,7 +2,7 @@
 import { Emitter } from '@marigoldbank/base/events';
 import { Random } from '@marigoldbank/base/random';
 import { DurationEstimate } from '@marigoldbank/routing/DurationEstimate';
-import type { Route } from '@marigoldbank/routing/plan';
+import { isNewerVersion, type Route } from '@marigoldbank/routing/plan';
 import { PoisonTable } from '@marigoldbank/routing/PoisonTable';
 import {
   applyPlanChanges,
@@ -57,8 +57,8 @@
   readonly isCutOff: boolean;
   /** Whether the hub has just started and does not know all targets yet. */
   readonly isStarting: boolean;
-  /** Version of the plan that was confirmed. */
-  readonly planVersion: number;
+  /** Version of the plan that was confirmed, undefined if there is none. */
+  readonly planVersion: number | undefined;
   /** Monotonic ms. Much earlier than the arrival of the status if messages wait at the hub or on the way. */
   readonly trueAt: number;
 }
@@ -103,7 +103,7 @@
   private planCurrent = { at: -Infinity, clockOffsetMs: 0 };
 
   /** A plan that may have been acknowledged, and when that was learnt. Without `table` nothing else is known of it. */
-  private possible: PossibleTable = { version: 0, at: -Infinity, table: undefined };
+  private possible: PossibleTable | undefined;
 
   private largestCount = { entries: 1, at: -Infinity };
 
@@ -126,8 +126,9 @@
     return this.routeTable;
   }
 
-  public get planVersion(): number {
-    return this.routeTable?.plan.version ?? 0;
+  /** Version of the plan in effect, undefined before the first one. */
+  public get planVersion(): number | undefined {
+    return this.routeTable?.plan.version;
   }
 
   /** Largest number of entries in the fleet according to the statuses of the last 20 s, at least 1. */
@@ -135,13 +136,18 @@
     return this.largestCount.entries;
   }
 
-  /** Applies changes to the plan `fromVersion`, or a complete plan if that is 0. Never returns to an older version. */
-  public applyPlan(fromVersion: number, version: number, changes: readonly PlanChange[]): void {
-    const base = fromVersion === 0 ? new Map<string, string>() : this.planItems;
-    if (fromVersion !== 0 && fromVersion !== this.planVersion) {
-      throw new Error(`plan ${version} builds on ${fromVersion}, not on ${this.planVersion}`);
+  /** Applies changes to the plan `fromVersion`, or a complete plan if that is undefined. Never returns to an older version. */
+  public applyPlan(
+    fromVersion: number | undefined,
+    version: number,
+    changes: readonly PlanChange[],
+  ): void {
+    const { planVersion } = this;
+    if (fromVersion !== undefined && fromVersion !== planVersion) {
+      throw new Error(`plan ${version} builds on ${fromVersion}, not on ${planVersion}`);
     }
-    if (version < this.planVersion) return;
+    if (planVersion !== undefined && version < planVersion) return;
+    const base = fromVersion === undefined ? new Map<string, string>() : this.planItems;
     this.planItems = applyPlanChanges(base, changes);
     this.routeTable = new RouteTable(fromPlanItems(version, this.planItems));
     this.takeConfirmation();
@@ -172,22 +178,27 @@
   public notePossiblePlan(
     version: number,
     at: number,
-    update?: { readonly fromVersion: number; readonly changes: readonly PlanChange[] },
+    update?: {
+      readonly fromVersion: number | undefined;
+      readonly changes: readonly PlanChange[];
+    },
   ): void {
-    const known = this.possible.version === version ? this.possible.table : undefined;
-    this.possible = { version, at: Math.max(at, this.possible.at), table: known };
+    const known = this.possible?.version === version ? this.possible.table : undefined;
+    this.possible = { version, at: Math.max(at, this.possible?.at ?? -Infinity), table: known };
     if (known !== undefined || update === undefined) return;
     const { fromVersion, changes } = update;
-    if (fromVersion !== 0 && fromVersion !== this.planVersion) return;
-    const base = fromVersion === 0 ? new Map<string, string>() : this.planItems;
+    if (fromVersion !== undefined && fromVersion !== this.planVersion) return;
+    const base = fromVersion === undefined ? new Map<string, string>() : this.planItems;
     const items = applyPlanChanges(base, changes);
     this.possible = { ...this.possible, table: new RouteTable(fromPlanItems(version, items)) };
   }
 
   /** The plan that may be in force instead of the one in effect, undefined if that is known to be the newest one. */
   public get possiblePlan(): PossibleTable | undefined {
+    if (this.possible === undefined) return undefined;
     const { version, at } = this.possible;
-    return version > this.planVersion && at > this.planCurrent.at ? this.possible : undefined;
+    const isNewer = isNewerVersion(version, this.planVersion);
+    return isNewer && at > this.planCurrent.at ? this.possible : undefined;
   }
 
   /** Whether a plan that may be in force could handle a request in another way than the one in effect. */
@@ -225,12 +236,14 @@
 
   /** Whether the plan in effect is at least as new as the confirmed one. A status may arrive before its plan. */
   public get hasConfirmedPlan(): boolean {
-    return this.status !== undefined && this.planVersion >= this.status.planVersion;
+    if (this.status === undefined) return false;
+    const { planVersion } = this.status;
+    return planVersion === undefined || !isNewerVersion(planVersion, this.planVersion);
   }
 
-  /** Version of the plan that was confirmed, according to the last status; 0 without one. */
-  public get confirmedPlanVersion(): number {
-    return this.status?.planVersion ?? 0;
+  /** Version of the plan that was confirmed, according to the last status; undefined without one. */
+  public get confirmedPlanVersion(): number | undefined {
+    return this.status?.planVersion;
   }
 
   /** Takes the confirmation of the last status, if the plan that it is about has arrived. */
--- a/packages/gateway/src/entry/HubFollower.test.ts
+++ b/packages/gateway/src/entry/HubFollower.test.ts
@@ -22,8 +22,8 @@
   /** Ends the stream, so that the entry follows the next hub. */
   readonly reconnect: () => Promise<void>;
   readonly advance: (durationMs: number) => Promise<void>;
-  /** Versions of the plan with which the entry has connected. */
-  readonly helloVersions: number[];
+  /** Versions of the plan with which the entry has connected, undefined if it had none. */
+  readonly helloVersions: (number | undefined)[];
 }
 
 async function makeFollower(): Promise<Fixture> {
@@ -32,7 +32,7 @@
     clock.now(),
   );
   let updates = new MessageQueue<HubUpdate>();
-  const helloVersions: number[] = [];
+  const helloVersions: (number | undefined)[] = [];
   const client = {
     follow: (_reports: unknown, { signal }: { signal: AbortSignal }) => {
       helloVersions.push(state.planVersion);
@@ -130,6 +130,6 @@
     };
     for (let i = 0; i < 6; i += 1) await keepAlive();
     await advance(500);
-    expect(helloVersions).toEqual([0, 3]);
+    expect(helloVersions).toEqual([undefined, 3]);
   });
 });
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -6,6 +6,7 @@
 import type { HubUpdate, SyncService } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import { hubConfirmedAge } from '../metrics.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import { toVersionField } from '../sync/plan-version.js';
 import type { EntryState } from './EntryState.js';
 import type { HubLocator } from './HubLocator.js';
 import type { HubSelector } from './HubSelector.js';
@@ -122,7 +123,7 @@
     stream.reports.push({
       hello: identity,
       isReady: reporter.isReady,
-      planVersion: BigInt(stream.planVersion),
+      planVersion: toVersionField(stream.planVersion),
       sentAtMs: now,
       entryCount,
       hasOtherHub: this.stream !== undefined,
@@ -224,7 +225,8 @@
   /** Gives a candidate up that does not answer. */
   private checkCandidate(candidate: HubStream, now: number): void {
     const { state, hubs, logger } = this.ctx;
-    if (!isSilent(candidate.lastMessageAt, state.planVersion === 0, now)) return;
+    const hasPlan = state.planVersion !== undefined;
+    if (!isSilent(candidate.lastMessageAt, !hasPlan, now)) return;
     logger.info('hub does not answer', { hub: candidate.address });
     hubs.recordFailure(candidate.address, now);
     this.postponeMove(now);
@@ -247,7 +249,7 @@
         isCutOff: state.isCutOff,
         hasAlternative: hubs.hasAlternative(address, now),
         betterHubReason: hubs.reasonForBetterHub(address, now),
-        hasPlan: state.planVersion > 0,
+        hasPlan: state.planVersion !== undefined,
         isStarting: state.isHubStarting,
       },
       now,
--- a/packages/gateway/src/entry/HubStream.ts
+++ b/packages/gateway/src/entry/HubStream.ts
@@ -6,8 +6,8 @@
   readonly address: string;
   readonly abort: AbortController;
   readonly reports: MessageQueue<EntryReportInit>;
-  /** Version of the plan that the entry told the hub, which sends changes to it. */
-  readonly planVersion: number;
+  /** Version of the plan that the entry told the hub, which sends changes to it. Undefined if it had none. */
+  readonly planVersion: number | undefined;
   /** Monotonic ms, as all times. */
   readonly openedAt: number;
   /** Time of the first message. */
--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -6,9 +6,11 @@
   type PlanUpdate,
   type Target,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import { decodeEvidenceBatch, type EvidenceItem } from '../sync/evidence-batch.js';
 import { toLimitStatement } from '../sync/limit-codec.js';
+import { toVersion } from '../sync/plan-version.js';
 import { toSuspectStatement } from '../sync/suspect-codec.js';
 import { TargetRefs } from '../sync/TargetRefs.js';
 import { trueSince } from '../sync/timeEcho.js';
@@ -43,7 +45,7 @@
     const now = clock.now();
     Object.assign(stream, { lastMessageAt: now });
     if (update.status !== undefined) {
-      const planVersion = Number(update.status.planVersion);
+      const planVersion = toVersion(update.status.planVersion);
       const trueAt = trueSince(update.status.echo, now);
       if (trueAt !== undefined) state.setStatus({ ...update.status, planVersion, trueAt }, now);
     }
@@ -91,9 +93,9 @@
    */
   private applyPlan(stream: HubStream, { fromVersion, version, changes }: PlanUpdate): void {
     const { state, logger } = this.ctx;
-    const [from, to] = [Number(fromVersion), Number(version)];
-    if (to <= state.planVersion) return;
-    if (from !== 0 && from !== state.planVersion) {
+    const [from, to] = [toVersion(fromVersion || undefined), toVersion(version)];
+    if (to === undefined || !isNewerVersion(to, state.planVersion)) return;
+    if (from !== undefined && from !== state.planVersion) {
       logger.info('changes do not fit the plan', { hub: stream.address, from, to });
       return;
     }
--- a/packages/gateway/src/entry/PlanClient.test.ts
+++ b/packages/gateway/src/entry/PlanClient.test.ts
@@ -81,7 +81,7 @@
   it('gets no plan before the first one', async () => {
     expect(await client.ask(address, held(1), TIMEOUT_MS)).toEqual(undefined);
     const { version } = await client.fetchPlan(address, 1, false, TIMEOUT_MS);
-    expect(version).toEqual(0n);
+    expect(version).toEqual(undefined);
   });
 
   it('gets a small change in the datagram, and none if it holds the plan', async () => {
--- a/packages/gateway/src/entry/PlanClient.ts
+++ b/packages/gateway/src/entry/PlanClient.ts
@@ -3,6 +3,7 @@
 import { LogService, type CommittedState } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { PlanUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { HeldState } from '../sync/HeldState.js';
+import { toVersionField } from '../sync/plan-version.js';
 import type { DirectoryClient } from '../sync/DirectoryClient.js';
 
 export interface IPlanClient {
@@ -13,7 +14,7 @@
    */
   fetchPlan(
     address: string,
-    heldVersion: number,
+    heldVersion: number | undefined,
     isStored: boolean,
     timeoutMs: number,
   ): Promise<PlanUpdate>;
@@ -35,11 +36,11 @@
 
   public fetchPlan(
     address: string,
-    heldVersion: number,
+    heldVersion: number | undefined,
     isStored: boolean,
     timeoutMs: number,
   ): Promise<PlanUpdate> {
     const client = this.channels.client(LogService, address);
-    return client.fetchPlan({ heldPlan: BigInt(heldVersion), isStored }, { timeoutMs });
+    return client.fetchPlan({ heldPlan: toVersionField(heldVersion), isStored }, { timeoutMs });
   }
 }
--- a/packages/gateway/src/entry/PlanRefresher.test.ts
+++ b/packages/gateway/src/entry/PlanRefresher.test.ts
@@ -134,7 +134,7 @@
     },
   };
   const plan = [...toPlanItems(makeEmptyPlan(1))].map(([key, value]) => ({ key, value }));
-  state.applyPlan(0, 1, plan);
+  state.applyPlan(undefined, 1, plan);
   state.confirmPlan(0, 0);
   const logger = new NullLogger();
   const addresses = (): string[] => Object.keys(vms);
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -15,9 +15,11 @@
   StoredState,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { PlanUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import { isNewerVersion, newestVersion } from '@marigoldbank/routing/plan';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import { planQuestionsTotal } from '../metrics.js';
 import type { HeldState } from '../sync/HeldState.js';
+import { toVersion } from '../sync/plan-version.js';
 import type { EntryState } from './EntryState.js';
 import { MAX_ANSWER_AGE_MS, MajorityRead } from './MajorityRead.js';
 import type { IPlanClient } from './PlanClient.js';
@@ -88,7 +90,7 @@
   private readonly questions: PlanQuestionLog;
 
   /** Newest plan that was logged as possibly in force. */
-  private loggedPossible = 0;
+  private loggedPossible: number | undefined;
 
   /** Control VMs from which a plan is being fetched. */
   private readonly fetchedFrom = new Set<string>();
@@ -97,7 +99,7 @@
   private fetchInTime: Promise<void> | undefined;
 
   /** Newest plan that a control VM has named as committed. */
-  private committedVersion = 0;
+  private committedVersion: number | undefined;
 
   /** Index in the log up to which this entry knows which targets leave. */
   private heldIndex = 0;
@@ -199,17 +201,20 @@
   private async ask(address: string): Promise<void> {
     const { clock, state, logger } = this.ctx;
     const askedAt = clock.now();
-    const { answer, heldVersion } = await this.askForAll(address, MAX_PARTS);
+    const { planVersion } = state;
+    if (planVersion === undefined) return;
+    const { answer, heldVersion } = await this.askForAll(address, planVersion, MAX_PARTS);
     if (this.isDisposed) return;
     if (answer?.stored !== undefined) this.takeStored(answer.stored, askedAt, heldVersion);
+    const version = toVersion(answer?.version);
     if (answer !== undefined) {
-      this.committedVersion = Math.max(this.committedVersion, Number(answer.version));
+      this.committedVersion = newestVersion(this.committedVersion, version);
       await this.takePlan(address, answer, heldVersion).catch((err: unknown) =>
         logger.warn('the plan could not be applied', { from: address, error: String(err) }),
       );
     }
     const ageMs = answer?.confirmedAgeMs;
-    const isCurrent = answer !== undefined && state.planVersion >= Number(answer.version);
+    const isCurrent = version !== undefined && !isNewerVersion(version, state.planVersion);
     // Dated by the question, so that time for which the answer was under way counts as age.
     if (isCurrent && ageMs !== undefined) state.confirmPlan(askedAt - ageMs, clock.now());
     const isOfUse = isCurrent && ageMs !== undefined && ageMs < ASK_AGE_MS;
@@ -224,9 +229,9 @@
    */
   private endReplacedPlan(now: number): void {
     const { state, logger } = this.ctx;
-    const version = Math.max(this.committedVersion, state.confirmedPlanVersion);
-    const isReplaced = version > state.planVersion && state.planAgeMs(now) > MAX_SERVED_AGE_MS;
-    if (!isReplaced || state.possiblePlan !== undefined) return;
+    const version = newestVersion(this.committedVersion, state.confirmedPlanVersion);
+    if (version === undefined || !isNewerVersion(version, state.planVersion)) return;
+    if (state.planAgeMs(now) <= MAX_SERVED_AGE_MS || state.possiblePlan !== undefined) return;
     state.notePossiblePlan(version, now);
     logger.warn('the plan in effect is replaced and the newer one has not come', {
       version,
@@ -235,20 +240,22 @@
   }
 
   /** Asks again while there are more targets that leave than fit into a datagram. Returns the last answer. */
-  private async askForAll(address: string, parts: number): Promise<PlanAnswer> {
-    const { held, questions } = this;
-    const { client, clock } = this.ctx;
+  private async askForAll(
+    address: string,
+    heldVersion: number,
+    parts: number,
+  ): Promise<PlanAnswer> {
+    const { questions } = this;
+    const { client, clock, state } = this.ctx;
+    const held: HeldState = { planVersion: heldVersion, index: this.heldIndex };
     const askedAt = clock.now();
     questions.noteAsked();
     const answer = await client.ask(address, held, MAX_ANSWER_AGE_MS);
     questions.noteOutcome(answer === undefined ? undefined : clock.now() - askedAt);
     if (answer !== undefined) this.takeLeaving(answer.leaving, Number(answer.index));
     const hasMore = answer?.hasMoreLeaving === true && parts > 1;
-    return hasMore ? this.askForAll(address, parts - 1) : { answer, heldVersion: held.planVersion };
-  }
-
-  private get held(): HeldState {
-    return { planVersion: this.ctx.state.planVersion, index: this.heldIndex };
+    if (!hasMore) return { answer, heldVersion };
+    return this.askForAll(address, state.planVersion ?? heldVersion, parts - 1);
   }
 
   /** Learns what a control VM has stored, and whether it follows that the plan in effect is, or may not be, the newest one. */
@@ -257,7 +264,7 @@
     this.majority.record(stored, askedAt);
     const now = clock.now();
     const result = this.majority.result(now);
-    if (result !== undefined && result.version <= state.planVersion) {
+    if (result !== undefined && !isNewerVersion(result.version, state.planVersion)) {
       state.confirmPlan(result.at, now);
       return;
     }
@@ -265,7 +272,7 @@
     // others: a log on the smaller side of a split may have what was never committed.
     const isConfirmed = state.planAgeMs(now) < ASK_AGE_MS;
     const possible = result ?? (isConfirmed ? undefined : this.majority.newestPlan(now));
-    if (possible === undefined || possible.version <= state.planVersion) return;
+    if (possible === undefined || !isNewerVersion(possible.version, state.planVersion)) return;
     const { version, at, address } = possible;
     const { changes, member } = stored;
     const isAbout = Number(stored.version) === version;
@@ -274,7 +281,7 @@
         ? { fromVersion: heldVersion, changes: decodePlanChanges(changes) }
         : undefined;
     state.notePossiblePlan(version, at, update);
-    if (this.loggedPossible < version) {
+    if (isNewerVersion(version, this.loggedPossible)) {
       this.loggedPossible = version;
       logger.info('a newer plan may be in force', { version, held: state.planVersion });
     }
@@ -287,9 +294,9 @@
   /** Fetches a plan that may be in force, so that only requests are refused that it could change. */
   private fetchPossible(address: string, version: number, at: number): void {
     this.fetch(address, true, (update) => {
-      if (Number(update.version) !== version) return;
+      if (toVersion(update.version) !== version) return;
       const changes = decodePlanChanges(update.changes);
-      const fromVersion = Number(update.fromVersion);
+      const fromVersion = toVersion(update.fromVersion || undefined);
       this.ctx.state.notePossiblePlan(version, at, { fromVersion, changes });
     }).catch((err: unknown) => this.logFetchError(address, err));
   }
@@ -300,12 +307,14 @@
     { version, changes, isPlanLeftOut }: CommittedState,
     heldVersion: number,
   ): Promise<void> {
-    if (changes !== undefined) {
-      this.applyPlan(address, { fromVersion: BigInt(heldVersion), version, changes });
-    }
-    const { planVersion } = this.ctx.state;
-    if (!isPlanLeftOut || Number(version) <= planVersion) return;
-    await this.fetch(address, false, (update) => this.applyPlan(address, update));
+    const committed = toVersion(version);
+    if (committed === undefined) return;
+    if (changes !== undefined) this.applyPlan(address, heldVersion, committed, changes);
+    if (!isPlanLeftOut || !isNewerVersion(committed, this.ctx.state.planVersion)) return;
+    await this.fetch(address, false, (update) => {
+      const [from, to] = [toVersion(update.fromVersion || undefined), toVersion(update.version)];
+      if (to !== undefined) this.applyPlan(address, from, to, update.changes);
+    });
   }
 
   /**
@@ -340,12 +349,13 @@
   /** Applies a newer plan, unless another one has been put in force meanwhile to which the changes do not fit. */
   private applyPlan(
     address: string,
-    { fromVersion, version, changes }: Pick<PlanUpdate, 'fromVersion' | 'version' | 'changes'>,
+    from: number | undefined,
+    to: number,
+    changes: Uint8Array,
   ): void {
     const { state, logger } = this.ctx;
     const before = state.planVersion;
-    const [from, to] = [Number(fromVersion), Number(version)];
-    if (to <= before || (from !== 0 && from !== before)) return;
+    if (!isNewerVersion(to, before) || (from !== undefined && from !== before)) return;
     state.applyPlan(from, to, decodePlanChanges(changes));
     logger.info('plan in force', { version: to, from: address, before });
   }
--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -27,7 +27,7 @@
 function makeEntryWithoutRetries(): Fixture {
   const state = new EntryState({ ratio: 0.2, slack: 0, windowMs: 10_000 });
   const items = toPlanItems(makePlan());
-  state.applyPlan(0, 1, diffPlanItems(new Map(), items));
+  state.applyPlan(undefined, 1, diffPlanItems(new Map(), items));
   state.setStatus(
     {
       confirmedAgeMs: 0,
--- a/packages/gateway/src/entry/hedged-request.test.ts
+++ b/packages/gateway/src/entry/hedged-request.test.ts
@@ -54,7 +54,7 @@
   // Targets went on with work for callers that had left.
   it('ends at both when its caller leaves', async () => {
     const state = new EntryState({ ratio: 0.2, slack: 60, windowMs: 10_000 });
-    state.applyPlan(0, 1, diffPlanItems(new Map(), toPlanItems(makePlan())));
+    state.applyPlan(undefined, 1, diffPlanItems(new Map(), toPlanItems(makePlan())));
     const targets = [await startSilentTarget(), await startSilentTarget()];
     targets.forEach(({ server }, i) => {
       const address = `${HOST}:${(server.address() as AddressInfo).port}`;
--- a/packages/routing/src/plan.ts
+++ b/packages/routing/src/plan.ts
@@ -71,6 +71,15 @@
   return held === undefined || version > held;
 }
 
+/** The newest of the versions, undefined if there is none. */
+export function newestVersion(...versions: readonly (number | undefined)[]): number | undefined {
+  return versions.reduce(
+    (newest, version) =>
+      version !== undefined && isNewerVersion(version, newest) ? version : newest,
+    undefined,
+  );
+}
+
 function duplicatesOf(values: readonly string[]): string[] {
   const seen = new Set<string>();
   return values.filter((value) => seen.size === seen.add(value).size);
