Keep the routes of a plan of version 0 that a change leaves alone

Callers saw: after the change from r0 to the next version, requests of all routes that the change does not name got 404. Cause: `from_version` 0 said both "changes of version 0" and "a complete plan", so entries dropped the plan that they had. Change: the field has presence, and a complete plan has none. A hub sends a complete plan after version 0, since an entry of the release before ignores version 0 and would take changes from it for a complete plan; it does so once in the life of a fleet. Not covered: an entry of this release at a hub or log process of the release before, which says nothing for version 0. Tests that expected 0n for a complete plan expect no version.

--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -13,6 +13,7 @@
 import type { PlanUpdateSchema } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { IReplicatedLog, Member } from '@marigoldbank/replicated-log';
 import type { HeldState } from '../sync/HeldState.js';
+import { toVersionField } from '../sync/plan-version.js';
 import type { CommittedPlan } from './CommittedPlan.js';
 import { PlanEncoder } from './PlanEncoder.js';
 import { StoredCommands } from './StoredCommands.js';
@@ -181,7 +182,7 @@
     const base = this.planOf(heldVersion) ?? storedBase;
     const encoder = isStored ? this.storedEncoder : this.encoder;
     return {
-      fromVersion: BigInt(base?.plan.version ?? 0),
+      fromVersion: toVersionField(base?.plan.version),
       version: BigInt(current.plan.version),
       changes: encoder.encode(base, current),
     };
--- a/packages/gateway/src/control/EntrySession.test.ts
+++ b/packages/gateway/src/control/EntrySession.test.ts
@@ -26,7 +26,7 @@
   return new CommittedPlan(plan, '');
 }
 
-function makeSession(initialVersion = 0): {
+function makeSession(initialVersion?: number): {
   clock: VirtualClock;
   session: EntrySession;
   commit: (plan: CommittedPlan | undefined) => void;
@@ -59,10 +59,9 @@
   return { clock, session, commit, advertise, sent };
 }
 
-function versionsOf(sent: readonly HubUpdateInit[]): [bigint, bigint][] {
-  return sent.flatMap(({ plan }) =>
-    plan === undefined ? [] : [[plan.fromVersion ?? 0n, plan.version ?? 0n] as [bigint, bigint]],
-  );
+/** Version that each sent plan changes, undefined for a complete one, and the version that results. */
+function versionsOf(sent: readonly HubUpdateInit[]): (bigint | undefined)[][] {
+  return sent.flatMap(({ plan }) => (plan === undefined ? [] : [[plan.fromVersion, plan.version]]));
 }
 
 describe('EntrySession', () => {
@@ -83,7 +82,7 @@
     });
     clock.advance(1_000);
     expect(versionsOf(sent)).toEqual([
-      [0n, 3n],
+      [undefined, 3n],
       [3n, 6n],
     ]);
   });
@@ -98,6 +97,19 @@
     expect(versionsOf(sent)).toEqual([[5n, 6n]]);
   });
 
+  // An entry of the release before has no plan then: it took changes from version 0 for a complete plan.
+  it('sends a complete plan after version 0, also to an entry that holds it', () => {
+    [undefined, 0].forEach((initialVersion) => {
+      const { clock, commit, sent } = makeSession(initialVersion);
+      commit(makeCommitted(0));
+      clock.advance(1_000);
+      commit(makeCommitted(1));
+      clock.advance(1_000);
+      const first = initialVersion === undefined ? [[undefined, 0n]] : [];
+      expect(versionsOf(sent)).toEqual([...first, [undefined, 1n]]);
+    });
+  });
+
   it('sends no plan to an entry with a newer one, and later a full plan', () => {
     const { clock, commit, sent } = makeSession(5);
     commit(makeCommitted(3));
@@ -105,7 +117,7 @@
     expect(versionsOf(sent)).toEqual([]);
     commit(makeCommitted(7));
     clock.advance(1_000);
-    expect(versionsOf(sent)).toEqual([[0n, 7n]]);
+    expect(versionsOf(sent)).toEqual([[undefined, 7n]]);
   });
 
   it('sends the advertised entries once and then only changes', () => {
@@ -150,7 +162,7 @@
     [1, 2, 3].forEach((ref) => session.sendEvidence(batchOf(ref)));
     commit(makeCommitted(3));
     clock.advance(10);
-    expect(versionsOf(sent)).toEqual([[0n, 3n]]);
+    expect(versionsOf(sent)).toEqual([[undefined, 3n]]);
     const message = await session.queue[Symbol.asyncIterator]().next();
     const { evidenceBatch } = message.value as HubUpdateInit;
     expect(decodeEvidenceBatch(evidenceBatch!).map(({ succeeded }) => succeeded)).toEqual([
--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -15,6 +15,7 @@
 import { Batcher } from '../sync/Batcher.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import { toVersionField } from '../sync/plan-version.js';
 import { toSuspectMessage } from '../sync/suspect-codec.js';
 import { echoOf, type PeerTime } from '../sync/timeEcho.js';
 import type { EntryIdentity } from './EntryRegistry.js';
@@ -260,11 +261,12 @@
       this.batcher.request(this.planSentAt + PLAN_INTERVAL_MS - now);
       return undefined;
     }
-    const from = this.sentPlan;
+    // An entry of the release before ignores version 0, and takes changes from it for a complete plan.
+    const from = this.sentPlan?.plan.version === 0 ? undefined : this.sentPlan;
     this.sentPlan = current;
     this.planSentAt = now;
     return {
-      fromVersion: BigInt(from?.plan.version ?? 0),
+      fromVersion: toVersionField(from?.plan.version),
       version: BigInt(current.plan.version),
       changes: this.source.encodeChanges(from, current),
     };
--- a/packages/gateway/src/control/first-plan.test.ts
+++ b/packages/gateway/src/control/first-plan.test.ts
@@ -7,6 +7,9 @@
 import { FakeFleet } from '../testing/FakeFleet.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
 
+/** Time after its acknowledgement from which requests have to be handled by a change. */
+const CONFIG_APPLY_MS = 2_000;
+
 const HOST = 'shop.example';
 
 const DATA_CENTRES = ['dc-1', 'dc-2', 'dc-3', 'dc-4'];
@@ -69,5 +72,13 @@
       const fleet = await startWithFirstPlan(size);
       expect(countWithout(fleet, 0)).toEqual(0);
     });
+
+    // Entries took the changes for a complete plan and forgot all routes that the change did not name.
+    it('is replaced by a change, which leaves the other routes', async () => {
+      const fleet = await startWithFirstPlan(size);
+      fleet.commit(makePlan(1));
+      await fleet.advance(CONFIG_APPLY_MS);
+      expect(countWithout(fleet, 1)).toEqual(0);
+    });
   });
 });
--- a/packages/gateway/src/entry/HubFollower.test.ts
+++ b/packages/gateway/src/entry/HubFollower.test.ts
@@ -8,8 +8,17 @@
   type HubUpdate,
   type SyncService,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import { makeRoute } from '@marigoldbank/routing/fixtures';
+import {
+  diffPlanItems,
+  encodePlanChanges,
+  toPlanItems,
+  type PlanItems,
+} from '@marigoldbank/routing/plan-items';
 import { expect } from 'earl';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import { toVersionField } from '../sync/plan-version.js';
+import { makeEmptyPlan } from '../testing/fixtures.js';
 import { EntryState } from './EntryState.js';
 import { HubFollower } from './HubFollower.js';
 import { HubReporter } from './HubReporter.js';
@@ -110,15 +119,36 @@
     expect(idsOf(state)).toEqual(['b', 'c']);
   });
 
+  // Changes from version 0 were taken for a complete plan: requests of all routes that did not change got 404.
+  it('applies changes to a plan of version 0', async () => {
+    const { state, send } = await makeFollower();
+    const [kept, added] = ['/kept/', '/added/'].map((prefix) => makeRoute({ prefix }));
+    const plans = [[kept!], [kept!, added!]].map((routes, version) =>
+      toPlanItems({ ...makeEmptyPlan(version), routes }),
+    );
+    const changesFrom = (items: PlanItems, to: number): Uint8Array =>
+      encodePlanChanges(diffPlanItems(items, plans[to]!));
+    await send({ plan: { version: 0n, changes: changesFrom(new Map(), 0) } });
+    await send({ plan: { fromVersion: 0n, version: 1n, changes: changesFrom(plans[0]!, 1) } });
+    const { currentRouteTable } = state;
+    const found = [kept!, added!].map(({ host, prefix }) =>
+      currentRouteTable?.findRoute(host, prefix),
+    );
+    expect(found).toEqual([kept, added]);
+  });
+
   // An entry may have a plan from another control VM that is newer than that of its hub. The changes that the hub sends then
   // start from another plan.
   it('leaves out changes of its hub that do not fit its plan, and connects anew if the plan does not come', async () => {
     const { state, send, advance, helloVersions } = await makeFollower();
-    const planUpdate = (from: number, to: number): MessageInitShape<typeof HubUpdateSchema> => ({
+    const planUpdate = (
+      from: number | undefined,
+      to: number,
+    ): MessageInitShape<typeof HubUpdateSchema> => ({
       status: { planVersion: BigInt(to) },
-      plan: { fromVersion: BigInt(from), version: BigInt(to), changes: Buffer.from('[]') },
+      plan: { fromVersion: toVersionField(from), version: BigInt(to), changes: Buffer.from('[]') },
     });
-    await send(planUpdate(0, 1));
+    await send(planUpdate(undefined, 1));
     state.applyPlan(1, 3, []);
     await send(planUpdate(1, 2));
     expect(state.planVersion).toEqual(3);
--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -93,7 +93,7 @@
    */
   private applyPlan(stream: HubStream, { fromVersion, version, changes }: PlanUpdate): void {
     const { state, logger } = this.ctx;
-    const [from, to] = [toVersion(fromVersion || undefined), toVersion(version)];
+    const [from, to] = [toVersion(fromVersion), toVersion(version)];
     if (to === undefined || !isNewerVersion(to, state.planVersion)) return;
     if (from !== undefined && from !== state.planVersion) {
       logger.info('changes do not fit the plan', { hub: stream.address, from, to });
--- a/packages/gateway/src/entry/PlanClient.test.ts
+++ b/packages/gateway/src/entry/PlanClient.test.ts
@@ -84,6 +84,18 @@
     expect(version).toEqual(undefined);
   });
 
+  // Entries took changes from version 0 for a complete plan, as a field with 0 was not sent.
+  it('tells version 0 from no plan in both directions', async () => {
+    commit(stateMachine, 0, 1);
+    const same = await client.ask(address, held(0), TIMEOUT_MS);
+    expect([same?.version, same?.changes]).toEqual([0n, undefined]);
+    const [first, next] = await Promise.all(
+      [undefined, 0].map((version) => client.fetchPlan(address, version, false, TIMEOUT_MS)),
+    );
+    expect([first!.fromVersion, first!.version]).toEqual([undefined, 0n]);
+    expect([next!.fromVersion, next!.version]).toEqual([0n, 0n]);
+  });
+
   it('gets a small change in the datagram, and none if it holds the plan', async () => {
     commit(stateMachine, 1, 1);
     commit(stateMachine, 2, 2);
@@ -106,7 +118,7 @@
 
   it('fetches a complete plan if its own is too old or not known', async () => {
     const plan = await client.fetchPlan(address, 77, false, TIMEOUT_MS);
-    expect([plan.fromVersion, plan.version]).toEqual([0n, 3n]);
+    expect([plan.fromVersion, plan.version]).toEqual([undefined, 3n]);
   });
 
   // Many targets leave at once when a data centre is emptied.
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -296,7 +296,7 @@
     this.fetch(address, true, (update) => {
       if (toVersion(update.version) !== version) return;
       const changes = decodePlanChanges(update.changes);
-      const fromVersion = toVersion(update.fromVersion || undefined);
+      const fromVersion = toVersion(update.fromVersion);
       this.ctx.state.notePossiblePlan(version, at, { fromVersion, changes });
     }).catch((err: unknown) => this.logFetchError(address, err));
   }
@@ -312,7 +312,7 @@
     if (changes !== undefined) this.applyPlan(address, heldVersion, committed, changes);
     if (!isPlanLeftOut || !isNewerVersion(committed, this.ctx.state.planVersion)) return;
     await this.fetch(address, false, (update) => {
-      const [from, to] = [toVersion(update.fromVersion || undefined), toVersion(update.version)];
+      const [from, to] = [toVersion(update.fromVersion), toVersion(update.version)];
       if (to !== undefined) this.applyPlan(address, from, to, update.changes);
     });
   }
