Ask control VMs for the plan from version 0 on

Callers saw: while the hub of an entry was cut off, or after a loss of power of all control VMs, requests were handled by the plan of version 0 for longer than 2 s after a change to it was acknowledged. Cause: PlanRefresher took version 0 for "no plan yet", so that such an entry asked no control VM, refused nothing while a newer plan might be in force, and was not confirmed after a suspension. Since versions may be undefined it also began rounds without a plan, in which nothing was asked. Change: it runs as soon as there is a plan.

--- a/packages/gateway/src/control/first-plan.test.ts
+++ b/packages/gateway/src/control/first-plan.test.ts
@@ -6,10 +6,16 @@
 import type { EntryState } from '../entry/EntryState.js';
 import { FakeFleet } from '../testing/FakeFleet.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
+import { losePower } from '../testing/losePower.js';
 
 /** Time after its acknowledgement from which requests have to be handled by a change. */
 const CONFIG_APPLY_MS = 2_000;
 
+/** Time from the start of the last log process until no request is handled by a plan that was replaced. */
+const KNOWN_MS = 2_500;
+
+const DOWN_MS = 1_400;
+
 const HOST = 'shop.example';
 
 const DATA_CENTRES = ['dc-1', 'dc-2', 'dc-3', 'dc-4'];
@@ -80,5 +86,27 @@
       await fleet.advance(CONFIG_APPLY_MS);
       expect(countWithout(fleet, 1)).toEqual(0);
     });
+
+    // Entries without a plan do not ask control VMs; those with version 0 did not either.
+    it('is replaced in time while hubs are cut off', async () => {
+      const fleet = await startWithFirstPlan(size);
+      fleet.hubs
+        .filter((_, i) => [1, 2, 6].includes(i % 7))
+        .forEach((hub) => Object.assign(hub, { isCutOff: true }));
+      fleet.commit(makePlan(1));
+      await fleet.advance(CONFIG_APPLY_MS);
+      expect(countWithout(fleet, 1)).toEqual(0);
+    });
+
+    // Without a majority that tells what is stored, entries cannot know that another plan may be in force.
+    it('is not served by after a loss of power if a change may be in force', async () => {
+      const fleet = await startWithFirstPlan(size);
+      losePower(fleet, makePlan(1), DOWN_MS);
+      await fleet.advance(DOWN_MS + KNOWN_MS);
+      const mayDiffer = (path: string): number =>
+        fleet.entries.filter(({ state }) => state.mayHandleOtherwise(HOST, path, undefined)).length;
+      expect(mayDiffer('/moved/x')).toEqual(fleet.entries.length);
+      expect(mayDiffer('/first/x')).toEqual(0);
+    });
   });
 });
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -115,8 +115,9 @@
    * Resolves at once if that was tried within the last `maxAgeMs`: then no control VM answers, and requests do not wait.
    */
   public async confirm(maxAgeMs: number): Promise<void> {
-    const now = this.ctx.clock.now();
-    if (this.ctx.state.planVersion === 0 || this.ctx.state.planAgeMs(now) <= maxAgeMs) return;
+    const { clock, state } = this.ctx;
+    const now = clock.now();
+    if (state.planVersion === undefined || state.planAgeMs(now) <= maxAgeMs) return;
     if (now - this.lastRoundAt <= maxAgeMs) return;
     await this.startRound();
   }
@@ -124,7 +125,7 @@
   private check(): void {
     const { clock, state } = this.ctx;
     const now = clock.now();
-    if (state.planVersion === 0) return;
+    if (state.planVersion === undefined) return;
     this.endReplacedPlan(now);
     const isDue = state.planAgeMs(now) > ASK_AGE_MS || state.possiblePlan !== undefined;
     if (isDue !== this.isAsking) this.logChange(isDue, now);
