--- /dev/null
+++ b/packages/gateway/src/control/acknowledged-plans.test.ts
@@ -0,0 +1,127 @@
+/** Random changes, reads and losses at control VMs in virtual time: no read is older than what was acknowledged before it. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { StartCosts } from '../testing/fake-control-parts.js';
+import type { FakeControlVm } from '../testing/FakeControlGroup.js';
+import { startOperatorRun, type OperatorRun } from '../testing/startOperatorRun.js';
+
+const VMS = 5;
+const SEEDS = Array.from({ length: 24 }, (_, i) => i + 1);
+const STEPS = 14;
+
+/** Largest version that the platform can name. */
+const MAX_VERSION = 999_999_999_999_999;
+
+const MAX_PAUSE_MS = 1_500;
+
+/** Time without losses before the last read. */
+const CALM_MS = 5_000;
+
+const COSTS: StartCosts = {
+  share: 0.405,
+  otherLoad: 0.5,
+  logMs: 190,
+  hubBaseMs: 60,
+  hubMs: 220,
+  firstMessageMs: 12,
+  messageMs: 2,
+  datagramMs: 0.4,
+  timerMs: 0.2,
+  syncMs: 4,
+};
+
+class History {
+  public readonly violations: string[] = [];
+
+  private readonly sent = new Set<number>();
+
+  private newest: number | undefined;
+
+  public constructor(private readonly run: OperatorRun) {}
+
+  public async put(version: number): Promise<void> {
+    this.sent.add(version);
+    const { reply } = await this.run.put(version);
+    if (reply?.status === 200) this.newest = Math.max(version, this.newest ?? version);
+  }
+
+  public async read(isAnswerOwed = false): Promise<void> {
+    const { newest } = this;
+    const { reply } = await this.run.read();
+    if (reply?.status !== 200) {
+      if (isAnswerOwed) this.violations.push(`no answer, ${newest} was acknowledged`);
+      return;
+    }
+    const version = Number(reply.body);
+    if (newest !== undefined && version < newest) {
+      this.violations.push(`${version} was read, ${newest} was acknowledged before`);
+    }
+    if (!this.sent.has(version)) this.violations.push(`${version} was read and never sent`);
+  }
+
+  public get hasAcknowledged(): boolean {
+    return this.newest !== undefined;
+  }
+}
+
+async function play(first: readonly number[], seed: number): Promise<string[]> {
+  const run = await startOperatorRun(VMS, seed);
+  const { group } = run;
+  const { random } = group;
+  const history = new History(run);
+  const versions = [0, 1, 2, 3, 5, 8, MAX_VERSION - 1, MAX_VERSION];
+  const work: Promise<void>[] = [];
+  const frozen: FakeControlVm[] = [];
+  const putAny = (): unknown => work.push(history.put(random.pick(versions)!));
+  const steps = [
+    putAny,
+    putAny,
+    () => work.push(history.read()),
+    () => [putAny(), putAny()],
+    () => {
+      const [vm] = random.sample(group.vms, 1);
+      group.freeze(vm!);
+      frozen.push(vm!);
+    },
+    () => frozen.splice(0).forEach((vm) => group.thaw(vm)),
+    () => {
+      const side = random.sample(group.vms, random.between(1, 2));
+      group.cut(
+        side,
+        group.vms.filter((vm) => !side.includes(vm)),
+      );
+    },
+    () => group.healCut(),
+    async () => {
+      frozen.splice(0).forEach((vm) => group.thaw(vm));
+      group.cutPower();
+      await group.advance(random.int(MAX_PAUSE_MS));
+      await group.returnPower(COSTS, 150);
+    },
+  ];
+  await group.settle(Promise.all(first.map((version) => history.put(version))));
+  if (history.hasAcknowledged) await group.settle(history.read(true));
+  for (let i = 0; i < STEPS; i += 1) {
+    await random.pick(steps)!();
+    await group.advance(random.int(MAX_PAUSE_MS));
+  }
+  frozen.splice(0).forEach((vm) => group.thaw(vm));
+  group.healCut();
+  await group.settle(Promise.all(work));
+  await group.advance(CALM_MS);
+  await group.settle(history.read(history.hasAcknowledged));
+  return history.violations.map((violation) => `seed ${seed}: ${violation}`);
+}
+
+// The leader reported a first plan of version 0 as committed and stored it nowhere.
+describe('a plan that was acknowledged', () => {
+  [[0], [MAX_VERSION], [0, 1], []].forEach((first) => {
+    it(`is read back, or a newer one: first versions ${first.join(' and ') || 'by chance'}`, async () => {
+      const violations = await SEEDS.reduce<Promise<string[]>>(
+        async (earlier, seed) => [...(await earlier), ...(await play(first, seed))],
+        Promise.resolve([]),
+      );
+      expect(violations).toEqual([]);
+    });
+  });
+});
