End interim answers that announce a body as broken ones

Callers saw: an order that a target answered with 199 and a length, on a connection that stays open, waited for its deadline (1,501 ms of 1,500 ms) and got 504; a look-up was sent to a second target only when it counted as slow. Cause: every status below 200 was taken for an interim one. An interim answer has no body, so the parser takes what follows for the next answer, or waits for it. Change: one with Transfer-Encoding, or a Content-Length other than 0, ends the exchange at once. 1xx without them, or with a length of 0, may be followed by the final answer and is waited for, as before: nothing tells it from an interim answer. Statuses of three digits from 600 on are passed on unchanged, as the status of a target is. Evidence: status-lines.test.ts failed before (12 of 24 forms of 102, 103 and 199) and passes; those that guard the final answer after an interim one, and 600, 799 and 999, passed before as well.

--- a/packages/daemon/src/entry/UpstreamExchange.ts
+++ b/packages/daemon/src/entry/UpstreamExchange.ts
@@ -69,6 +69,12 @@
   readonly requiresEcho: boolean;
 }
 
+/** Whether an interim response announces a body. It must not have one, so its sender took it for the final one. */
+function announcesBody(headers: ResponseHeaders): boolean {
+  const length = headers['content-length'] ?? '0';
+  return headers['transfer-encoding'] !== undefined || length !== '0';
+}
+
 /** Rejects responses that do not delimit their own body, since a truncated one could not be told from a complete one. */
 function findFramingFault(
   method: string,
@@ -197,7 +203,10 @@
       this.abort('brokenResponse', `status ${status}`);
       return;
     }
-    if (status < FIRST_FINAL_STATUS) return;
+    if (status < FIRST_FINAL_STATUS) {
+      if (announcesBody(headers)) this.abort('brokenResponse', `status ${status} with a body`);
+      return;
+    }
     const echo = headers[this.rules.requestIdHeader];
     if (echo !== undefined && echo !== this.requestId) {
       this.abort('wrongRequestId', 'the response carries the id of another request');
--- a/packages/daemon/src/entry/status-lines.test.ts
+++ b/packages/daemon/src/entry/status-lines.test.ts
@@ -148,3 +148,39 @@
     expect(ends).toEqual(bodies.map(() => '200, then connectionLost'));
   });
 });
+
+describe('an interim answer', () => {
+  const bodies = FORMS.filter(([name]) => name === 'with a length' || name === 'in chunks');
+  const heads = bodies.map(([name, rest]): [string, string] => [
+    `${name}, no body`,
+    `${rest.split('\r\n\r\n')[0]}\r\n\r\n`,
+  ]);
+
+  // An order waited for its deadline, since the final answer could still come.
+  [' 102 Processing', ' 103 Early Hints', ' 199 x'].forEach((line) => {
+    it(`fails at once if it has a body, which none has: HTTP/1.1${line}`, async () => {
+      expectAll(await exchangeAll(line, [...bodies, ...heads]), BROKEN);
+      expectAll(await exchangeAll(line, [...bodies, ...heads], SOUND), BROKEN);
+    });
+
+    it(`is followed by the final one: HTTP/1.1${line}`, async () => {
+      const forms = FORMS.filter((form) => !bodies.includes(form));
+      const results = await exchangeAll(line, forms, SOUND);
+      const headResults = Object.entries(results).filter(([name]) => name.includes('HEAD'));
+      const others = Object.entries(results).filter(([name]) => !name.includes('HEAD'));
+      expectAll(Object.fromEntries(others), '200 sound');
+      expectAll(Object.fromEntries(headResults), '200');
+    });
+  });
+});
+
+// The status of a target is passed on unchanged.
+describe('an answer with a status of three digits above 599', () => {
+  [600, 799, 999].forEach((status) => {
+    it(`is passed on: ${status}`, async () => {
+      const results = await exchangeAll(` ${status} x`, FORMS.slice(0, 2));
+      const others = Object.entries(results).filter(([name]) => !name.includes('HEAD'));
+      expectAll(Object.fromEntries(others), `${status} hello`);
+    });
+  });
+});
