Pass on 304 with the length of the body that the caller has

Callers saw: a look-up that a target answered with 304 and a Content-Length above 0 got 502, and the loss counted as a sign that the request ends targets. Cause: undici compares the length with the body that was read, which a 304 never has, and fails with a lost connection. Found by the table of status lines. Change: such an answer is complete. 204 with a length above 0 is not allowed and fails at its head, as a broken answer; before, it failed the same way as 304, after its head.

--- a/packages/daemon/src/entry/UpstreamExchange.ts
+++ b/packages/daemon/src/entry/UpstreamExchange.ts
@@ -56,7 +56,9 @@
 
 const FIRST_FINAL_STATUS = 200;
 
-const STATUS_WITHOUT_BODY = new Set([204, 304]);
+/** Statuses without a body. The length that 304 names is that of the body that the caller has. */
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
 
 /** Rules for validating upstream responses. */
 export interface ResponseRules {
@@ -86,7 +88,8 @@
   if (length !== undefined && coding !== undefined) return 'both Content-Length and chunked';
   if (length !== undefined && !/^\d{1,15}$/.test(String(length))) return 'bad Content-Length';
   if (coding !== undefined && String(coding).toLowerCase() !== 'chunked') return 'unknown coding';
-  const hasBody = method !== 'HEAD' && !STATUS_WITHOUT_BODY.has(status);
+  if (status === NO_CONTENT && (length ?? '0') !== '0') return 'a length without content';
+  const hasBody = method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
   if (hasBody && length === undefined && coding === undefined) {
     return 'neither Content-Length nor chunked';
   }
@@ -151,6 +154,8 @@
 
   private hasHead = false;
 
+  private isNotModified = false;
+
   private sink: BodySink | undefined;
 
   private readonly pending = new ByteCollector();
@@ -222,6 +227,7 @@
       return;
     }
     this.hasHead = true;
+    this.isNotModified = status === NOT_MODIFIED;
     this.settleHead({ kind: 'head', status, headers });
   }
 
@@ -244,6 +250,11 @@
   }
 
   public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+    // undici expects a body of the length that 304 names.
+    if (this.isNotModified && 'code' in err && err.code === 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH') {
+      this.onResponseEnd();
+      return;
+    }
     const cause = this.wasSent ? 'connectionLost' : 'connectFailed';
     this.fail(err instanceof ExchangeError ? err.reason : (parserCause(err) ?? cause), err.message);
   }
--- a/packages/daemon/src/entry/status-lines.test.ts
+++ b/packages/daemon/src/entry/status-lines.test.ts
@@ -184,3 +184,20 @@
     });
   });
 });
+
+describe('an answer that has no body by its status', () => {
+  const [withLength] = FORMS;
+  const head: [string, string] = [
+    'a length and no body',
+    `${withLength![1].split('\r\n')[0]}\r\n\r\n`,
+  ];
+
+  // 304 names the length that a 200 would have. It counted as a body that was cut off.
+  it('may name a length if it is 304', async () => {
+    expectAll(await exchangeAll(' 304 Not Modified', [head]), '304');
+  });
+
+  it('fails as a broken one if it is 204 and names a length', async () => {
+    expectAll(await exchangeAll(' 204 No Content', [head, withLength!]), BROKEN);
+  });
+});
