Test the status of a hub with version 0, and leaving it in time

Both tests fail with the comparisons of at these places: an entry without a plan counted as confirmed by a hub with version 0, and one that holds version 0 stayed at a silent hub for 2.5 s.

--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -121,6 +121,23 @@
     expect(state.hasConfirmedPlan).toEqual(true);
   });
 
+  // An entry without a plan took a status about version 0 for a confirmation of what it had.
+  it('has no confirmed plan before version 0 has arrived', () => {
+    const state = new EntryState(BOUNDS);
+    const status = {
+      confirmedAgeMs: 0,
+      budgetAgeMs: 0,
+      entries: 1,
+      isLeaderless: false,
+      isCutOff: false,
+      isStarting: false,
+    };
+    state.setStatus({ ...status, planVersion: 0, trueAt: 0 }, 0);
+    expect([state.hasConfirmedPlan, state.planAgeMs(0)]).toEqual([false, Infinity]);
+    state.applyPlan(undefined, 0, wholePlan(makePlan(0, 1_000)));
+    expect([state.hasConfirmedPlan, state.planAgeMs(0)]).toEqual([true, 0]);
+  });
+
   // After a restart of all control VMs each entry took its share of the budgets by the few entries that had reconnected.
   it('keeps to the number of entries in its fleet while a hub that has just started counts fewer', () => {
     const state = new EntryState(BOUNDS);
--- a/packages/gateway/src/entry/HubFollower.test.ts
+++ b/packages/gateway/src/entry/HubFollower.test.ts
@@ -137,6 +137,17 @@
     expect(found).toEqual([kept, added]);
   });
 
+  // An entry at version 0 counted as one without a plan, and stayed for 2.5 s.
+  it('leaves a hub that has been silent for a second if its plan has version 0', async () => {
+    const { state, send, advance, helloVersions } = await makeFollower();
+    const items = toPlanItems(makeEmptyPlan(0));
+    const changes = encodePlanChanges(diffPlanItems(new Map(), items));
+    await send({ status: { planVersion: 0n }, plan: { version: 0n, changes } });
+    expect(state.hasConfirmedPlan).toEqual(true);
+    await advance(1_300);
+    expect(helloVersions).toEqual([undefined, 0]);
+  });
+
   // An entry may have a plan from another control VM that is newer than that of its hub. The changes that the hub sends then
   // start from another plan.
   it('leaves out changes of its hub that do not fit its plan, and connects anew if the plan does not come', async () => {
