--- a/packages/gateway/src/control/acknowledged-plans.test.ts
+++ b/packages/gateway/src/control/acknowledged-plans.test.ts
@@ -1,9 +1,10 @@
 /** Random changes, reads and losses at control VMs in virtual time: no read is older than what was acknowledged before it. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { StartCosts } from '../testing/fake-control-parts.js';
+import { GROWN_COSTS } from '../testing/fake-control-parts.js';
 import type { FakeControlVm } from '../testing/FakeControlGroup.js';
-import { startOperatorRun, type OperatorRun } from '../testing/startOperatorRun.js';
+import { PlanHistory } from '../testing/PlanHistory.js';
+import { startOperatorRun } from '../testing/startOperatorRun.js';
 
 const VMS = 5;
 const SEEDS = Array.from({ length: 24 }, (_, i) => i + 1);
@@ -14,61 +15,18 @@
 
 const MAX_PAUSE_MS = 1_500;
 
+/** Time within which all VMs start after a loss of power. */
+const SPREAD_MS = 150;
+
 /** Time without losses before the last read. */
 const CALM_MS = 5_000;
 
-const COSTS: StartCosts = {
-  share: 0.405,
-  otherLoad: 0.5,
-  logMs: 190,
-  hubBaseMs: 60,
-  hubMs: 220,
-  firstMessageMs: 12,
-  messageMs: 2,
-  datagramMs: 0.4,
-  timerMs: 0.2,
-  syncMs: 4,
-};
-
-class History {
-  public readonly violations: string[] = [];
-
-  private readonly sent = new Set<number>();
-
-  private newest: number | undefined;
-
-  public constructor(private readonly run: OperatorRun) {}
-
-  public async put(version: number): Promise<void> {
-    this.sent.add(version);
-    const { reply } = await this.run.put(version);
-    if (reply?.status === 200) this.newest = Math.max(version, this.newest ?? version);
-  }
-
-  public async read(isAnswerOwed = false): Promise<void> {
-    const { newest } = this;
-    const { reply } = await this.run.read();
-    if (reply?.status !== 200) {
-      if (isAnswerOwed) this.violations.push(`no answer, ${newest} was acknowledged`);
-      return;
-    }
-    const version = Number(reply.body);
-    if (newest !== undefined && version < newest) {
-      this.violations.push(`${version} was read, ${newest} was acknowledged before`);
-    }
-    if (!this.sent.has(version)) this.violations.push(`${version} was read and never sent`);
-  }
-
-  public get hasAcknowledged(): boolean {
-    return this.newest !== undefined;
-  }
-}
-
+/** Plays random steps after changes to the first versions. Returns what is wrong with the answers. */
 async function play(first: readonly number[], seed: number): Promise<string[]> {
   const run = await startOperatorRun(VMS, seed);
   const { group } = run;
   const { random } = group;
-  const history = new History(run);
+  const history = new PlanHistory(run);
   const versions = [0, 1, 2, 3, 5, 8, MAX_VERSION - 1, MAX_VERSION];
   const work: Promise<void>[] = [];
   const frozen: FakeControlVm[] = [];
@@ -96,7 +54,7 @@
       frozen.splice(0).forEach((vm) => group.thaw(vm));
       group.cutPower();
       await group.advance(random.int(MAX_PAUSE_MS));
-      await group.returnPower(COSTS, 150);
+      await group.returnPower(GROWN_COSTS, SPREAD_MS);
     },
   ];
   await group.settle(Promise.all(first.map((version) => history.put(version))));
--- a/packages/gateway/src/control/power-loss.test.ts
+++ b/packages/gateway/src/control/power-loss.test.ts
@@ -1,7 +1,7 @@
 /** Control VMs that all lose power, in virtual time: log and hub start on the same VM, which has a share of a core. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { StartCosts } from '../testing/fake-control-parts.js';
+import { GROWN_COSTS, type StartCosts } from '../testing/fake-control-parts.js';
 import { FakeControlGroup } from '../testing/FakeControlGroup.js';
 import { OperatorClient } from '../testing/OperatorClient.js';
 import { PUT_TARGET } from '../testing/VersionAdapter.js';
@@ -17,25 +17,11 @@
 const SPREAD_MS = 150;
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 
-/** Costs of the grown deployments, from the logs of a day on which all control VMs lost power. */
-const COSTS: StartCosts = {
-  share: 0.405,
-  otherLoad: 0.5,
-  logMs: 190,
-  hubBaseMs: 60,
-  hubMs: 220,
-  firstMessageMs: 12,
-  messageMs: 2,
-  datagramMs: 0.4,
-  timerMs: 0.2,
-  syncMs: 4,
-};
-
 /** Costs of a start. Those of later messages stay: three times as much would saturate a leader without any start. */
 function multiply(factor: number): StartCosts {
-  const { logMs, hubBaseMs, hubMs, firstMessageMs, syncMs } = COSTS;
+  const { logMs, hubBaseMs, hubMs, firstMessageMs, syncMs } = GROWN_COSTS;
   return {
-    ...COSTS,
+    ...GROWN_COSTS,
     logMs: logMs * factor,
     hubBaseMs: hubBaseMs * factor,
     hubMs: hubMs * factor,
--- a/packages/gateway/src/entry/EntryState.test.ts
+++ b/packages/gateway/src/entry/EntryState.test.ts
@@ -6,6 +6,15 @@
 
 const BOUNDS = { ratio: 0.2, slack: 60, windowMs: 10_000 };
 
+const STATUS = {
+  confirmedAgeMs: 0,
+  budgetAgeMs: 0,
+  entries: 1,
+  isLeaderless: false,
+  isCutOff: false,
+  isStarting: false,
+};
+
 function makePlan(version: number, timeoutMs: number): RoutingPlan {
   return {
     version,
@@ -107,15 +116,7 @@
   it('does not consider an old plan confirmed when a status arrives before the newer plan', () => {
     const state = new EntryState(BOUNDS);
     state.applyPlan(undefined, 5, wholePlan(makePlan(5, 1_000)));
-    const status = {
-      confirmedAgeMs: 0,
-      budgetAgeMs: 0,
-      entries: 1,
-      isLeaderless: false,
-      isCutOff: false,
-      isStarting: false,
-    };
-    state.setStatus({ ...status, planVersion: 7, trueAt: 0 }, 0);
+    state.setStatus({ ...STATUS, planVersion: 7, trueAt: 0 }, 0);
     expect(state.hasConfirmedPlan).toEqual(false);
     state.applyPlan(undefined, 7, wholePlan(makePlan(7, 1_000)));
     expect(state.hasConfirmedPlan).toEqual(true);
@@ -124,15 +125,7 @@
   // An entry without a plan took a status about version 0 for a confirmation of what it had.
   it('has no confirmed plan before version 0 has arrived', () => {
     const state = new EntryState(BOUNDS);
-    const status = {
-      confirmedAgeMs: 0,
-      budgetAgeMs: 0,
-      entries: 1,
-      isLeaderless: false,
-      isCutOff: false,
-      isStarting: false,
-    };
-    state.setStatus({ ...status, planVersion: 0, trueAt: 0 }, 0);
+    state.setStatus({ ...STATUS, planVersion: 0, trueAt: 0 }, 0);
     expect([state.hasConfirmedPlan, state.planAgeMs(0)]).toEqual([false, Infinity]);
     state.applyPlan(undefined, 0, wholePlan(makePlan(0, 1_000)));
     expect([state.hasConfirmedPlan, state.planAgeMs(0)]).toEqual([true, 0]);
--- a/packages/gateway/src/testing/fake-control-parts.ts
+++ b/packages/gateway/src/testing/fake-control-parts.ts
@@ -19,6 +19,20 @@
   readonly syncMs: number;
 }
 
+/** Costs of the grown deployments, from the logs of a day on which all control VMs lost power. */
+export const GROWN_COSTS: StartCosts = {
+  share: 0.405,
+  otherLoad: 0.5,
+  logMs: 190,
+  hubBaseMs: 60,
+  hubMs: 220,
+  firstMessageMs: 12,
+  messageMs: 2,
+  datagramMs: 0.4,
+  timerMs: 0.2,
+  syncMs: 4,
+};
+
 export function logAddress(ip: string): string {
   return `${ip}:7600`;
 }
