--- a/packages/gateway/src/control/acknowledged-plans.test.ts
+++ b/packages/gateway/src/control/acknowledged-plans.test.ts
@@ -31,31 +31,37 @@
   const work: Promise<void>[] = [];
   const frozen: FakeControlVm[] = [];
   const putAny = (): unknown => work.push(history.put(random.pick(versions)!));
+  const putTwo = (): unknown => [putAny(), putAny()];
+  const read = (): unknown => work.push(history.read());
+  const freezeOne = (): void => {
+    const vm = random.pick(group.vms)!;
+    group.freeze(vm);
+    frozen.push(vm);
+  };
+  const thawAll = (): void => frozen.splice(0).forEach((vm) => group.thaw(vm));
+  const cutSome = (): void => {
+    const side = random.sample(group.vms, random.between(1, 2));
+    group.cut(
+      side,
+      group.vms.filter((vm) => !side.includes(vm)),
+    );
+  };
+  const losePower = async (): Promise<void> => {
+    thawAll();
+    group.cutPower();
+    await group.advance(random.int(MAX_PAUSE_MS));
+    await group.returnPower(GROWN_COSTS, SPREAD_MS);
+  };
   const steps = [
     putAny,
     putAny,
-    () => work.push(history.read()),
-    () => [putAny(), putAny()],
-    () => {
-      const [vm] = random.sample(group.vms, 1);
-      group.freeze(vm!);
-      frozen.push(vm!);
-    },
-    () => frozen.splice(0).forEach((vm) => group.thaw(vm)),
-    () => {
-      const side = random.sample(group.vms, random.between(1, 2));
-      group.cut(
-        side,
-        group.vms.filter((vm) => !side.includes(vm)),
-      );
-    },
+    putTwo,
+    read,
+    freezeOne,
+    thawAll,
+    cutSome,
     () => group.healCut(),
-    async () => {
-      frozen.splice(0).forEach((vm) => group.thaw(vm));
-      group.cutPower();
-      await group.advance(random.int(MAX_PAUSE_MS));
-      await group.returnPower(GROWN_COSTS, SPREAD_MS);
-    },
+    losePower,
   ];
   await group.settle(Promise.all(first.map((version) => history.put(version))));
   if (history.hasAcknowledged) await group.settle(history.read(true));
@@ -63,7 +69,7 @@
     await random.pick(steps)!();
     await group.advance(random.int(MAX_PAUSE_MS));
   }
-  frozen.splice(0).forEach((vm) => group.thaw(vm));
+  thawAll();
   group.healCut();
   await group.settle(Promise.all(work));
   await group.advance(CALM_MS);
