Let parts of hubs and entries add their own state to the streams

Extensions now get each report, relay and stream, and add fields of their own. Without one, all messages are as before. Ruled out: events for each kind of message, which leave the order of the parts in an update open.

--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -11,9 +11,11 @@
 import { AdvertisedEntries } from './AdvertisedEntries.js';
 import { RelayHandler } from './RelayHandler.js';
 import { RetryBudgets } from './RetryBudgets.js';
-import { EntrySession } from './EntrySession.js';
+import { EntrySession, type HubUpdateInit } from './EntrySession.js';
 import type { EntryStream } from './EntryStream.js';
 import type { HubContext } from './HubContext.js';
+import type { HubExtension } from './HubExtension.js';
+import { createHubExtensions } from './hub-extensions.js';
 import { HubMessages } from './HubMessages.js';
 import { EvidenceFeed } from './EvidenceFeed.js';
 import { EvidenceDistributor } from './EvidenceDistributor.js';
@@ -27,7 +29,8 @@
 import { PlanEncoder } from './PlanEncoder.js';
 import { StreamAdmission } from './StreamAdmission.js';
 import { SuspectDistributor } from './SuspectDistributor.js';
-import { TeamBudgets } from './TeamBudgets.js';
+import { createTeamBudgets } from './createTeamBudgets.js';
+import type { TeamBudgets } from './TeamBudgets.js';
 import { TokenRequestHandler } from './TokenRequestHandler.js';
 
 const TICK_MS = 200;
@@ -74,6 +77,8 @@
 
   private readonly advertised = new AdvertisedEntries(this.entries);
 
+  private readonly extensions: readonly HubExtension[];
+
   private lastEntryRef = 0;
 
   private ticks = 0;
@@ -112,7 +117,11 @@
       hubs: () => this.peers.addresses(clock.now()),
       openSession: (identity, hello) => this.openSession(identity, hello),
     });
-    this.teamBudgets = this.createTeamBudgets();
+    this.teamBudgets = createTeamBudgets(ctx, {
+      entries: this.entries,
+      peers: this.peers,
+      sessions: this.sessions,
+    });
     this.tokenRequests = new TokenRequestHandler({
       teamBudgets: this.teamBudgets,
       isLeader: () => ctx.log.isLeader,
@@ -148,31 +157,20 @@
       entries: () => this.sessions.values(),
       hubs: () => this.peers.links,
     });
-    this.messages = new HubMessages({
-      clock,
-      settings,
-      log: ctx.log,
-      stateMachine,
-      entries: this.entries,
-      targets: this.targets,
-      peers: this.peers,
-      freshness: this.freshness,
-      evidence: this.evidence,
-      teamBudgets: this.teamBudgets,
-      limits: this.limits,
-      suspects: this.suspects,
-    });
-    this.relays = new RelayHandler({
-      peers: this.peers,
+    this.extensions = createHubExtensions({
+      ...ctx,
       entries: this.entries,
       targets: this.targets,
-      evidence: this.evidence,
-      limits: this.limits,
-      suspects: this.suspects,
-      retryBudgets: this.retryBudgets,
-      teamBudgets: this.teamBudgets,
-      tokenRequests: this.tokenRequests,
+      inFlight: (target) => this.evidence.inFlight(target),
+      reachableShare: (now) => this.peers.reachableShare(now),
+      sendToEntries: (update, dataCentre) => this.sendToEntries(update, dataCentre),
+      sendToHubs: (relay) => this.peers.send(relay),
     });
+    const { entries, targets, peers, evidence, teamBudgets, limits, suspects } = this;
+    const parts = { entries, targets, peers, evidence, teamBudgets, limits, suspects };
+    const { freshness, extensions, retryBudgets, tokenRequests } = this;
+    this.messages = new HubMessages({ ...ctx, ...parts, freshness, extensions });
+    this.relays = new RelayHandler({ ...parts, retryBudgets, tokenRequests });
     this.add(stateMachine.onDidMarkLeaving((id) => this.targets.markLeaving(id)));
     this.add(
       this.targets.onDidChange((target) =>
@@ -182,6 +180,7 @@
     this.add(
       this.targets.onDidRemove((id) => {
         this.limits.remove(id);
+        this.extensions.forEach((extension) => extension.targetRemoved?.(id));
         this.sessions.forEach((session) => session.removeTarget(id));
       }),
     );
@@ -237,6 +236,7 @@
     this.evidence.addFromEntry(identity.vm, report.evidence, now);
     this.limits.addFromEntry(report.limits, now);
     this.suspects.addFromEntry(report.suspects, now);
+    this.extensions.forEach((extension) => extension.handleReport?.(identity, report, now));
     report.uses.forEach(({ service, requests, repeats }) => {
       this.retryBudgets.add(service, requests, repeats, now);
       this.peers.links.forEach((link) => link.addUse(service, requests, repeats));
@@ -247,7 +247,9 @@
 
   /** Processes a message of another hub. */
   public handleRelay(relay: HubRelay, peer: PeerHub): void {
-    this.relays.handle(relay, peer, this.ctx.clock.now());
+    const now = this.ctx.clock.now();
+    this.relays.handle(relay, peer, now);
+    this.extensions.forEach((extension) => extension.handleRelay?.(relay, peer, now));
   }
 
   /** Tells the entries to connect to other hubs. */
@@ -291,6 +293,12 @@
     return session;
   }
 
+  private sendToEntries(update: HubUpdateInit, dataCentre?: string): void {
+    [...this.sessions.values()]
+      .filter(({ identity }) => dataCentre === undefined || identity.dataCentre === dataCentre)
+      .forEach((session) => session.send(update));
+  }
+
   private closeSession(session: EntrySession): void {
     session.dispose();
     const { vm } = session.identity;
@@ -302,25 +310,6 @@
     this.ctx.logger.info('entry disconnected', { entry: vm });
   }
 
-  private createTeamBudgets(): TeamBudgets {
-    const { logger, log } = this.ctx;
-    return new TeamBudgets({
-      logger,
-      isLeader: () => log.isLeader,
-      leaderLastMessageAt: () => this.peers.leader?.lastMessageAt ?? -Infinity,
-      entries: (now) => ({
-        own: this.entries.entriesOf(OWN_HUB).length,
-        connected: this.entries.size,
-        expected: this.entries.expectedSize(now),
-      }),
-      sendToEntries: (modes) =>
-        modes.forEach(({ team, isTight }) =>
-          this.sessions.forEach((session) => session.setTeamMode(team, isTight)),
-        ),
-      sendToHubs: (teamStates) => this.peers.send({ teamStates: [...teamStates] }),
-    });
-  }
-
   private updateReadiness(identity: EntryIdentity, isReady: boolean): void {
     if (this.entries.readinessOf(OWN_HUB, identity.vm) === isReady) return;
     this.entries.set(OWN_HUB, identity, isReady);
@@ -333,6 +322,7 @@
     const { plan } = stateMachine.current!;
     logger.info('plan in force', { version: plan.version, routes: plan.routes.length });
     this.teamBudgets.setTeams(plan.teams, clock.now());
+    this.extensions.forEach((extension) => extension.planChanged?.(plan));
     this.sessions.forEach((session) => session.planChanged());
   }
 
@@ -345,6 +335,7 @@
     this.dropUnresponsive(now);
     this.admission.tick(now);
     this.sendRetryUses(now);
+    this.extensions.forEach((extension) => extension.tick?.(now));
     this.ticks += 1;
     if (this.ticks % TICKS_PER_STATUS !== 0) return;
     this.peers.connectToVoters();
--- a/packages/gateway/src/control/HubMessages.ts
+++ b/packages/gateway/src/control/HubMessages.ts
@@ -5,6 +5,7 @@
 import { OWN_HUB, type EntryRegistry } from './EntryRegistry.js';
 import type { EntrySession, HubStatusInit, HubUpdateInit } from './EntrySession.js';
 import type { EvidenceDistributor } from './EvidenceDistributor.js';
+import { fieldsForEntry, fieldsForPeer, type HubExtension } from './HubExtension.js';
 import type { HubFreshness } from './HubFreshness.js';
 import type { HubPeers } from './HubPeers.js';
 import type { HubTargets } from './HubTargets.js';
@@ -33,6 +34,7 @@
   readonly teamBudgets: TeamBudgets;
   readonly limits: LimitDistributor;
   readonly suspects: SuspectDistributor;
+  readonly extensions: readonly HubExtension[];
 }
 
 export class HubMessages {
@@ -65,8 +67,9 @@
 
   /** State for an entry that has connected, except the plan. */
   public forEntry(session: EntrySession): HubUpdateInit {
-    const { clock, peers, teamBudgets, limits, suspects } = this.parts;
+    const { clock, peers, teamBudgets, limits, suspects, extensions } = this.parts;
     return {
+      ...fieldsForEntry(extensions, session.identity),
       entryRef: session.entryRef,
       hubs: peers.addresses(clock.now()),
       teams: teamBudgets.modesForEntry(),
@@ -80,9 +83,10 @@
 
   /** State for another hub to which a stream has been opened. */
   public forPeer(): HubRelayInit {
-    const { clock, settings, entries, peers, targets, evidence, teamBudgets, limits, suspects } =
-      this.parts;
+    const { clock, settings, entries, peers, targets, evidence } = this.parts;
+    const { teamBudgets, limits, suspects, extensions } = this.parts;
     return {
+      ...fieldsForPeer(extensions),
       hello: { address: peers.ownAddress, dataCentre: settings.dataCentre },
       entries: entries.entriesOf(OWN_HUB).map(({ identity, isReady }) => ({ identity, isReady })),
       targets: targets.describeAll(),
--- /dev/null
+++ b/packages/gateway/src/control/createTeamBudgets.ts
@@ -0,0 +1,33 @@
+/** Connects the budgets of teams to the entries and the other hubs. */
+import { OWN_HUB, type EntryRegistry } from './EntryRegistry.js';
+import type { EntrySession } from './EntrySession.js';
+import type { HubContext } from './HubContext.js';
+import type { HubPeers } from './HubPeers.js';
+import { TeamBudgets } from './TeamBudgets.js';
+
+interface BudgetParts {
+  readonly entries: EntryRegistry;
+  readonly peers: HubPeers;
+  readonly sessions: ReadonlyMap<string, EntrySession>;
+}
+
+export function createTeamBudgets(
+  { logger, log }: Pick<HubContext, 'logger' | 'log'>,
+  { entries, peers, sessions }: BudgetParts,
+): TeamBudgets {
+  return new TeamBudgets({
+    logger,
+    isLeader: () => log.isLeader,
+    leaderLastMessageAt: () => peers.leader?.lastMessageAt ?? -Infinity,
+    entries: (now) => ({
+      own: entries.entriesOf(OWN_HUB).length,
+      connected: entries.size,
+      expected: entries.expectedSize(now),
+    }),
+    sendToEntries: (modes) =>
+      modes.forEach(({ team, isTight }) =>
+        sessions.forEach((session) => session.setTeamMode(team, isTight)),
+      ),
+    sendToHubs: (teamStates) => peers.send({ teamStates: [...teamStates] }),
+  });
+}
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -22,6 +22,7 @@
 import { SyncClients } from '../sync/SyncClients.js';
 import { CallerServer } from './CallerServer.js';
 import { DirectoryClient } from '../sync/DirectoryClient.js';
+import { createEntryExtensions } from './entry-extensions.js';
 import { EntryState } from './EntryState.js';
 import { HubSelector } from './HubSelector.js';
 import { HubFollower } from './HubFollower.js';
@@ -78,6 +79,8 @@
       windowMs: retryWindow,
     });
     this.reporter = this.add(new HubReporter(clock, this.state, logger));
+    const extensions = createEntryExtensions({ clock, logger, settings, state: this.state });
+    extensions.forEach((extension) => this.reporter.addExtension(extension));
     const names = protocol.headers;
     const upstream = this.add(
       new UpstreamClient(clock, {
@@ -129,6 +132,7 @@
         state: this.state,
         reporter: this.reporter,
         hubs,
+        extensions,
         logger,
         identity: {
           vm: settings.vm,
--- a/packages/gateway/src/entry/HubFollower.ts
+++ b/packages/gateway/src/entry/HubFollower.ts
@@ -7,6 +7,7 @@
 import { hubConfirmedAge } from '../metrics.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
 import { toVersionField } from '../sync/plan-version.js';
+import type { EntryExtension } from './EntryExtension.js';
 import type { EntryState } from './EntryState.js';
 import type { HubLocator } from './HubLocator.js';
 import type { HubSelector } from './HubSelector.js';
@@ -35,6 +36,8 @@
   readonly state: EntryState;
   readonly reporter: HubReporter;
   readonly hubs: HubSelector;
+  /** Parts that read updates of the hub. */
+  readonly extensions?: readonly EntryExtension[];
   readonly logger: Logger;
   readonly identity: {
     readonly vm: string;
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -15,6 +15,7 @@
 import { toLimitMessage } from '../sync/limit-codec.js';
 import { SendWindow } from '../sync/SendWindow.js';
 import { toSuspectMessage, type SuspectRequestInit } from '../sync/suspect-codec.js';
+import { takeReportFields, type EntryExtension } from './EntryExtension.js';
 import type { EntryState } from './EntryState.js';
 import { TargetCheck, type ITargetCheck } from './TargetCheck.js';
 
@@ -65,6 +66,8 @@
 
   private ready = false;
 
+  private readonly extensions: EntryExtension[] = [];
+
   private send: ((report: EntryReportInit) => void) | undefined;
 
   private readonly batcher: Batcher;
@@ -91,10 +94,21 @@
     return this.ready;
   }
 
+  /** Adds a part whose state is reported with the rest. */
+  public addExtension(extension: EntryExtension): void {
+    this.extensions.push(extension);
+  }
+
+  /** Schedules a report, at the latest after the usual time for batches. */
+  public requestReport(): void {
+    this.batcher.request(FLUSH_MS);
+  }
+
   /** Sends reports to a new stream, starting with the load of this entry at all targets. */
   public attach(send: (report: EntryReportInit) => void): void {
     this.send = send;
     this.window.clear();
+    this.extensions.forEach((extension) => extension.attached?.());
     this.state.targets
       .all()
       .filter(({ ownInFlight }) => ownInFlight > 0)
@@ -273,6 +287,7 @@
     this.window.noteSent(sentAtMs);
     const inFlightOf = (id: string): number => this.state.targets.get(id)?.ownInFlight ?? 0;
     this.send({
+      ...takeReportFields(this.extensions),
       sentAtMs,
       isReady: this.ready,
       evidence: this.evidence.take(inFlightOf),
--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -51,6 +51,7 @@
     }
     if (update.hubs.length > 0) hubs.setHubs(update.hubs, seeds(), now);
     if (update.plan !== undefined) this.applyPlan(stream, update.plan);
+    const isFirst = stream.firstMessageAt === undefined;
     if (stream.firstMessageAt === undefined) {
       state.targets.all().forEach((target) => Object.assign(target, { othersInFlight: 0 }));
       Object.assign(stream, { firstMessageAt: now });
@@ -81,6 +82,7 @@
       else state.addresses.add(named);
       state.addresses.remove(dropped);
     }
+    this.ctx.extensions?.forEach((extension) => extension.apply?.(update, isFirst, now));
     if (update.isLeaving) {
       hubs.recordFailure(stream.address, now);
       stream.abort.abort();
--- /dev/null
+++ b/packages/gateway/src/entry/entry-extensions.ts
@@ -0,0 +1,17 @@
+/** The extensions that the settings of an entry call for. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
+import type { GatewaySettings } from '../settings.js';
+import type { EntryExtension } from './EntryExtension.js';
+import type { EntryState } from './EntryState.js';
+
+export interface EntryExtensionContext {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly settings: GatewaySettings;
+  readonly state: EntryState;
+}
+
+export function createEntryExtensions(_ctx: EntryExtensionContext): readonly EntryExtension[] {
+  return [];
+}
