Refuse uploads that find no room before their bodies are read

At 2.5 Mbit/s a body of 360 kB is on the link of an entry for 1.2 s in each direction, so that several at once miss deadlines that one would keep, and bodies could take all memory that answers need. An entry now accepts an upload only if memory and link can carry it in time.

Routes without large bodies are handled as before.

--- a/packages/daemon/src/entry/MemoryBudget.ts
+++ b/packages/daemon/src/entry/MemoryBudget.ts
@@ -4,7 +4,7 @@
 export class MemoryBudget {
   private used = 0;
 
-  public constructor(private readonly maxBytes: number) {}
+  public constructor(public readonly maxBytes: number) {}
 
   public get usedBytes(): number {
     return this.used;
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -3,18 +3,13 @@
 import { Server as NetServer } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { CallerConnection } from '@marigoldbank/daemon/entry/CallerConnection';
-import { readBody } from '@marigoldbank/daemon/entry/readBody';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
 import type { Route, Team } from '@marigoldbank/routing/plan';
 import type { RouteTable } from '@marigoldbank/routing/RouteTable';
 import { requestSeconds, requestsTotal } from '../metrics.js';
 import { ActiveRequests } from './ActiveRequests.js';
-import {
-  BODY_TIMEOUT_MS,
-  createCallerHttpServer,
-  IDLE_MARGIN_MS,
-  INITIAL_LIMITS,
-} from './caller-http-server.js';
+import { BodyReader, type BodyContext, DEFAULT_DEADLINE_MS, timeoutOf } from './BodyReader.js';
+import { createCallerHttpServer, IDLE_MARGIN_MS, INITIAL_LIMITS } from './caller-http-server.js';
 import { ConnectionTracker } from './ConnectionTracker.js';
 import { ResponseWriter, type Transaction } from './ResponseWriter.js';
 import { encodeErrorResponse, stoppingError, type ErrorResponse } from './ErrorResponse.js';
@@ -24,7 +19,6 @@
 import type { RequestLog } from './RequestLog.js';
 import { TeamAdmission } from './TeamAdmission.js';
 import { RequestRun } from './RequestRun.js';
-import { bodyError } from './refusals.js';
 import type { RunContext, RunOutcome } from './run-types.js';
 import { readRequestHead, type RequestHead } from './requestHead.js';
 
@@ -43,12 +37,9 @@
 /** Maximum wait for a token of the team budget as a fraction of the request's timeout. */
 const TOKEN_WAIT_FRACTION = 0.35;
 
-/** Deadline of requests that give none. The timeout of the route applies as well. */
-const DEFAULT_DEADLINE_MS = 60_000;
-
 const MS_PER_SECOND = 1_000;
 
-export interface ServerContext extends RunContext {
+export interface ServerContext extends RunContext, BodyContext {
   readonly log: RequestLog;
   readonly plans: Pick<PlanRefresher, 'confirm'>;
   /** Time since the plan was confirmed, above which requests with a team's key are refused; undefined for never. */
@@ -89,11 +80,14 @@
 
   private readonly planWait: PlanWait;
 
+  private readonly bodies: BodyReader;
+
   public constructor(private readonly ctx: ServerContext) {
     this.planWait = new PlanWait(ctx.clock, ctx.state);
     this.server = this.createServer();
     this.tracker = new ConnectionTracker(this.server, ctx.clock);
     this.admission = new TeamAdmission(ctx);
+    this.bodies = new BodyReader(ctx, () => this.limits);
     const { clock, names } = ctx;
     this.writer = new ResponseWriter({
       clock,
@@ -214,7 +208,7 @@
       return;
     }
     const { route, team } = admission.admitted;
-    const reading = await this.active.wait(tx, this.readWholeBody(tx));
+    const reading = await this.active.wait(tx, this.bodies.read(tx, head, route));
     const body = reading.kind === 'stopped' ? this.stoppingError() : reading.value;
     if (body === undefined) return;
     if (!Buffer.isBuffer(body)) {
@@ -228,7 +222,7 @@
       await this.writeError(tx, head, route, quarantined);
       return;
     }
-    const maxWaitMs = CallerServer.timeoutOf(head, route) * TOKEN_WAIT_FRACTION;
+    const maxWaitMs = timeoutOf(head, route) * TOKEN_WAIT_FRACTION;
     const charge = await this.active.wait(tx, this.admission.charge(team, maxWaitMs));
     const error = charge.kind === 'stopped' ? this.stoppingError() : charge.value;
     if (error !== undefined) {
@@ -264,7 +258,7 @@
     }
     const { isIdempotent } = route;
     const { expectedMs } = state.durationEstimateOf(route);
-    const dueAt = tx.receivedAt + CallerServer.timeoutOf(head, route);
+    const dueAt = tx.receivedAt + timeoutOf(head, route);
     if (!state.shutdown.mayPassOn({ isIdempotent, dueAt, expectedMs }, now)) {
       return refused(this.stoppingError());
     }
@@ -275,27 +269,6 @@
     return stoppingError(!this.ctx.state.addresses.isEmpty);
   }
 
-  /** Returns the body, an error response, or undefined if the caller has disconnected. */
-  private async readWholeBody(tx: Transaction): Promise<Buffer | ErrorResponse | undefined> {
-    const { req, connection } = tx;
-    if (Number(req.headers['content-length'] ?? 0) > this.limits.maxBodyBytes) {
-      return { kind: 'bodyTooLarge', verdict: 'notRun' };
-    }
-    if (req.headers.expect !== undefined) tx.res.writeContinue();
-    const result = await readBody(req, connection, this.ctx.clock, {
-      maxBytes: this.limits.maxBodyBytes,
-      idleTimeoutMs: this.limits.idleTimeoutMs,
-      totalTimeoutMs: BODY_TIMEOUT_MS,
-      memory: tx.memory,
-    });
-    return result.kind === 'read' ? result.body : bodyError(result.kind);
-  }
-
-  /** Maximum time from the head of a request to its final response. */
-  private static timeoutOf(head: RequestHead, route: Route): number {
-    return Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
-  }
-
   private async forward(
     tx: Transaction,
     head: RequestHead,
@@ -303,7 +276,7 @@
     fingerprint: () => string,
     { route, team }: AdmittedRequest,
   ): Promise<void> {
-    const timeoutMs = CallerServer.timeoutOf(head, route);
+    const timeoutMs = timeoutOf(head, route);
     const run = new RequestRun(this.ctx, {
       head,
       body,
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -49,6 +49,15 @@
 /** Delay before the process ends, so that the socket buffers of the last responses are flushed. */
 const FLUSH_DELAY_MS = 100;
 
+/** Share of the memory of the VM for bodies. The process itself takes more than half of it. */
+const BODIES_MEMORY_SHARE = 0.35;
+
+const BYTES_PER_MB = 1_000_000;
+
+function bodyBytesOf({ memoryMb = Infinity }: GatewaySettings): number {
+  return Math.min(MAX_BODIES_BYTES, BODIES_MEMORY_SHARE * memoryMb * BYTES_PER_MB);
+}
+
 export class EntryProcess extends DisposableStore implements GatewayProcess {
   private readonly state: EntryState;
 
@@ -122,7 +131,8 @@
       names,
       dataCentre: settings.dataCentre,
       log: new RequestLog(clock, logger),
-      memory: new MemoryBudget(MAX_BODIES_BYTES),
+      memory: new MemoryBudget(bodyBytesOf(settings)),
+      linkMbps: settings.linkMbps,
       plans,
       refuseKeysAfterMs: settings.refuseKeysAfter,
     });
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -29,6 +29,13 @@
   registers: [registry],
 });
 
+export const uploadRefusalsTotal = new Counter({
+  name: 'marigoldbank_upload_refusals_total',
+  help: 'Requests with large bodies that were refused before the body was read, by what was short',
+  labelNames: ['reason'] as const,
+  registers: [registry],
+});
+
 export const quarantinesTotal = new Counter({
   name: 'marigoldbank_quarantined_requests_total',
   help: 'Requests that are refused from then on because targets ended under them, each counted once a quarantine',
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -53,6 +53,18 @@
     .describe(
       'An entry whose configuration has not been confirmed by a majority of the control VMs for this long refuses requests that need a key. If omitted, it continues to serve with the configuration it has.',
     ),
+  memoryMb: z
+    .number()
+    .positive()
+    .optional()
+    .describe('Memory of this VM in MB, which bounds what an entry holds of bodies.'),
+  linkMbps: z
+    .number()
+    .positive()
+    .optional()
+    .describe(
+      'Capacity of the link of this VM in Mbit/s in each direction. An entry refuses large bodies that it could not pass on in time.',
+    ),
   bounds: boundsSchema,
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
--- a/packages/routing/src/plan.ts
+++ b/packages/routing/src/plan.ts
@@ -14,6 +14,8 @@
   prefix: z.string().regex(/^\/(?:.*\/)?$/),
   /** Whether a request may be executed more than once. */
   isIdempotent: z.boolean(),
+  /** Whether bodies are large, so that they need room before they are read. */
+  hasLargeBody: z.boolean().optional(),
   /** Maximum time to the final response. */
   timeoutMs: milliseconds,
   /** Latency objective. A response that takes longer is worth less. */
