Give back the tokens of requests that were not run

Targets that reject half of all requests used up the rates of teams: each refused request had taken a token, and its caller came back for another one. A token counts again once its request is known not to have run.

Ruled out: charging when an answer comes, which lets a team exceed its rate by all requests in progress.

--- a/packages/gateway/src/control/RelayHandler.ts
+++ b/packages/gateway/src/control/RelayHandler.ts
@@ -10,6 +10,7 @@
 import type { PeerHub } from './PeerHub.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { SuspectDistributor } from './SuspectDistributor.js';
+import { usedOf } from '../sync/team-use.js';
 import { toAnnouncement } from './targets-codec.js';
 import type { TeamBudgets } from './TeamBudgets.js';
 import type { TokenRequestHandler } from './TokenRequestHandler.js';
@@ -52,7 +53,7 @@
     relay.uses.forEach(({ service, requests, repeats }) =>
       retryBudgets.add(service, requests, repeats, now),
     );
-    relay.teams.forEach(({ team, admitted }) => teamBudgets.charge(team, admitted, now));
+    relay.teams.forEach((use) => teamBudgets.charge(use.team, usedOf(use), now));
     tokenRequests.answerHub(peer, relay.tokens, now);
     tokenRequests.deliverAnswers(relay.answers);
     tokenRequests.answerOrders(peer, relay.tokenOrders, now);
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -18,6 +18,7 @@
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import { toTeamUse } from '../sync/team-use.js';
 import { toSuspectMessage } from '../sync/suspect-codec.js';
 import { URGENT_FLUSH_MS } from './EntrySession.js';
 
@@ -64,7 +65,7 @@
 
   private readonly usesByService = new Map<string, UseCounts>();
 
-  private readonly admittedByTeam = new Map<string, number>();
+  private readonly usedByTeam = new Map<string, number>();
 
   private readonly tokens: MessageInitShape<typeof RelayedTokenSchema>[] = [];
 
@@ -153,8 +154,9 @@
     this.send({ tokenGrants });
   }
 
-  public addTeamUse(team: string, admitted: number): void {
-    this.admittedByTeam.set(team, (this.admittedByTeam.get(team) ?? 0) + admitted);
+  /** `used` is below 0 if more tokens are returned than used. */
+  public addTeamUse(team: string, used: number): void {
+    this.usedByTeam.set(team, (this.usedByTeam.get(team) ?? 0) + used);
     this.batcher.request(FLUSH_MS);
   }
 
@@ -201,7 +203,7 @@
       targets: [...this.targets.values()],
       ...this.takeEvidence(),
       uses: [...this.usesByService].map(([service, counted]) => ({ service, ...counted })),
-      teams: [...this.admittedByTeam].map(([team, admitted]) => ({ team, admitted })),
+      teams: [...this.usedByTeam].map(([team, used]) => toTeamUse(team, used)),
       tokens: this.tokens.splice(0),
       answers: this.tokenAnswers.splice(0),
       limits: [...this.limits.values()],
@@ -211,7 +213,7 @@
     this.limits.clear();
     this.suspects.clear();
     this.usesByService.clear();
-    this.admittedByTeam.clear();
+    this.usedByTeam.clear();
   }
 
   /** Evidence as numbers, which take a quarter of the bytes of messages with the ids of the targets. */
@@ -238,7 +240,7 @@
     this.targets.clear();
     this.limits.clear();
     this.suspects.clear();
-    this.admittedByTeam.clear();
+    this.usedByTeam.clear();
     this.tokens.length = 0;
     this.tokenAnswers.length = 0;
   }
--- a/packages/gateway/src/control/TeamBudgets.ts
+++ b/packages/gateway/src/control/TeamBudgets.ts
@@ -91,7 +91,7 @@
     return this.role === 'whole' ? this.buckets.modes() : [];
   }
 
-  /** Charges requests that entries have already admitted. */
+  /** Charges requests that entries have already admitted; below 0 for more that were not run. */
   public charge(team: string, admitted: number, now: number): void {
     if (this.isGranting) this.buckets.charge(team, admitted, now);
   }
--- a/packages/gateway/src/control/TokenRequestHandler.ts
+++ b/packages/gateway/src/control/TokenRequestHandler.ts
@@ -9,6 +9,7 @@
   TokenRequest,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { TokenDecision } from '@marigoldbank/routing/TeamBuckets';
+import { usedOf } from '../sync/team-use.js';
 import type { EntrySession } from './EntrySession.js';
 import type { PeerHub } from './PeerHub.js';
 import type { RelayLink } from './RelayLink.js';
@@ -49,12 +50,12 @@
     });
   }
 
-  /** Charges requests that an entry has already admitted. */
+  /** Charges requests that an entry has already admitted, less those that were not run. */
   public chargeUses(uses: readonly TeamUse[], now: number): void {
     const { teamBudgets } = this.ctx;
-    uses.forEach(({ team, admitted }) => {
-      if (teamBudgets.isGranting) teamBudgets.charge(team, admitted, now);
-      else this.leaderLink()?.addTeamUse(team, admitted);
+    uses.forEach((use) => {
+      if (teamBudgets.isGranting) teamBudgets.charge(use.team, usedOf(use), now);
+      else this.leaderLink()?.addTeamUse(use.team, usedOf(use));
     });
     if (uses.length > 0) teamBudgets.publishModeChanges(now);
   }
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -288,6 +288,8 @@
       signal: tx.callerGone.signal,
     });
     const outcome = await this.active.track(tx, run, run.run());
+    const isNotRun = outcome.kind === 'refused' && outcome.error.verdict === 'notRun';
+    if (isNotRun && team !== undefined) this.admission.giveBack(team);
     await this.finish(tx, head, route, outcome, run.trace);
   }
 
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -14,6 +14,7 @@
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import { toLimitMessage } from '../sync/limit-codec.js';
 import { SendWindow } from '../sync/SendWindow.js';
+import { toTeamUse } from '../sync/team-use.js';
 import { toSuspectMessage, type SuspectRequestInit } from '../sync/suspect-codec.js';
 import { takeReportFields, type EntryExtension } from './EntryExtension.js';
 import type { EntryState } from './EntryState.js';
@@ -247,6 +248,12 @@
     this.batcher.request(FLUSH_MS);
   }
 
+  /** Returns the token of a request of a team that was not run. */
+  public returnToken(team: string): void {
+    this.teamUse.set(team, (this.teamUse.get(team) ?? 0) - 1);
+    this.batcher.request(FLUSH_MS);
+  }
+
   /** Requests a token from the budget holder. */
   public requestToken(team: string, maxWaitMs: number): Promise<TokenResult> {
     if (this.send === undefined) return Promise.resolve({ kind: 'unanswered' });
@@ -292,7 +299,7 @@
       isReady: this.ready,
       evidence: this.evidence.take(inFlightOf),
       uses: [...this.uses].map(([service, use]) => ({ service, ...use })),
-      teams: [...this.teamUse].map(([team, admitted]) => ({ team, admitted })),
+      teams: [...this.teamUse].map(([team, used]) => toTeamUse(team, used)),
       tokens: this.tokenRequests.splice(0),
       limits: [...this.limits].map(([id, limit]) => toLimitMessage(id, limit, this.clock.now())),
       suspects: this.takeSuspects(),
--- a/packages/gateway/src/entry/TeamAdmission.test.ts
+++ b/packages/gateway/src/entry/TeamAdmission.test.ts
@@ -113,4 +113,21 @@
       decidedBy: 'holder',
     });
   });
+
+  // Targets that reject half of all requests made teams within their rates run out of tokens: each return used one more.
+  it('gives back the token of a request that was not run', () => {
+    const entry = makeEntry();
+    const used: [number, number][] = [];
+    entry.reporter.attach((report) =>
+      used.push(
+        ...(report.teams ?? []).map(({ admitted, returned }): [number, number] => [
+          admitted ?? 0,
+          returned ?? 0,
+        ]),
+      ),
+    );
+    entry.admission.giveBack(TEAM);
+    entry.clock.advance(100);
+    expect(used).toEqual([[0, 1]]);
+  });
 });
--- a/packages/gateway/src/entry/TeamAdmission.ts
+++ b/packages/gateway/src/entry/TeamAdmission.ts
@@ -45,6 +45,18 @@
       : this.admit(team, local.afterMs);
   }
 
+  /**
+   * Returns the token of an admitted request that was not run and never will be. A caller that is told so comes back, and
+   * would use up the rate of its team with requests that nobody runs.
+   */
+  public giveBack(team: Team): void {
+    if (team.ratePerSecond === 0) return;
+    const { state, clock, reporter } = this.ctx;
+    const now = clock.now();
+    if (!state.hasBudgetHolder(now)) state.teamLimiter.returnLocally(team.name, now);
+    reporter.returnToken(team.name);
+  }
+
   private async admit(team: Team, afterMs: number): Promise<undefined> {
     this.ctx.reporter.countTeamRequest(team.name);
     if (afterMs > 0) await delay(this.ctx.clock, afterMs);
--- a/packages/routing/src/DemandShare.ts
+++ b/packages/routing/src/DemandShare.ts
@@ -57,10 +57,10 @@
     return this.random.chance(probability);
   }
 
-  /** Counts requests that were admitted without a decision here. */
+  /** Counts requests that were admitted without a decision here; below 0 for some that were not run. */
   public charge(admitted: number, now: number): void {
     this.forget(now);
-    this.seen += admitted;
+    this.seen = Math.max(0, this.seen + admitted);
   }
 
   /** Milliseconds after which a refused request should come back. */
--- a/packages/routing/src/TeamBuckets.ts
+++ b/packages/routing/src/TeamBuckets.ts
@@ -108,10 +108,10 @@
     this.tightModes.clear();
   }
 
-  /** Deducts tokens for requests that entries have already admitted. */
-  public charge(team: string, admitted: number, now: number): void {
-    this.buckets.get(team)?.charge(admitted, now);
-    this.shares.get(team)?.charge(admitted, now);
+  /** Deducts tokens for requests that entries have already admitted. Adds tokens if `used` is below 0. */
+  public charge(team: string, used: number, now: number): void {
+    this.buckets.get(team)?.charge(used, now);
+    this.shares.get(team)?.charge(used, now);
   }
 
   /** Takes one token, or says when the next one is available. */
--- a/packages/routing/src/TeamRateLimiter.ts
+++ b/packages/routing/src/TeamRateLimiter.ts
@@ -114,6 +114,12 @@
     return { kind: 'refused', retryAfterMs: bucket.waitMs(now) };
   }
 
+  /** Returns the token of a request that was admitted locally and not run. */
+  public returnLocally(team: string, now: number): void {
+    this.localBuckets.get(team)?.charge(-1, now);
+    this.localShares.get(team)?.charge(-1, now);
+  }
+
   private decideByShare(
     team: Team,
     entryCount: number,
--- a/packages/routing/src/TokenBucket.ts
+++ b/packages/routing/src/TokenBucket.ts
@@ -44,10 +44,10 @@
     return waitMs;
   }
 
-  /** Deducts tokens that were already used, even if there are not enough. */
+  /** Deducts tokens that were already used, even if there are not enough. A number below 0 returns some, up to the burst. */
   public charge(tokens: number, now: number): void {
     this.refill(now);
-    this.level -= tokens;
+    this.level = Math.min(this.burst, this.level - tokens);
   }
 
   /** Milliseconds until a token is available. */
