Bound the requests to cold targets over all entries

Cause: a target that has just started, or has become cold again, got its normal share of the requests, and after an evacuation or a loss of entries a burst from all entries together.

Ruled out: a second limiter beside the one for named rates; grants by hubs, which entries without a hub and entries that start would not have; larger shares for the entries of the target's data centre, which rest on a second count that can be too low.

What is used of the cold rate is at most the rate itself, and less where overshoot and slack leave no room for the variance of the random numbers (`sharedRate`). Cold targets are asked before the sample is taken, since few of them admit a request.

--- a/packages/routing/src/LimitShare.ts
+++ b/packages/routing/src/LimitShare.ts
@@ -4,16 +4,7 @@
  * without messages between them, also while they are partitioned.
  */
 import type { Random } from '@marigoldbank/base/random';
-
-/** Part of the rate that is used. The rest covers the variance of the numbers that the entries draw. */
-const USABLE_FRACTION = 0.6;
-
-/** Lowest rate that is used, in requests a second, so that an answer shows when the limit has ended. */
-const MIN_PER_SECOND = 0.15;
-
-/** Unused rate that all entries together keep: a time in seconds, and a number of requests. */
-const KEPT_SECONDS = 0.5;
-const KEPT_REQUESTS = 1;
+import { namedRate, type SharedRate } from './sharedRate.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -28,7 +19,7 @@
   /** Starts at a random level, so that entries which learn of the limit together do not admit their requests together. */
   public constructor(
     private readonly random: Random,
-    limit: number,
+    limit: number | SharedRate,
     entryCount: number,
     private updatedAt: number,
   ) {
@@ -36,13 +27,16 @@
     this.level = random.float() * this.capacity;
   }
 
-  /** Sets the limit of the target, in requests a second, and the number of entries that share it. */
-  public configure(limit: number, entryCount: number, now: number): void {
+  /**
+   * Sets the limit that the target names, in requests a second, or what is used of its limits, and the number of entries
+   * that share it.
+   */
+  public configure(limit: number | SharedRate, entryCount: number, now: number): void {
     this.refill(now);
-    const usable = USABLE_FRACTION * Math.max(MIN_PER_SECOND, limit);
+    const { perSecond, kept } = typeof limit === 'number' ? namedRate(limit) : limit;
     const count = Math.max(1, entryCount);
-    this.perSecond = usable / count;
-    this.capacity = Math.min(1, (usable * KEPT_SECONDS + KEPT_REQUESTS) / count);
+    this.perSecond = perSecond / count;
+    this.capacity = Math.min(1, kept / count);
     this.level = Math.min(this.level, this.capacity);
   }
 
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -119,6 +119,9 @@
   return failureCost + dataCentreCost + loadCost + unreachableCost - value - connectionValue;
 }
 
+/** What the selection asks about the limits of targets. */
+export type SelectionLimits = Pick<TargetLimits, 'admits'> & Partial<Pick<TargetLimits, 'isCold'>>;
+
 /** Selects a target with a low expected cost. */
 export class TargetSelector {
   private readonly anyTarget: ChoicePolicy;
@@ -126,7 +129,7 @@
   public constructor(
     private readonly targets: TargetTable,
     random: Random,
-    private readonly limits: Pick<TargetLimits, 'admits'> = { admits: () => true },
+    private readonly limits: SelectionLimits = { admits: () => true },
     private readonly policy: ChoicePolicy = new LowestOfSample(random),
     private readonly notices: Pick<TargetNotices, 'isUsable'> = { isUsable: () => true },
   ) {
@@ -135,7 +138,7 @@
 
   /** Returns undefined if no target of the service may get the request: each leaves, pauses, or has used up its limit. */
   public select(req: SelectionRequest, now: number): Selection | undefined {
-    const candidates = this.targets
+    const usable = this.targets
       .candidates(req.service)
       .filter(({ info }) => !req.excluded.has(info.id) && this.notices.isUsable(info, now));
     const { dataCentre, expectedMs } = req;
@@ -146,6 +149,10 @@
       admitted.set(id, known);
       return known;
     };
+    // An entry rarely has a share left at the few cold targets of a sample, so each of them is asked before.
+    const candidates = usable.filter(
+      (target) => this.limits.isCold?.(target.info.id, now) !== true || isAdmitted(target),
+    );
     const ctx = {
       dataCentre,
       expectedMs,
--- a/packages/routing/src/limits.test.ts
+++ b/packages/routing/src/limits.test.ts
@@ -98,9 +98,9 @@
   it('says when to come back only if all targets have limits', () => {
     const limits = new TargetLimits(new Random(1), () => 40);
     limits.note('a', { perSecond: 2, at: 0 });
-    expect(limits.waitMs(['a', 'b'])).toEqual(undefined);
+    expect(limits.waitMs(['a', 'b'], 0)).toEqual(undefined);
     limits.note('b', { perSecond: 6, at: 0 });
-    expect(limits.waitMs(['a', 'b'])).toEqual(5_000);
-    expect(limits.waitMs([])).toEqual(undefined);
+    expect(limits.waitMs(['a', 'b'], 0)).toEqual(5_000);
+    expect(limits.waitMs([], 0)).toEqual(undefined);
   });
 });
--- a/packages/routing/src/plan.ts
+++ b/packages/routing/src/plan.ts
@@ -31,6 +31,10 @@
   name: z.string().min(1),
   /** Maximum number of connections to one target, divided among the entries. */
   maxConnections: z.number().int().min(1),
+  /** Longest time for which a target is cold. Absent in plans that name none, which are encoded as before. */
+  coldMs: z.number().min(0).optional(),
+  /** Requests a second that a cold target tolerates from all entries together; no bound if absent. */
+  coldPerSecond: z.number().positive().optional(),
 });
 
 export const teamSchema = z.object({
