Read the bounds of cold targets, and tell entries of changes of the cold time

Cause: heartbeats that only change the time for which a target is cold were taken for repetitions and not passed on, and each process on the way subtracted the age of an announcement again, so that entries took targets for warm too early.

Ruled out: passing on each heartbeat, which at 11 hubs would be more messages than the requests; dating an announcement by its arrival at the entry, which makes one that was delayed look newer than a failure.

Hubs pass on changes of the cold time for services with a rate. Entries date announcements by the last report that the hub had handled. Failed connections and timeouts make a target count as cold. `marigoldbank_cold_held_back_total` counts requests held back.

--- a/packages/gateway/src/control/AnnouncementFeed.test.ts
+++ b/packages/gateway/src/control/AnnouncementFeed.test.ts
@@ -57,6 +57,16 @@
     expect(feed.position).toEqual(1);
   });
 
+  // The hub would hear of it with the next repetition only.
+  it('takes a change of the cold time for news, and not one that is counted down', () => {
+    const feed = new AnnouncementFeed();
+    feed.add(makeAnnouncement({ coldMs: 3_000 }), 0);
+    expect(feed.add(makeAnnouncement({ seq: 2, coldMs: 2_000 }), 1_010)).toEqual('refreshed');
+    expect(feed.add(makeAnnouncement({ seq: 3, coldMs: 3_000 }), 2_000)).toEqual('changed');
+    expect(feed.add(makeAnnouncement({ seq: 4, coldMs: 0 }), 2_100)).toEqual('changed');
+    expect(feed.add(makeAnnouncement({ seq: 5, coldMs: 0 }), 9_000)).toEqual('refreshed');
+  });
+
   it('drops a target that has left, and one whose address another one has', () => {
     const feed = new AnnouncementFeed();
     feed.add(makeAnnouncement(), 100);
--- a/packages/gateway/src/control/AnnouncementFeed.ts
+++ b/packages/gateway/src/control/AnnouncementFeed.ts
@@ -1,5 +1,6 @@
 /** Announcements that this control VM has received, numbered in the order of their arrival. */
 import type { Announcement } from '../announcement.js';
+import { isColdnessChanged } from './coldness.js';
 import { TargetRegistry, type AnnouncementEffect } from './TargetRegistry.js';
 import { toTargetMessage, type TargetInit } from './targets-codec.js';
 
@@ -31,8 +32,10 @@
   /** Adds an announcement that was received at `now` (monotonic ms), unless a newer one is known. */
   public add(announcement: Announcement, now: number): AnnouncementEffect {
     const displaced = this.registry.displacedBy(announcement);
-    const effect = this.registry.announce(announcement, now);
-    if (effect === 'outdated') return effect;
+    const isColdChange = this.isColdnessChanged(announcement, now);
+    const registered = this.registry.announce(announcement, now);
+    if (registered === 'outdated') return registered;
+    const effect = isColdChange ? 'changed' : registered;
     if (displaced !== undefined) this.remove(displaced, 0);
     this.lastPosition += 1;
     this.positions.set(announcement.id, this.lastPosition);
@@ -56,6 +59,13 @@
     return this.registry.get(id)?.announcement.born ?? 0;
   }
 
+  /** Whether an announcement says something else than the last one about the time for which its target is cold. */
+  private isColdnessChanged({ id, coldMs }: Announcement, now: number): boolean {
+    const known = this.registry.get(id);
+    if (known === undefined) return false;
+    return isColdnessChanged(known.announcedAt + known.announcement.coldMs, now + coldMs, now);
+  }
+
   /** Announcements after a position, with their ages at `now` (monotonic ms). */
   public since(position: number, now: number): AnnouncementBatch {
     const announcements = [...this.positions]
--- a/packages/gateway/src/control/HubTargets.ts
+++ b/packages/gateway/src/control/HubTargets.ts
@@ -8,6 +8,7 @@
 import type { Evidence } from '../sync/EvidenceBuffer.js';
 import { TargetRefs } from '../sync/TargetRefs.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
+import { isColdnessChanged } from './coldness.js';
 import { TargetRegistry } from './TargetRegistry.js';
 import { toTargetMessage, toTargetInfo, type TargetInit } from './targets-codec.js';
 
@@ -31,6 +32,9 @@
   /** Times (monotonic ms) at which other hubs were last told of each target. */
   private readonly relayedAt = new Map<string, number>();
 
+  /** Times (monotonic ms) until which targets are cold, as entries were last told. */
+  private readonly coldUntil = new Map<string, number>();
+
   private readonly changeEmitter = new Emitter<TargetInit>();
 
   private readonly removeEmitter = new Emitter<string>();
@@ -56,7 +60,9 @@
     const displaced = this.registry.displacedBy(announcement);
     const effect = this.registry.announce(announcement, announcedAt);
     if (effect === 'outdated') return false;
-    if (effect === 'refreshed') return this.isRelayDue(announcement.id);
+    if (effect === 'refreshed') {
+      return this.passOnColdness(announcement, announcedAt) || this.isRelayDue(announcement.id);
+    }
     this.relayedAt.set(announcement.id, this.ctx.clock.now());
     const { id, service, address, isDraining } = announcement;
     this.ctx.logger.info('target changed', { target: id, service, address, isDraining });
@@ -129,6 +135,28 @@
     return true;
   }
 
+  /**
+   * Tells entries that a target has become cold again, or is cold for a longer or shorter time than they know, if its service
+   * bounds the requests to cold targets. Returns whether other hubs should be told.
+   */
+  private passOnColdness({ id, service, coldMs }: Announcement, announcedAt: number): boolean {
+    const { clock, stateMachine, logger } = this.ctx;
+    const isBounded = stateMachine.current?.plan.services.some(
+      ({ name, coldPerSecond }) => name === service && coldPerSecond !== undefined,
+    );
+    const now = clock.now();
+    const nextUntil = announcedAt + coldMs;
+    if (isBounded !== true) return false;
+    if (!isColdnessChanged(this.coldUntil.get(id) ?? 0, nextUntil, now)) return false;
+    this.relayedAt.set(id, now);
+    logger.info('target coldness changed', {
+      target: id,
+      forMs: Math.max(0, Math.round(nextUntil - now)),
+    });
+    this.emitChange(id);
+    return true;
+  }
+
   private emitChange(id: string): void {
     const target = this.describe(id);
     if (target === undefined) return;
@@ -138,6 +166,7 @@
       return;
     }
     this.targetTable.upsert(toTargetInfo(target), this.ctx.clock.now());
+    this.coldUntil.set(id, this.ctx.clock.now() + (target.coldMs ?? 0));
     this.changeEmitter.fire(target);
   }
 
@@ -146,6 +175,7 @@
     this.targetTable.remove(id);
     this.refs.remove(id);
     this.relayedAt.delete(id);
+    this.coldUntil.delete(id);
     this.removeEmitter.fire(id);
   }
 }
--- a/packages/gateway/src/control/targets-codec.ts
+++ b/packages/gateway/src/control/targets-codec.ts
@@ -35,7 +35,8 @@
     version: target.version,
     slots: target.slots,
     isDraining: target.isDraining,
-    coldMs: target.coldMs,
+    // The remaining time refers to when the message was made, and that of an announcement to when it was received.
+    coldMs: target.coldMs === 0 ? 0 : target.coldMs + target.ageMs,
     born: Number(target.born),
     seq: Number(target.seq),
   };
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -12,6 +12,7 @@
 import type { GatewayProcess } from '../GatewayProcess.js';
 import { metricsHandler } from '../metrics.js';
 import {
+  coldBoundsOf,
   consensusAddress,
   INTERNAL_SECRET,
   ipOf,
@@ -73,11 +74,12 @@
     super();
     const { retryRatio, retrySlack, retryWindow } = settings.bounds;
     const clients = this.add(new SyncClients());
-    this.state = new EntryState({
-      ratio: retryRatio,
-      slack: retrySlack,
-      windowMs: retryWindow,
-    });
+    this.state = new EntryState(
+      { ratio: retryRatio, slack: retrySlack, windowMs: retryWindow },
+      undefined,
+      undefined,
+      coldBoundsOf(settings),
+    );
     this.reporter = this.add(new HubReporter(clock, this.state, logger));
     const extensions = createEntryExtensions({ clock, logger, settings, state: this.state });
     extensions.forEach((extension) => this.reporter.addExtension(extension));
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -10,9 +10,11 @@
   type PlanChange,
   type PlanItems,
 } from '@marigoldbank/routing/plan-items';
+import { EntryCount } from '@marigoldbank/routing/EntryCount';
 import { RetryLimiter } from '@marigoldbank/routing/RetryLimiter';
 import type { RetryBudgetLimits } from '@marigoldbank/routing/RetryWindow';
 import { RouteTable } from '@marigoldbank/routing/RouteTable';
+import type { ColdBounds } from '@marigoldbank/routing/sharedRate';
 import { TargetLimits } from '@marigoldbank/routing/TargetLimits';
 import { TargetTable } from '@marigoldbank/routing/TargetTable';
 import { TargetNotices } from '@marigoldbank/routing/TargetNotices';
@@ -27,12 +29,6 @@
 /** Time without a status after which the hub counts as lost. A hub sends one every 400 ms. */
 const HUB_TIMEOUT_MS = 1_500;
 
-/**
- * Time for which an entry keeps to a larger number of entries than its hub counts. A hub that has just started counts only
- * those that have connected; if each entry took its share by that number, the shares would exceed the budgets.
- */
-const ENTRY_COUNT_MEMORY_MS = 20_000;
-
 const MAX_SEED = 0x7fffffff;
 
 /** Lookup tables of a plan that may be in force. */
@@ -105,7 +101,7 @@
   /** A plan that may have been acknowledged, and when that was learnt. Without `table` nothing else is known of it. */
   private possible: PossibleTable | undefined;
 
-  private largestCount = { entries: 1, at: -Infinity };
+  private readonly entries = new EntryCount();
 
   private readonly durations = new Map<string, DurationEstimate>();
 
@@ -113,8 +109,12 @@
     bounds: RetryBudgetLimits,
     public readonly random = new Random(Math.floor(Math.random() * MAX_SEED)),
     private readonly timeOfDay: () => number = Date.now,
+    coldBounds?: ColdBounds,
   ) {
-    this.limits = new TargetLimits(random, () => this.entryCount);
+    this.limits = new TargetLimits(random, () => this.entryCount, {
+      bounds: coldBounds,
+      entryCount: (now) => this.entries.cautious(now),
+    });
     this.targets.onDidRemove((id) => this.limits.remove(id));
     this.selector = new TargetSelector(this.targets, random, this.limits, undefined, this.notices);
     this.retryLimiter = new RetryLimiter(bounds);
@@ -133,7 +133,7 @@
 
   /** Largest number of entries in the fleet according to the statuses of the last 20 s, at least 1. */
   public get entryCount(): number {
-    return this.largestCount.entries;
+    return this.entries.largest;
   }
 
   /** Applies changes to the plan `fromVersion`, or a complete plan if that is undefined. Never returns to an older version. */
@@ -150,6 +150,7 @@
     const base = fromVersion === undefined ? new Map<string, string>() : this.planItems;
     this.planItems = applyPlanChanges(base, changes);
     this.routeTable = new RouteTable(fromPlanItems(version, this.planItems));
+    this.limits.setServices(this.routeTable.plan.services);
     this.takeConfirmation();
     this.planEmitter.fire(this.routeTable);
   }
@@ -159,11 +160,8 @@
     this.status = status;
     this.clockOffsetMs = this.timeOfDay() - now;
     this.takeConfirmation();
-    const { entries, trueAt } = status;
-    const isExpired = trueAt - this.largestCount.at > ENTRY_COUNT_MEMORY_MS;
-    if (isExpired || entries >= this.largestCount.entries) {
-      this.largestCount = { entries: Math.max(1, entries), at: trueAt };
-    }
+    const { entries, trueAt, isStarting, isCutOff } = status;
+    this.entries.note(entries, trueAt, !isStarting && !isCutOff);
   }
 
   /** Notes that at a time (monotonic ms) no plan was committed that is newer than the one in effect. */
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -148,14 +148,12 @@
 
   /** Records a failed connection to a target. Other entries may still reach it, so for them it is weak evidence. */
   public recordConnectFailure(id: string): void {
-    this.state.targets.recordConnectFailure(id, this.clock.now());
-    this.recordOutcome(id, 'suspect');
+    this.recordUnreachable(id);
   }
 
   /** Records a timeout of a target, like a failed connection: perhaps only its responses to this entry are lost. */
   public recordTimeout(id: string): void {
-    this.state.targets.recordConnectFailure(id, this.clock.now());
-    this.recordOutcome(id, 'suspect');
+    this.recordUnreachable(id);
   }
 
   /** Records what an answer of a target said about its limit: requests a second, or undefined for none. */
@@ -343,6 +341,13 @@
     return taken;
   }
 
+  private recordUnreachable(id: string): void {
+    const now = this.clock.now();
+    this.state.targets.recordConnectFailure(id, now);
+    this.state.limits.recordFailure(id, now);
+    this.recordOutcome(id, 'suspect');
+  }
+
   private requestUrgent(): void {
     this.isUrgent = true;
     this.batcher.request(URGENT_FLUSH_MS);
--- a/packages/gateway/src/entry/HubUpdateApplier.ts
+++ b/packages/gateway/src/entry/HubUpdateApplier.ts
@@ -9,6 +9,7 @@
 import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import { decodeEvidenceBatch, type EvidenceItem } from '../sync/evidence-batch.js';
+import { toColdAnnouncement } from '../sync/cold-codec.js';
 import { toLimitStatement } from '../sync/limit-codec.js';
 import { toVersion } from '../sync/plan-version.js';
 import { toSuspectStatement } from '../sync/suspect-codec.js';
@@ -106,10 +107,12 @@
   }
 
   private applyTargets(stream: HubStream, update: HubUpdate, now: number): void {
-    const { targets } = this.ctx.state;
+    const { state } = this.ctx;
+    const { targets } = state;
     update.targets.forEach((target) => {
       stream.targetIds.add(target.id);
       this.applyTarget(target, now);
+      state.limits.announce(toColdAnnouncement(target, update.handledReportMs), now);
     });
     update.removedTargets.forEach((id) => {
       stream.targetIds.delete(id);
@@ -117,7 +120,7 @@
       this.refs.remove(id);
     });
     // After a restart of all hubs the entry would lose nearly all targets, and overload the few that it is told of.
-    if (stream.hasAllTargets || this.ctx.state.isHubStarting) return;
+    if (stream.hasAllTargets || state.isHubStarting) return;
     Object.assign(stream, { hasAllTargets: true });
     targets.retainOnly(stream.targetIds);
   }
--- a/packages/gateway/src/entry/RequestRun.test.ts
+++ b/packages/gateway/src/entry/RequestRun.test.ts
@@ -203,7 +203,7 @@
         kinds.push((await run(fixture)).kind);
       }
       expect(kinds.at(-1)).toEqual('answered');
-      expect(state.limits.waitMs(['first'])).toEqual(1);
+      expect(state.limits.waitMs(['first'], clock.now())).toEqual(1);
     });
   });
 });
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -2,6 +2,7 @@
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
 import { pickService } from '@marigoldbank/routing/RouteTable';
 import { FAILING_THRESHOLD, type Selection } from '@marigoldbank/routing/TargetSelector';
+import { coldHeldBackTotal } from '../metrics.js';
 import { stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import { noTargetError, overloadError } from './refusals.js';
 import type { RunContext, RunOutcome, RunRequest, UpstreamResponse } from './run-types.js';
@@ -290,7 +291,7 @@
     const { route } = this.req;
     const { dueAt } = this;
     const now = clock.now();
-    return state.selector.select(
+    const selection = state.selector.select(
       {
         service: this.service,
         canRetry: route.isIdempotent && this.sends === 0 && route.maxTargets > 1,
@@ -302,6 +303,11 @@
       },
       now,
     );
+    if (state.limits.takeHeldBack() > 0) {
+      const outcome = selection === undefined ? 'refused' : 'sent elsewhere';
+      coldHeldBackTotal.inc({ service: this.service, outcome });
+    }
+    return selection;
   }
 
   /** Selects a further target if the limits of the route, the time left and the retry budget allow one. */
--- a/packages/gateway/src/entry/refusals.ts
+++ b/packages/gateway/src/entry/refusals.ts
@@ -41,7 +41,10 @@
     const retryAfterMs = Math.ceil(pauseMs * (1 + PAUSE_SPREAD * random.float()));
     return { kind: 'overloaded', verdict: 'notRun', retryAfterMs };
   }
-  const limitWaitMs = limits.waitMs(infos.map(({ id }) => id));
+  const limitWaitMs = limits.waitMs(
+    infos.map(({ id }) => id),
+    now,
+  );
   if (limitWaitMs === undefined) return { kind: 'noTarget', verdict: 'notRun' };
   const retryAfterMs = Math.min(MAX_LIMIT_RETRY_MS, Math.ceil(limitWaitMs));
   return { kind: 'overloaded', verdict: 'notRun', retryAfterMs };
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,6 +22,13 @@
   registers: [registry],
 });
 
+export const coldHeldBackTotal = new Counter({
+  name: 'marigoldbank_cold_held_back_total',
+  help: 'Requests that the rates of cold targets held back from at least one target, by service and what became of them: sent elsewhere, refused',
+  labelNames: ['service', 'outcome'] as const,
+  registers: [registry],
+});
+
 export const targetNoticesTotal = new Counter({
   name: 'marigoldbank_target_notices_total',
   help: 'Times that a target said that it leaves or wants a pause, by service and notice',
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of a gateway process and the addresses derived from them. */
+import type { ColdBounds } from '@marigoldbank/routing/sharedRate';
 import { z } from 'zod';
 import { durationMs } from './durations.js';
 
@@ -16,6 +17,14 @@
     ),
   retrySlack: z.number().min(0),
   retryWindow: durationMs,
+  coldOvershoot: z
+    .number()
+    .min(1)
+    .optional()
+    .describe(
+      'A cold target gets at most `cold_per_s` x `coldOvershoot` + `coldSlack` requests in any second, from all entries. Without both, the rates of cold targets are used like those that targets name.',
+    ),
+  coldSlack: z.number().min(0).optional(),
 });
 
 export const gatewaySettingsSchema = z.object({
@@ -59,6 +68,13 @@
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
 
+/** How far the rates of cold targets may be exceeded, undefined if the settings do not say. */
+export function coldBoundsOf({ bounds }: Pick<GatewaySettings, 'bounds'>): ColdBounds | undefined {
+  const { coldOvershoot: overshoot, coldSlack: slack } = bounds;
+  if (overshoot === undefined && slack === undefined) return undefined;
+  return { overshoot: overshoot ?? 1, slack: slack ?? 0 };
+}
+
 /** Internal traffic runs on an isolated network; the secret only distinguishes services. */
 export const INTERNAL_SECRET = 'internal';
 
