--- a/packages/routing/src/ColdTargets.ts
+++ b/packages/routing/src/ColdTargets.ts
@@ -51,6 +51,9 @@
 
   private readonly targets = new Map<string, KnownTarget>();
 
+  /** Targets that may be cold. Nearly all others are found not to be by one lookup, for each target and request. */
+  private readonly possiblyCold = new Set<string>();
+
   /** Time of the last failed connection or timeout, by target. */
   private readonly failedAt = new Map<string, number>();
 
@@ -68,6 +71,7 @@
   /** Notes an announcement that arrived at `now`. An older one than the last, from a hub that lags behind, is ignored. */
   public announce(next: ColdAnnouncement, now: number): void {
     const known = this.targets.get(next.id);
+    if (next.coldMs > 0 || this.dataCentres.has(next.dataCentre)) this.possiblyCold.add(next.id);
     const coldUntil = next.coldMs > 0 ? now + next.coldMs : NEVER;
     if (known === undefined || known.announcement.service !== next.service) {
       this.targets.set(next.id, { announcement: next, coldUntil });
@@ -88,26 +92,39 @@
 
   /** Notes that a connection to a target failed, or that it did not respond in time. */
   public recordFailure(id: string, now: number): void {
-    if (this.targets.has(id)) this.failedAt.set(id, now);
+    if (!this.targets.has(id)) return;
+    this.failedAt.set(id, now);
+    this.possiblyCold.add(id);
   }
 
   /** Assumes from `at` on that all targets of a data centre are cold. */
   public assumeCold(dataCentre: string, at: number): void {
     this.dataCentres.set(dataCentre, at);
+    [...this.targets.values()]
+      .filter(({ announcement }) => announcement.dataCentre === dataCentre)
+      .forEach(({ announcement }) => this.possiblyCold.add(announcement.id));
   }
 
   /** Requests a second that the target tolerates from all entries now, undefined if it is not cold or has no bound. */
   public limitOf(id: string, now: number): number | undefined {
-    if (this.services.size === 0) return undefined;
+    if (this.services.size === 0 || !this.possiblyCold.has(id)) return undefined;
     const known = this.targets.get(id);
     const service = known && this.services.get(known.announcement.service);
     if (known === undefined || service === undefined) return undefined;
     const until = Math.max(known.coldUntil, this.assumedUntil(known, service.coldMs));
-    return now < until ? service.perSecond : undefined;
+    if (now < until) return service.perSecond;
+    this.possiblyCold.delete(id);
+    return undefined;
+  }
+
+  /** Whether any target may be cold and have a bound. */
+  public get mayHaveCold(): boolean {
+    return this.services.size > 0 && this.possiblyCold.size > 0;
   }
 
   public remove(id: string): void {
     this.targets.delete(id);
+    this.possiblyCold.delete(id);
     this.failedAt.delete(id);
   }
 
--- a/packages/routing/src/TargetLimits.ts
+++ b/packages/routing/src/TargetLimits.ts
@@ -85,6 +85,11 @@
     return isAdmitted;
   }
 
+  /** Whether the rate of any target may be bounded because it is cold. */
+  public get mayBeCold(): boolean {
+    return this.cold.mayHaveCold;
+  }
+
   /** Whether the rate of the target is bounded because it is cold. */
   public isCold(target: string, now: number): boolean {
     return this.cold.limitOf(target, now) !== undefined;
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -120,7 +120,8 @@
 }
 
 /** What the selection asks about the limits of targets. */
-export type SelectionLimits = Pick<TargetLimits, 'admits'> & Partial<Pick<TargetLimits, 'isCold'>>;
+export type SelectionLimits = Pick<TargetLimits, 'admits'> &
+  Partial<Pick<TargetLimits, 'isCold' | 'mayBeCold'>>;
 
 /** Selects a target with a low expected cost. */
 export class TargetSelector {
@@ -150,9 +151,12 @@
       return known;
     };
     // An entry rarely has a share left at the few cold targets of a sample, so each of them is asked before.
-    const candidates = usable.filter(
-      (target) => this.limits.isCold?.(target.info.id, now) !== true || isAdmitted(target),
-    );
+    const candidates =
+      this.limits.mayBeCold === true
+        ? usable.filter(
+            (target) => this.limits.isCold?.(target.info.id, now) !== true || isAdmitted(target),
+          )
+        : usable;
     const ctx = {
       dataCentre,
       expectedMs,
