Evacuate data centres by orders in the replicated log

Operators had no way to keep requests away from a data centre other than a change of the configuration. An order is a command of its own in the replicated log, with state beside the plan, so that plans may change meanwhile. It names the number of earlier orders for its data centre and takes effect only as the next one; one that was pending while a later order was committed does nothing. Orders that change nothing are committed as well: the member that is called may not know of a newer one. Entries get the orders from their hub, and from the datagrams of control VMs without one; the newest log index wins.

Ruled out: a field of the plan, whose versions belong to the operator's document; a time in the command, since clocks of VMs differ; an answer from local state for an order that is in effect, which may be out of date.

The log process of a VM knows only the targets that announce themselves there, so its hub tells it the slots of all by service and data centre.

--- a/packages/gateway/src/ProtocolAdapter.ts
+++ b/packages/gateway/src/ProtocolAdapter.ts
@@ -29,6 +29,8 @@
   | { readonly kind: 'leave'; readonly id: string }
   | { readonly kind: 'putPlan' }
   | { readonly kind: 'getPlan' }
+  | { readonly kind: 'startEvacuation'; readonly dataCentre: string }
+  | { readonly kind: 'endEvacuation'; readonly dataCentre: string }
   | { readonly kind: 'unknown' };
 
 export type ParsedPlan =
--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -1,6 +1,6 @@
 /**
  * Tells entries what was committed in the log and they may not have: the plan, with the changes since the one that they hold,
- * and targets that leave. Their hubs send them all of it; an entry asks when its hub has not confirmed its state for a
+ * targets that leave, and evacuations. Their hubs send them all of it; an entry asks when its hub has not confirmed its state for a
  * while, since the hub may be cut off, late or lost.
  */
 import type { MessageInitShape } from '@bufbuild/protobuf';
@@ -43,7 +43,12 @@
   readonly clock: Clock;
   readonly stateMachine: Pick<
     PlanStateMachine,
-    'current' | 'leavingMark' | 'onDidChangePlan' | 'onDidMarkLeaving' | 'onDidApply'
+    | 'current'
+    | 'evacuations'
+    | 'leavingMark'
+    | 'onDidChangePlan'
+    | 'onDidMarkLeaving'
+    | 'onDidApply'
   >;
   readonly confirmation: Pick<StateConfirmation, 'confirmedAgeMs'>;
   readonly log: Pick<IReplicatedLog, 'status' | 'storedAfter'>;
@@ -102,15 +107,20 @@
     const room = MAX_DATAGRAM_CHANGES - (committed?.changes?.length ?? 0);
     const stored = this.storedFor(held, room);
     if (stored === undefined) return committed;
-    const leaving = this.stored
-      .read()
-      .leaving.slice(-MAX_DATAGRAM_LEAVING)
+    const { evacuated, leaving: storedLeaving } = this.stored.read();
+    const leaving = storedLeaving
+      .slice(-MAX_DATAGRAM_LEAVING)
       .map(({ id, born }) => ({ id, born: BigInt(born) }));
     // Each of these targets has said that it leaves, whether the mark is committed or not.
     return {
       index: BigInt(held.index),
       ...committed,
       leaving: [...(committed?.leaving ?? []), ...leaving].slice(0, MAX_DATAGRAM_LEAVING),
+      // An order that was acknowledged is stored at a majority, and in force before a leader commits it again.
+      evacuations: [
+        ...this.ctx.stateMachine.evacuations.messages(),
+        ...evacuated.map((dataCentre) => ({ dataCentre, isEvacuated: true, index: 0n })),
+      ],
       stored,
     };
   }
@@ -154,6 +164,7 @@
       ...(Number.isFinite(ageMs) ? { confirmedAgeMs: Math.ceil(Math.max(0, ageMs)) } : {}),
       ...(isNewer && !isLeftOut ? { changes } : {}),
       isPlanLeftOut: isLeftOut,
+      evacuations: this.ctx.stateMachine.evacuations.messages(),
       ...this.leavingAfter(held.index),
     };
   }
--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -12,7 +12,8 @@
 import type { ControlCall, ProtocolAdapter } from '../ProtocolAdapter.js';
 import { CallTrace } from './CallTrace.js';
 import type { CommandInit } from './commands.js';
-import type { CommandSubmitter } from './CommandSubmitter.js';
+import type { CommandSubmitter, SubmitOutcome } from './CommandSubmitter.js';
+import type { EvacuationCalls } from './EvacuationCalls.js';
 import type { LogFeed } from './LogFeed.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import type { StateConfirmation } from './StateConfirmation.js';
@@ -48,6 +49,7 @@
   readonly feed: Pick<LogFeed, 'announce' | 'announcements'>;
   readonly log: Pick<IReplicatedLog, 'status' | 'confirmRead'>;
   readonly submitter: Pick<CommandSubmitter, 'submit'>;
+  readonly evacuations: Pick<EvacuationCalls, 'answer'>;
   readonly confirmation: Pick<StateConfirmation, 'confirmedAgeMs'>;
   readonly stateMachine: PlanStateMachine;
   readonly logger: Logger;
@@ -118,18 +120,27 @@
     });
   }
 
-  /** Answers a call and counts the answer. A redirect keeps the request target, the path and query of the request. */
+  /**
+   * Answers a call and counts the answer. A redirect keeps the request target, the path and query of the request. `isWaiting`
+   * says whether the caller still waits.
+   */
   public async respond(
     call: ControlCall,
     requestTarget: string,
     body: string,
+    isWaiting: () => boolean = () => true,
   ): Promise<HTTPResponse> {
-    const res = await this.dispatch(call, requestTarget, body);
+    const res = await this.dispatch(call, requestTarget, body, isWaiting);
     controlCallsTotal.inc({ kind: call.kind, status: res.status ?? 200 });
     return res;
   }
 
-  private dispatch(call: ControlCall, requestTarget: string, body: string): Promise<HTTPResponse> {
+  private dispatch(
+    call: ControlCall,
+    requestTarget: string,
+    body: string,
+    isWaiting: () => boolean,
+  ): Promise<HTTPResponse> {
     switch (call.kind) {
       case 'announce':
         return this.announce(call.id, requestTarget, body);
@@ -144,6 +155,10 @@
         return this.putPlan(requestTarget, body);
       case 'getPlan':
         return this.getPlan(requestTarget);
+      case 'startEvacuation':
+        return this.orderEvacuation(call.dataCentre, true, isWaiting, requestTarget);
+      case 'endEvacuation':
+        return this.orderEvacuation(call.dataCentre, false, isWaiting, requestTarget);
       default:
         return Promise.resolve(errorResponse(404, 'not found'));
     }
@@ -158,7 +173,9 @@
     const body = length > MAX_BODY_BYTES ? undefined : await readText(event);
     // The connection is closed, so that the rest of the body need not be read.
     if (body === undefined) return jsonResponse(413, TOO_LARGE, { connection: 'close' });
-    return this.respond(call, requestTarget, body);
+    const { socket } = event.runtime!.node!.req;
+    const isWaiting = (): boolean => !socket.destroyed && !socket.readableEnded;
+    return this.respond(call, requestTarget, body, isWaiting);
   }
 
   private async announce(id: string, requestTarget: string, body: string): Promise<HTTPResponse> {
@@ -240,14 +257,43 @@
 
   /** Responds once the command is committed, by any leader. */
   private async submit(command: CommandInit, requestTarget: string): Promise<HTTPResponse> {
-    const { submitter, log } = this.ctx;
-    switch (await submitter.submit(command, WAIT_MS)) {
+    const outcome = await this.ctx.submitter.submit(command, WAIT_MS);
+    return outcome === 'committed'
+      ? jsonResponse(200, '{}')
+      : this.notCommitted(outcome, requestTarget);
+  }
+
+  private async orderEvacuation(
+    dataCentre: string,
+    isEvacuated: boolean,
+    isWaiting: () => boolean,
+    requestTarget: string,
+  ): Promise<HTTPResponse> {
+    const order = { dataCentre, isEvacuated, isWaiting };
+    const { outcome, warnings } = await this.ctx.evacuations.answer(order, WAIT_MS);
+    switch (outcome) {
       case 'committed':
-        return jsonResponse(200, '{}');
+        return jsonResponse(200, JSON.stringify(warnings.length === 0 ? {} : { warnings }));
+      case 'unknownDataCentre':
+        return errorResponse(400, `dataCentre: ${JSON.stringify(dataCentre)} is not known`);
+      case 'noTargetsKnown':
+        return errorResponse(503, 'dataCentre: no targets are known yet');
+      case 'superseded':
+        return errorResponse(503, 'other orders were committed instead');
+      default:
+        return this.notCommitted(outcome, requestTarget);
+    }
+  }
+
+  private notCommitted(
+    outcome: Exclude<SubmitOutcome, 'committed'>,
+    requestTarget: string,
+  ): HTTPResponse {
+    switch (outcome) {
       case 'pending':
         return errorResponse(504, 'the outcome is not known yet');
       case 'unsupported':
-        return this.redirect(log.status().leader, requestTarget);
+        return this.redirect(this.ctx.log.status().leader, requestTarget);
       default:
         return errorResponse(503, 'no leader is known');
     }
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -32,12 +32,15 @@
 import { DirectoryClient } from '../sync/DirectoryClient.js';
 import { ControlApi } from './ControlApi.js';
 import { DirectoryListener } from './DirectoryListener.js';
+import { EvacuationCalls } from './EvacuationCalls.js';
+import { EvacuationOrders } from './EvacuationOrders.js';
 import { HubDirectory } from './HubDirectory.js';
 import { LogFeed } from './LogFeed.js';
 import { MeteredTransport } from './MeteredTransport.js';
 import { registerLogService, type LogServiceParts } from './log-routes.js';
 import { CommitHistory } from './CommitHistory.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
+import { SlotTable } from './SlotTable.js';
 import { StateConfirmation } from './StateConfirmation.js';
 import { VoterManager } from './VoterManager.js';
 import { waitForFirstLeader } from './waitForFirstLeader.js';
@@ -133,11 +136,22 @@
         return voters.length + learners.length;
       },
     });
+    const slots = new SlotTable();
+    const makeId = randomUUID;
+    const evacuations = new EvacuationCalls({
+      clock,
+      logger,
+      stateMachine,
+      orders: new EvacuationOrders({ clock, stateMachine, submitter, makeId }),
+      slots,
+      dataCentres: settings.dataCentres,
+    });
     const history = new CommitHistory({ clock, stateMachine, confirmation, log, logger });
     await this.serveLog(log, {
       log,
       feed,
       directory,
+      slots,
       history,
       confirmation,
       submitter,
@@ -151,6 +165,7 @@
       feed,
       log,
       submitter,
+      evacuations,
       confirmation,
       stateMachine,
       logger,
--- a/packages/gateway/src/control/HubProcess.ts
+++ b/packages/gateway/src/control/HubProcess.ts
@@ -57,6 +57,7 @@
       stateMachine,
       client: this.channels.client(LogService, consensusAddress(settings, settings.ip)),
       hubs: () => this.hub.peers.listForEntries(clock.now()),
+      slots: () => this.hub.targets.slots,
     });
     this.hub = new Hub({
       clock,
--- a/packages/gateway/src/control/HubTargets.ts
+++ b/packages/gateway/src/control/HubTargets.ts
@@ -8,6 +8,7 @@
 import type { Evidence } from '../sync/EvidenceBuffer.js';
 import { TargetRefs } from '../sync/TargetRefs.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
+import { sumSlots, type ServiceSlots } from './SlotTable.js';
 import { TargetRegistry } from './TargetRegistry.js';
 import { toTargetMessage, toTargetInfo, type TargetInit } from './targets-codec.js';
 
@@ -98,6 +99,10 @@
     return mark === undefined ? target : { ...target, isDraining: true };
   }
 
+  public get slots(): ServiceSlots[] {
+    return sumSlots(this.registry.all().map(({ announcement }) => announcement));
+  }
+
   public describeAll(): TargetInit[] {
     return this.registry.all().map(({ announcement }) => this.describe(announcement.id)!);
   }
--- a/packages/gateway/src/control/LogFollower.ts
+++ b/packages/gateway/src/control/LogFollower.ts
@@ -9,6 +9,7 @@
 import type { HubCandidate } from '../sync/HubCandidate.js';
 import type { ILogView } from './LogView.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
+import type { ServiceSlotsInit } from './SlotTable.js';
 import { toAnnouncement } from './targets-codec.js';
 
 /** Longest time for which the log process keeps a request in which nothing is new. */
@@ -41,6 +42,8 @@
   readonly client: Pick<Client<typeof LogService>, 'watch'>;
   /** The hubs that are known here, this one first. The log process names them to entries. */
   readonly hubs: () => readonly HubCandidate[];
+  /** Slots of all targets that are known here. */
+  readonly slots?: () => readonly ServiceSlotsInit[];
 }
 
 export class LogFollower extends DisposableStore implements ILogView {
@@ -117,6 +120,7 @@
           afterAnnouncement: this.state?.announcement ?? 0n,
           maxWaitMs: MAX_WAIT_MS,
           hubs: [...this.ctx.hubs()],
+          slots: [...(this.ctx.slots?.() ?? [])],
         },
         { timeoutMs: ANSWER_TIMEOUT_MS },
       );
--- a/packages/gateway/src/control/PlanStateMachine.ts
+++ b/packages/gateway/src/control/PlanStateMachine.ts
@@ -1,4 +1,4 @@
-/** Replicated state of the gateway: the newest plan with its document, and the targets marked as leaving. */
+/** Replicated state of the gateway: the newest plan with its document, the targets marked as leaving, and evacuations. */
 import { Emitter } from '@marigoldbank/base/events';
 import { StateMachine } from '@marigoldbank/replicated-log';
 import { isNewerVersion, type RoutingPlan } from '@marigoldbank/routing/plan';
@@ -11,6 +11,7 @@
   type LeavingMark,
 } from './commands.js';
 import { CommittedPlan } from './CommittedPlan.js';
+import { EvacuationTable } from './EvacuationTable.js';
 
 /** Older leaving marks are removed with the next one; delayed announcements of their targets no longer arrive. */
 const MARK_LIFETIME_MS = 120_000;
@@ -32,6 +33,13 @@
   /** Fires when the leaving mark of a target is committed, and for each mark of a restored snapshot. */
   public readonly onDidMarkLeaving = this.leavingEmitter.event;
 
+  private readonly evacuationEmitter = new Emitter<string>();
+
+  /** Fires with the data centre of an order about evacuation that was applied, and for each newer one of a snapshot. */
+  public readonly onDidOrderEvacuation = this.evacuationEmitter.event;
+
+  public readonly evacuations = new EvacuationTable();
+
   private readonly applyEmitter = new Emitter<AppliedCommand>();
 
   private readonly restoreEmitter = new Emitter<void>();
@@ -69,6 +77,7 @@
     if (command.kind === 'putPlan') {
       return !isNewerVersion(command.plan.version, this.committed?.plan.version);
     }
+    if (command.kind === 'orderEvacuation') return this.evacuations.isDecided(command);
     const mark = this.leavingMark(command.id, command.born);
     if (mark === undefined) return false;
     const isLater = command.born !== 0 && mark.born > command.born;
@@ -79,7 +88,7 @@
     this.appliedIndex = index;
     const parsed = commandSchema.safeParse(JSON.parse(Buffer.from(data).toString()));
     // This release proposes only commands of this schema. All members that run it skip commands of a newer release.
-    const result = parsed.success ? this.execute(parsed.data) : 'superseded';
+    const result = parsed.success ? this.execute(index, parsed.data) : 'superseded';
     this.applyEmitter.fire({ index, data });
     return Buffer.from(result);
   }
@@ -90,6 +99,7 @@
         document: this.committed?.document ?? '',
         plan: this.committed?.plan ?? null,
         leaving: Object.fromEntries(this.leavingMarks),
+        evacuations: this.evacuations.toRecord(),
       }),
     );
   }
@@ -101,6 +111,10 @@
   public override restore(snapshot: Uint8Array): void {
     const state = stateSchema.parse(JSON.parse(Buffer.from(snapshot).toString()));
     Object.entries(state.leaving).forEach(([id, mark]) => this.mergeMark(id, mark));
+    // Before the plan: an entry that gets its first one must know them.
+    this.evacuations
+      .merge(state.evacuations)
+      .forEach((dataCentre) => this.evacuationEmitter.fire(dataCentre));
     const heldVersion = this.committed?.plan.version;
     if (state.plan !== null && isNewerVersion(state.plan.version, heldVersion)) {
       this.setPlan(state.plan, state.document);
@@ -109,8 +123,13 @@
     Object.keys(state.leaving).forEach((id) => this.leavingEmitter.fire(id));
   }
 
-  private execute(command: Command): CommandResult {
+  private execute(index: number, command: Command): CommandResult {
     if (command.kind === 'markLeaving') return this.markLeaving(command);
+    if (command.kind === 'orderEvacuation') {
+      if (!this.evacuations.apply(index, command)) return 'superseded';
+      this.evacuationEmitter.fire(command.dataCentre);
+      return 'applied';
+    }
     if (!isNewerVersion(command.plan.version, this.committed?.plan.version)) return 'superseded';
     this.setPlan(command.plan, command.document);
     return 'applied';
--- a/packages/gateway/src/control/StoredCommands.ts
+++ b/packages/gateway/src/control/StoredCommands.ts
@@ -6,12 +6,14 @@
 import { isNewerVersion } from '@marigoldbank/routing/plan';
 import {
   commandSchema,
+  isEvacuationCommand,
   isLeavingCommand,
   readPlanVersion,
   type Command,
   type LeavingMark,
 } from './commands.js';
 import { CommittedPlan } from './CommittedPlan.js';
+import { EvacuationTable } from './EvacuationTable.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 
 export interface StoredLeaving extends LeavingMark {
@@ -28,6 +30,8 @@
   /** Older plans that were asked for, as the base of changes. */
   readonly bases: Map<number, CommittedPlan | undefined>;
   readonly leaving: readonly StoredLeaving[];
+  /** Data centres that would be evacuated if all that is stored were committed. */
+  readonly evacuated: readonly string[];
 }
 
 function parse({ data }: LogEntry): Command | undefined {
@@ -54,10 +58,10 @@
 
   public constructor(
     private readonly log: Pick<IReplicatedLog, 'status' | 'storedAfter'>,
-    private readonly stateMachine: Pick<PlanStateMachine, 'current'>,
+    private readonly stateMachine: Pick<PlanStateMachine, 'current' | 'evacuations'>,
   ) {}
 
-  /** The newest plan and the targets that leave. Read again only if the log has changed. */
+  /** The newest plan, the targets that leave and the evacuations. Read again only if the log has changed. */
   public read(): Stored {
     const { commitIndex } = this.log.status();
     const { lastTerm, lastIndex, entries } = this.log.storedAfter(commitIndex);
@@ -74,6 +78,7 @@
           .filter(({ kind, data }) => kind === 'command' && isLeavingCommand(data))
           .map((entry) => parse(entry))
           .flatMap((command) => (command?.kind === 'markLeaving' ? [command] : [])),
+        evacuated: this.evacuatedWith(entries),
       };
     }
     return this.cached;
@@ -90,6 +95,17 @@
     return bases.get(version);
   }
 
+  private evacuatedWith(entries: readonly LogEntry[]): string[] {
+    const table = new EvacuationTable(this.stateMachine.evacuations.toRecord());
+    entries
+      .filter(({ kind, data }) => kind === 'command' && isEvacuationCommand(data))
+      .forEach((entry) => {
+        const command = parse(entry);
+        if (command?.kind === 'orderEvacuation') table.apply(entry.index, command);
+      });
+    return table.evacuated;
+  }
+
   private newestPlan(entries: readonly LogEntry[]): CommittedPlan | undefined {
     const { current } = this.stateMachine;
     const [newest] = entries
--- a/packages/gateway/src/control/commands.ts
+++ b/packages/gateway/src/control/commands.ts
@@ -33,7 +33,22 @@
   at: z.number(),
 });
 
-export const commandSchema = z.discriminatedUnion('kind', [putPlanSchema, markLeavingSchema]);
+const orderEvacuationSchema = z.object({
+  kind: z.literal('orderEvacuation'),
+  dataCentre: z.string(),
+  /** False for an order that ends the evacuation. */
+  isEvacuated: z.boolean(),
+  /** Number of earlier orders for the data centre. After any other number the order has no effect. */
+  base: z.number().int().min(0),
+  /** Tells the sender whether this order or another one was applied on the base. */
+  id: z.string(),
+});
+
+export const commandSchema = z.discriminatedUnion('kind', [
+  putPlanSchema,
+  markLeavingSchema,
+  orderEvacuationSchema,
+]);
 
 export type Command = z.infer<typeof commandSchema>;
 
@@ -49,15 +64,31 @@
 
 export type LeavingMark = z.infer<typeof leavingMarkSchema>;
 
+/** Orders to evacuate a data centre, or to end that. */
+export const evacuationStateSchema = z.object({
+  isEvacuated: z.boolean(),
+  /** Number of orders that were applied, also of those that changed nothing. */
+  orders: z.number().int().min(1),
+  /** Index in the log of the last order that changed `isEvacuated`, 0 if none did. */
+  index: z.number().int().min(0),
+  /** Id of the last order. */
+  lastOrder: z.string(),
+});
+
+export type EvacuationState = z.infer<typeof evacuationStateSchema>;
+
 export const stateSchema = z.object({
   document: z.string(),
   plan: proposedPlanSchema.nullable(),
   leaving: z.record(z.string(), leavingMarkSchema),
+  /** By data centre; absent from snapshots of an older release. */
+  evacuations: z.record(z.string(), evacuationStateSchema).default({}),
 });
 
 /**
  * `superseded`: the command had no effect, since the plan in force has the same or a newer version, a later incarnation
- * is marked, or the command is unknown. The sender is acknowledged as for `applied`.
+ * is marked, an evacuation was ordered on the same base before, or the command is unknown. The sender is acknowledged as for
+ * `applied`, except for an evacuation.
  */
 export type CommandResult = 'applied' | 'superseded';
 
@@ -74,6 +105,7 @@
     const { id, born, isGone } = command;
     return JSON.stringify(['leaving', id, born, isGone]);
   }
+  if (command.kind === 'orderEvacuation') return JSON.stringify(['evacuation', command.id]);
   const digest = createHash('sha256').update(command.document).digest('base64');
   return JSON.stringify(['plan', command.plan.version, digest]);
 }
@@ -90,6 +122,12 @@
 
 const COMMAND_HEAD = /^\{"kind":"markLeaving"/;
 
+const EVACUATION_HEAD = /^\{"kind":"orderEvacuation"/;
+
+export function isEvacuationCommand(data: Uint8Array): boolean {
+  return EVACUATION_HEAD.test(Buffer.from(data.subarray(0, PLAN_HEAD_BYTES)).toString('latin1'));
+}
+
 export function isLeavingCommand(data: Uint8Array): boolean {
   return COMMAND_HEAD.test(Buffer.from(data.subarray(0, PLAN_HEAD_BYTES)).toString('latin1'));
 }
--- a/packages/gateway/src/control/log-routes.ts
+++ b/packages/gateway/src/control/log-routes.ts
@@ -11,6 +11,7 @@
 import type { LogFeed } from './LogFeed.js';
 import type { CommandSubmitter } from './CommandSubmitter.js';
 import type { CommitHistory } from './CommitHistory.js';
+import type { SlotTable } from './SlotTable.js';
 import type { StateConfirmation } from './StateConfirmation.js';
 import type { VoterManager } from './VoterManager.js';
 
@@ -19,6 +20,7 @@
   readonly log: Pick<IReplicatedLog, 'status'>;
   readonly feed: Pick<LogFeed, 'watch'>;
   readonly directory: Pick<HubDirectory, 'setHubs'>;
+  readonly slots: Pick<SlotTable, 'set'>;
   readonly history: Pick<CommitHistory, 'updateFrom'>;
   readonly confirmation: Pick<StateConfirmation, 'confirmLeadership'>;
   readonly submitter: Pick<CommandSubmitter, 'accept'>;
@@ -34,10 +36,11 @@
 
 /** Registers the service with a router. */
 export function registerLogService(router: ConnectRouter, parts: LogServiceParts): void {
-  const { log, feed, directory, history, confirmation, submitter, voterManager } = parts;
+  const { log, feed, directory, slots, history, confirmation, submitter, voterManager } = parts;
   router.service(LogService, {
     watch: (req) => {
       directory.setHubs(req.hubs);
+      slots.set(req.slots);
       return feed.watch(req);
     },
 
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -1,6 +1,7 @@
 /** State of an entry: updated from the messages of the hub, and read when requests are handled. */
 import { Emitter } from '@marigoldbank/base/events';
 import { Random } from '@marigoldbank/base/random';
+import { EvacuatedDataCentres } from '@marigoldbank/routing/EvacuatedDataCentres';
 import { DurationEstimate } from '@marigoldbank/routing/DurationEstimate';
 import { isNewerVersion, type Route } from '@marigoldbank/routing/plan';
 import { PoisonTable } from '@marigoldbank/routing/PoisonTable';
@@ -83,6 +84,8 @@
 
   public readonly notices = new TargetNotices();
 
+  public readonly evacuations = new EvacuatedDataCentres();
+
   public readonly suspects = new PoisonTable();
 
   private readonly planEmitter = new Emitter<RouteTable>();
@@ -116,7 +119,10 @@
   ) {
     this.limits = new TargetLimits(random, () => this.entryCount);
     this.targets.onDidRemove((id) => this.limits.remove(id));
-    this.selector = new TargetSelector(this.targets, random, this.limits, undefined, this.notices);
+    this.selector = new TargetSelector(this.targets, random, this.limits, undefined, {
+      isUsable: (info, now) =>
+        !this.evacuations.isEvacuated(info.dataCentre, now) && this.notices.isUsable(info, now),
+    });
     this.retryLimiter = new RetryLimiter(bounds);
     this.teamLimiter = new TeamRateLimiter(random);
   }
--- a/packages/gateway/src/entry/PlanRefresher.ts
+++ b/packages/gateway/src/entry/PlanRefresher.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the plan of an entry, and what it knows of targets that leave, current while its hub does not. A change is
+ * Keeps the plan of an entry, and what it knows of targets that leave and of evacuations, current while its hub does not. A change is
  * acknowledged once it is committed, and has to be in force here 2 s later, whatever has become of the hub: it may be cut
  * off without knowing it, be late, or be lost, and a stream of another hub takes the longer the more entries move. So an
  * entry whose plan has not been confirmed for half of that time asks control VMs by datagrams, of which one that a majority
@@ -18,6 +18,7 @@
 import { isNewerVersion, newestVersion } from '@marigoldbank/routing/plan';
 import { decodePlanChanges } from '@marigoldbank/routing/plan-items';
 import { planQuestionsTotal } from '../metrics.js';
+import { toEvacuationNotices } from '../sync/evacuation-codec.js';
 import type { HeldState } from '../sync/HeldState.js';
 import { toVersion } from '../sync/plan-version.js';
 import type { EntryState } from './EntryState.js';
@@ -253,7 +254,10 @@
     questions.noteAsked();
     const answer = await client.ask(address, held, MAX_ANSWER_AGE_MS);
     questions.noteOutcome(answer === undefined ? undefined : clock.now() - askedAt);
-    if (answer !== undefined) this.takeLeaving(answer.leaving, Number(answer.index));
+    if (answer !== undefined) {
+      this.takeLeaving(answer.leaving, Number(answer.index));
+      state.evacuations.learn(toEvacuationNotices(answer.evacuations), clock.now());
+    }
     const hasMore = answer?.hasMoreLeaving === true && parts > 1;
     if (!hasMore) return { answer, heldVersion };
     return this.askForAll(address, state.planVersion ?? heldVersion, parts - 1);
--- a/packages/gateway/src/entry/refusals.ts
+++ b/packages/gateway/src/entry/refusals.ts
@@ -13,7 +13,7 @@
 const NO_MEMORY_RETRY_MS = 1_000;
 
 /** What a refusal depends on. */
-type RefusalState = Pick<EntryState, 'targets' | 'limits' | 'notices' | 'random'>;
+type RefusalState = Pick<EntryState, 'targets' | 'limits' | 'notices' | 'evacuations' | 'random'>;
 
 /**
  * The refusal of a request that, after its wait for a slot, would miss its deadline, or undefined. The caller can try
@@ -28,13 +28,16 @@
   return { kind: 'overloaded', verdict: 'notRun', retryAfterMs: Math.ceil(waitMs) };
 }
 
-/** The refusal of a request for which no target can be selected: all may pause, or have limits that are used up. */
+/** The refusal of a request for which no target can be selected: all may pause, be evacuated, or have limits that are used up. */
 export function noTargetError(
-  { targets, limits, notices, random }: RefusalState,
+  { targets, limits, notices, evacuations, random }: RefusalState,
   service: string,
   now: number,
 ): ErrorResponse {
-  const infos = targets.candidates(service).map(({ info }) => info);
+  const infos = targets
+    .candidates(service)
+    .map(({ info }) => info)
+    .filter(({ dataCentre }) => !evacuations.isEvacuated(dataCentre, now));
   const waits = infos.map((info) => notices.waitMs(info, now)).filter((ms) => ms < Infinity);
   const pauseMs = waits.length === 0 ? 0 : Math.min(...waits);
   if (pauseMs > 0) {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -119,6 +119,19 @@
   registers: [registry],
 });
 
+export const evacuationOrdersTotal = new Counter({
+  name: 'marigoldbank_evacuation_orders_total',
+  help: 'Orders of operators to start or end the evacuation of a data centre, by order and outcome',
+  labelNames: ['order', 'outcome'] as const,
+  registers: [registry],
+});
+
+export const evacuatedDataCentres = new Gauge({
+  name: 'marigoldbank_evacuated_data_centres',
+  help: 'Data centres whose targets get no requests, as known to this process',
+  registers: [registry],
+});
+
 export const consensusCallsTotal = new Counter({
   name: 'marigoldbank_consensus_calls_total',
   help: 'Messages to other members of the replicated log by kind, member and outcome',
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -22,6 +22,12 @@
   vm: z.string().min(1).describe('Id of this VM.'),
   ip: z.string().min(1).describe('IP address at which other processes reach this VM.'),
   dataCentre: z.string().describe('Data centre of this VM.'),
+  dataCentres: z
+    .array(z.string().min(1))
+    .optional()
+    .describe(
+      'All data centres, which operators may evacuate. If omitted or empty, those in which targets have announced themselves.',
+    ),
   role: z.enum(['control', 'hub', 'entry']).describe('Role of this process.'),
   /** Addresses to listen on; which ones are required depends on the role. */
   listen: z.object({
--- a/packages/gateway/src/testing/FakeControlGroup.ts
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -26,11 +26,13 @@
 import { waitForFirstLeader } from '../control/waitForFirstLeader.js';
 import { ELECTION_WAIT_MS } from '../control/waitForLog.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
+import { SlotTable } from '../control/SlotTable.js';
 import { StateConfirmation, type ConfirmationContext } from '../control/StateConfirmation.js';
 import {
   datagramAddress,
   internalAddresses,
   logAddress,
+  makeEvacuationCalls,
   type StartCosts,
 } from './fake-control-parts.js';
 import type { ControlReply } from './OperatorClient.js';
@@ -87,6 +89,9 @@
 
   public readonly network: FakeNetwork;
 
+  /** Slots that all hubs know of. */
+  public readonly slots = new SlotTable();
+
   public vms: FakeControlVm[] = [];
 
   private constructor(seed: number) {
@@ -229,7 +234,11 @@
   public async send(address: string, target: string, body: string): Promise<ControlReply> {
     const vm = this.vms.find((other) => other.address === address)!;
     const call = adapter.parseControlCall('POST', target);
-    const answer = this.network.call(OPERATOR, address, () => vm.api.respond(call, target, body));
+    const until = this.clock.now() + ANSWER_TIMEOUT_MS;
+    const isWaiting = (): boolean => this.clock.now() < until;
+    const answer = this.network.call(OPERATOR, address, () =>
+      vm.api.respond(call, target, body, isWaiting),
+    );
     const res: HTTPResponse = await withTimeout(this.clock, answer, ANSWER_TIMEOUT_MS);
     return {
       status: res.status ?? 200,
@@ -314,12 +323,14 @@
     const datagrams = this.datagramsOf(ip);
     const confirmation = new StateConfirmation({ clock, log, logger, datagrams, clientOf });
     const submitter = new CommandSubmitter({ clock, log, stateMachine, logger, clientOf });
+    const evacuations = makeEvacuationCalls(clock, stateMachine, submitter, this.slots);
     const api = new ControlApi({
       clock,
       protocol: adapter,
       feed: { announce: () => undefined, announcements: new AnnouncementFeed() },
       log,
       submitter,
+      evacuations,
       confirmation,
       stateMachine,
       logger,
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -21,10 +21,9 @@
 import { LOG_TIMEOUT_MS } from '../control/LogFollower.js';
 import type { PeerHub } from '../control/PeerHub.js';
 import { PlanStateMachine } from '../control/PlanStateMachine.js';
-import { EntryState } from '../entry/EntryState.js';
 import { HubFollower } from '../entry/HubFollower.js';
 import { HubLocator } from '../entry/HubLocator.js';
-import { HubReporter, type EntryReportInit } from '../entry/HubReporter.js';
+import type { EntryReportInit } from '../entry/HubReporter.js';
 import { HubSelector } from '../entry/HubSelector.js';
 import { PlanRefresher } from '../entry/PlanRefresher.js';
 import { syncAddress } from '../settings.js';
@@ -33,6 +32,7 @@
 import {
   isWithoutMajority,
   LEADER_IP,
+  makeEntry,
   makeHistory,
   makeSettings,
   makeUnansweredLog,
@@ -108,6 +108,13 @@
     this.commitCommand({ kind: 'markLeaving', id, born: 1, isGone: false, at: this.clock.now() });
   }
 
+  /** Commits the next order about the evacuation of a data centre. */
+  public commitEvacuation(dataCentre: string, isEvacuated: boolean): void {
+    const base = this.hubs[0]!.logState.evacuations.get(dataCentre)?.orders ?? 0;
+    const id = `order ${this.commitIndex}`;
+    this.commitCommand({ kind: 'orderEvacuation', dataCentre, isEvacuated, base, id });
+  }
+
   private commitCommand(init: CommandInit): void {
     this.commitIndex += 1;
     const index = this.commitIndex;
@@ -242,24 +249,10 @@
 
   private createEntry(vm: string, dataCentre: string): FakeEntry {
     const clock = this.processClock();
-    const state = new EntryState(
-      { ratio: 0.2, slack: 188, windowMs: 10_000 },
-      new Random(this.random.int(MAX_SEED)),
-      () => clock.now(),
-    );
-    const reporter = new HubReporter(clock, state, new NullLogger(), {
-      isAccepting: () => Promise.resolve(false),
-    });
+    const seed = this.random.int(MAX_SEED);
+    const { entry, extensions } = makeEntry(vm, dataCentre, clock, new Random(seed));
+    const { state, reporter } = entry;
     const seeds = this.hubs.slice(0, 3).map(({ address }) => address);
-    const entry: FakeEntry = {
-      vm,
-      clock,
-      dataCentre,
-      state,
-      reporter,
-      followed: undefined,
-      updates: [],
-    };
     const selector = new HubSelector(dataCentre, seeds, clock.now(), state.random.float());
     const refresher = new PlanRefresher({
       clock,
@@ -274,6 +267,7 @@
       state,
       reporter,
       hubs: selector,
+      extensions,
       logger: new NullLogger(),
       identity: { vm, address: `${vm}:80`, dataCentre },
       seeds: () => seeds,
--- a/packages/gateway/src/testing/VersionAdapter.ts
+++ b/packages/gateway/src/testing/VersionAdapter.ts
@@ -5,6 +5,8 @@
 
 export const PUT_TARGET = '/put';
 export const GET_TARGET = '/get';
+export const START_TARGET = '/start/';
+export const END_TARGET = '/end/';
 
 export class VersionAdapter extends ProtocolAdapter {
   public override readonly headers = HEADER_NAMES;
@@ -12,6 +14,12 @@
   public override readonly readyPath = '/ready';
 
   public override parseControlCall(_method: string, url: string): ControlCall {
+    if (url.startsWith(START_TARGET)) {
+      return { kind: 'startEvacuation', dataCentre: url.slice(START_TARGET.length) };
+    }
+    if (url.startsWith(END_TARGET)) {
+      return { kind: 'endEvacuation', dataCentre: url.slice(END_TARGET.length) };
+    }
     return url === PUT_TARGET ? { kind: 'putPlan' } : { kind: 'getPlan' };
   }
 
--- a/packages/gateway/src/testing/fake-control-parts.ts
+++ b/packages/gateway/src/testing/fake-control-parts.ts
@@ -1,4 +1,14 @@
-/** Costs and internal addresses of fake control VMs. */
+/** Costs, internal addresses and parts of fake control VMs. */
+import { randomUUID } from 'node:crypto';
+import type { Clock } from '@marigoldbank/base/clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import type { CommandSubmitter } from '../control/CommandSubmitter.js';
+import { EvacuationCalls } from '../control/EvacuationCalls.js';
+import { EvacuationOrders } from '../control/EvacuationOrders.js';
+import type { PlanStateMachine } from '../control/PlanStateMachine.js';
+import type { SlotTable } from '../control/SlotTable.js';
+
+const DATA_CENTRES = ['dc-1', 'dc-2', 'dc-3'];
 
 /** What a control VM does when its power returns, in ms of a whole core, and the core that it has. */
 export interface StartCosts {
@@ -44,3 +54,19 @@
 export function internalAddresses(ip: string): string[] {
   return [logAddress(ip), datagramAddress(ip)];
 }
+
+export function makeEvacuationCalls(
+  clock: Clock,
+  stateMachine: PlanStateMachine,
+  submitter: CommandSubmitter,
+  slots: SlotTable,
+): EvacuationCalls {
+  return new EvacuationCalls({
+    clock,
+    logger: new NullLogger(),
+    stateMachine,
+    orders: new EvacuationOrders({ clock, stateMachine, submitter, makeId: randomUUID }),
+    slots,
+    dataCentres: DATA_CENTRES,
+  });
+}
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -1,5 +1,6 @@
 /** What the fake fleet consists of, and what its processes start with. */
 import type { Clock } from '@marigoldbank/base/clock';
+import type { Random } from '@marigoldbank/base/random';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import type { HubUpdate } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { Hub } from '../control/Hub.js';
@@ -7,8 +8,10 @@
 import type { ILogView } from '../control/LogView.js';
 import { CommitHistory } from '../control/CommitHistory.js';
 import type { PlanStateMachine } from '../control/PlanStateMachine.js';
-import type { EntryState } from '../entry/EntryState.js';
-import type { HubReporter } from '../entry/HubReporter.js';
+import { createEntryExtensions } from '../entry/entry-extensions.js';
+import type { EntryExtension } from '../entry/EntryExtension.js';
+import { EntryState } from '../entry/EntryState.js';
+import { HubReporter } from '../entry/HubReporter.js';
 import type { FakeStoredLog } from './FakeStoredLog.js';
 import { gatewaySettingsSchema, type GatewaySettings } from '../settings.js';
 
@@ -97,6 +100,25 @@
   });
 }
 
+/** State and reports of an entry that has not started, with the parts that its settings call for. */
+export function makeEntry(
+  vm: string,
+  dataCentre: string,
+  clock: Clock,
+  random: Random,
+): { readonly entry: FakeEntry; readonly extensions: readonly EntryExtension[] } {
+  const logger = new NullLogger();
+  const bounds = { ratio: 0.2, slack: 188, windowMs: 10_000 };
+  const state = new EntryState(bounds, random, () => clock.now());
+  const isAccepting = (): Promise<boolean> => Promise.resolve(false);
+  const reporter = new HubReporter(clock, state, logger, { isAccepting });
+  const settings = makeSettings(LEADER_IP, dataCentre);
+  const extensions = createEntryExtensions({ clock, logger, settings, state });
+  extensions.forEach((extension) => reporter.addExtension(extension));
+  const entry = { vm, clock, dataCentre, state, reporter, followed: undefined, updates: [] };
+  return { entry, extensions };
+}
+
 /** What a hub knows of the log before it has been confirmed. */
 export function makeUnansweredLog(isLeader: boolean, voters: readonly string[]): ILogView {
   return {
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -4,8 +4,12 @@
 import { LowestCost } from './choice/LowestCost.js';
 import { LowestOfSample } from './choice/LowestOfSample.js';
 import type { TargetLimits } from './TargetLimits.js';
-import type { TargetNotices } from './TargetNotices.js';
-import type { TargetTable, TargetState } from './TargetTable.js';
+import type { TargetInfo, TargetTable, TargetState } from './TargetTable.js';
+
+/** Decides which targets may get requests at all. */
+export interface ITargetFilter {
+  isUsable(info: TargetInfo, now: number): boolean;
+}
 
 /** Properties of a request that the selection depends on. */
 export interface SelectionRequest {
@@ -128,12 +132,12 @@
     random: Random,
     private readonly limits: Pick<TargetLimits, 'admits'> = { admits: () => true },
     private readonly policy: ChoicePolicy = new LowestOfSample(random),
-    private readonly notices: Pick<TargetNotices, 'isUsable'> = { isUsable: () => true },
+    private readonly notices: ITargetFilter = { isUsable: () => true },
   ) {
     this.anyTarget = new LowestCost(random);
   }
 
-  /** Returns undefined if no target of the service may get the request: each leaves, pauses, or has used up its limit. */
+  /** Returns undefined if no target of the service may get the request: each leaves, pauses, is evacuated, or has used up its limit. */
   public select(req: SelectionRequest, now: number): Selection | undefined {
     const candidates = this.targets
       .candidates(req.service)
