Test evacuations, and check them again when a request gets its connection

A request that was selected for a target right before the order may wait for a connection until its deadline, 4.7 s for some routes, and reached the target later than 5 s after the acknowledgement. The check runs in the turn of the event loop that sends the request; a request that it stops goes to another target, and is no evidence against the first one.

--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -359,7 +359,11 @@
         requestId: req.head.requestId,
         deadlineAt: this.dueAt,
         signal: req.signal,
-        checkDispatch: () => undefined,
+        // The request may wait for a connection until its deadline.
+        checkDispatch: () =>
+          state.evacuations.isEvacuated(target.info.dataCentre, ctx.clock.now())
+            ? { kind: 'leaseEnded' }
+            : undefined,
       },
       () => duration.slowThresholdMs,
       req.route.isIdempotent,
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@marigoldbank/base/clock';
 import { ByteCollector } from '@marigoldbank/daemon/entry/ByteCollector';
 import type { MemoryBudget } from '@marigoldbank/daemon/entry/MemoryBudget';
+import type { FailureCause } from '@marigoldbank/daemon/entry/ExchangeError';
 import type { UpstreamClient, UpstreamRequest } from '@marigoldbank/daemon/entry/UpstreamClient';
 import type { ResponseHeaders } from '@marigoldbank/daemon/entry/headers';
 import type {
@@ -58,6 +59,9 @@
       readonly target: TargetState;
     };
 
+/** Causes that say nothing of the target, except for `timedOut`, which is recorded as such. */
+const ABORTED_HERE: readonly FailureCause[] = ['cancelled', 'timedOut', 'gate'];
+
 export interface AttemptContext {
   readonly clock: Clock;
   readonly upstream: UpstreamClient;
@@ -219,7 +223,7 @@
 
   private fail(failure: ExchangeFailure): AttemptResult {
     const { target } = this;
-    const wasAbortedHere = failure.cause === 'cancelled' || failure.cause === 'timedOut';
+    const wasAbortedHere = ABORTED_HERE.includes(failure.cause);
     if (!this.hasEnded) {
       this.end(failure.cause);
       if (failure.cause === 'connectFailed') this.ctx.reporter.recordConnectFailure(target.info.id);
--- a/packages/gateway/src/testing/FakeUpstream.ts
+++ b/packages/gateway/src/testing/FakeUpstream.ts
@@ -15,6 +15,8 @@
 export interface FakeUpstreamOptions {
   readonly clock: Clock;
   readonly durationMs: number;
+  /** Time for which requests wait for a connection before they are sent. */
+  readonly queueMs?: number;
   /** Headers of the answers of a target at this time. */
   readonly headersOf: (target: string) => Record<string, string>;
   /** Status of the answers of a target at this time, 200 if omitted. */
@@ -30,18 +32,30 @@
   public clientOf(entry: string, idHeader: string): UpstreamClient {
     const send = (req: UpstreamRequest): UpstreamExchange => {
       const target = req.headers[req.headers.indexOf(idHeader) + 1] ?? '';
-      return this.exchange(target, entry);
+      return this.exchange(target, entry, req.checkDispatch);
     };
     return { send, hasIdleConnection: () => false } as unknown as UpstreamClient;
   }
 
-  private exchange(target: string, entry: string): UpstreamExchange {
-    const { clock, durationMs, headersOf, statusOf } = this.options;
-    this.arrivals.push({ target, entry, at: clock.now() });
+  private exchange(
+    target: string,
+    entry: string,
+    checkDispatch: UpstreamRequest['checkDispatch'],
+  ): UpstreamExchange {
+    const { clock, durationMs, queueMs = 0, headersOf, statusOf } = this.options;
     const head = new Promise((resolve) => {
-      clock.setTimeout(() => {
-        resolve({ kind: 'head', status: statusOf?.(target) ?? OK, headers: headersOf(target) });
-      }, durationMs);
+      const dispatch = (): void => {
+        if (checkDispatch() !== undefined) {
+          resolve({ kind: 'failed', verdict: 'notRun', cause: 'gate', detail: 'not dispatched' });
+          return;
+        }
+        this.arrivals.push({ target, entry, at: clock.now() });
+        clock.setTimeout(() => {
+          resolve({ kind: 'head', status: statusOf?.(target) ?? OK, headers: headersOf(target) });
+        }, durationMs);
+      };
+      if (queueMs === 0) dispatch();
+      else clock.setTimeout(dispatch, queueMs);
     });
     const exchange = {
       head,
