Test orders about evacuations whose calls and answers are lost or late

The fake network let a duplicate of a call count as one whose operator still waits, after the operator had its answer. A connection has ended by then, and the fake now says so.

--- a/packages/gateway/src/testing/FakeControlGroup.ts
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -234,12 +234,14 @@
   public async send(address: string, target: string, body: string): Promise<ControlReply> {
     const vm = this.vms.find((other) => other.address === address)!;
     const call = adapter.parseControlCall('POST', target);
-    const until = this.clock.now() + ANSWER_TIMEOUT_MS;
-    const isWaiting = (): boolean => this.clock.now() < until;
+    let isWaiting = true;
     const answer = this.network.call(OPERATOR, address, () =>
-      vm.api.respond(call, target, body, isWaiting),
+      vm.api.respond(call, target, body, () => isWaiting),
     );
-    const res: HTTPResponse = await withTimeout(this.clock, answer, ANSWER_TIMEOUT_MS);
+    const reply = withTimeout(this.clock, answer, ANSWER_TIMEOUT_MS);
+    const res: HTTPResponse = await reply.finally(() => {
+      isWaiting = false;
+    });
     return {
       status: res.status ?? 200,
       body: String(res.body),
