--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -1,6 +1,7 @@
 /** State of an entry: updated from the messages of the hub, and read when requests are handled. */
 import { Emitter } from '@marigoldbank/base/events';
 import { Random } from '@marigoldbank/base/random';
+import { EvacuatedDataCentres } from '@marigoldbank/routing/EvacuatedDataCentres';
 import { DurationEstimate } from '@marigoldbank/routing/DurationEstimate';
 import { isNewerVersion, type Route } from '@marigoldbank/routing/plan';
 import { PoisonTable } from '@marigoldbank/routing/PoisonTable';
@@ -79,6 +80,8 @@
 
   public readonly notices = new TargetNotices();
 
+  public readonly evacuations = new EvacuatedDataCentres();
+
   public readonly suspects = new PoisonTable();
 
   private readonly planEmitter = new Emitter<RouteTable>();
@@ -116,7 +119,12 @@
       entryCount: (now) => this.entries.cautious(now),
     });
     this.targets.onDidRemove((id) => this.limits.remove(id));
-    this.selector = new TargetSelector(this.targets, random, this.limits, undefined, this.notices);
+    // The targets of a data centre that is taken back may have become cold shortly before.
+    this.evacuations.onDidEnd(({ dataCentre, at }) => this.limits.treatAsCold(dataCentre, at));
+    this.selector = new TargetSelector(this.targets, random, this.limits, undefined, {
+      isUsable: (info, now) =>
+        !this.evacuations.isEvacuated(info.dataCentre, now) && this.notices.isUsable(info, now),
+    });
     this.retryLimiter = new RetryLimiter(bounds);
     this.teamLimiter = new TeamRateLimiter(random);
   }
