Let entries refuse requests by the levels of their hub

Entries count demand, and ask the level of a service before the token of the team is taken; the service is picked at that point. Without the setting overload.rankedAdmission it is picked in the run as before, with the same random number, and nothing is counted or sent. Hubs exchange their counts once in a tick and send levels when they change.

ServiceDemand gets two fields: attempts that ended, which give the room, and requests that no target took for other reasons than load. Without the second one, rejections by targets with free slots made callers return and looked like overload.

--- a/packages/gateway/src/control/hub-extensions.ts
+++ b/packages/gateway/src/control/hub-extensions.ts
@@ -1,6 +1,8 @@
 /** The extensions that the settings of a hub call for. */
 import type { HubExtension, HubExtensionContext } from './HubExtension.js';
+import { LevelDistributor } from './LevelDistributor.js';
 
-export function createHubExtensions(_ctx: HubExtensionContext): readonly HubExtension[] {
-  return [];
+export function createHubExtensions(ctx: HubExtensionContext): readonly HubExtension[] {
+  const { settings } = ctx;
+  return [...(settings.overload?.rankedAdmission ? [new LevelDistributor(ctx)] : [])];
 }
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -214,6 +214,13 @@
       return;
     }
     const { route, team } = admission.admitted;
+    const dueAt = tx.receivedAt + CallerServer.timeoutOf(head, route);
+    const ranked = state.rankedAdmission?.decide(route, team, dueAt);
+    if (ranked?.error !== undefined) {
+      ctx.reporter.requestReport();
+      await this.writeError(tx, head, route, ranked.error);
+      return;
+    }
     const reading = await this.active.wait(tx, this.readWholeBody(tx));
     const body = reading.kind === 'stopped' ? this.stoppingError() : reading.value;
     if (body === undefined) return;
@@ -235,7 +242,7 @@
       await this.writeError(tx, head, route, error);
       return;
     }
-    await this.forward(tx, head, body, fingerprint, admission.admitted);
+    await this.forward(tx, head, body, fingerprint, admission.admitted, ranked?.service);
   }
 
   /** Looks up route and team. If the plan is not confirmed, an unknown route or key may exist in a newer one. */
@@ -302,15 +309,16 @@
     body: Buffer,
     fingerprint: () => string,
     { route, team }: AdmittedRequest,
+    service: string | undefined,
   ): Promise<void> {
-    const timeoutMs = CallerServer.timeoutOf(head, route);
     const run = new RequestRun(this.ctx, {
       head,
       body,
       route,
+      service,
       team: team?.name,
       priority: team?.priority ?? route.priority,
-      dueAt: tx.receivedAt + timeoutMs,
+      dueAt: tx.receivedAt + CallerServer.timeoutOf(head, route),
       fingerprint,
       signal: tx.callerGone.signal,
     });
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -75,6 +75,9 @@
 
   private hasReportedStall = false;
 
+  /** Whether the last target rejected the request for lack of room. */
+  private isOutOfRoom = false;
+
   private hasGivenUp = false;
 
   private onGiveUp: (() => void) | undefined;
@@ -83,7 +86,7 @@
     private readonly ctx: RunContext,
     private readonly req: RunRequest,
   ) {
-    this.service = pickService(req.route, ctx.state.random.float());
+    this.service = req.service ?? pickService(req.route, ctx.state.random.float());
   }
 
   /** Log fields about the targets that the request was sent to. */
@@ -95,7 +98,10 @@
     if (this.req.signal.aborted) return { kind: 'callerGone' };
     if (!this.mayPassOn()) return this.refusedByStop();
     const first = this.select();
-    if (first === undefined) return RequestRun.refused(this.findNoTarget());
+    if (first === undefined) {
+      this.ctx.state.rankedAdmission?.noteUnplaced(this.service);
+      return RequestRun.refused(this.findNoTarget());
+    }
     const overload = overloadError(
       first.waitMs,
       this.expectedMs,
@@ -109,7 +115,10 @@
       return await this.awaitOutcome(ended);
     } finally {
       timers.forEach((timer) => timer.dispose());
-      this.pending.forEach((_, attempt) => attempt.cancel());
+      this.pending.forEach((_, attempt) => {
+        attempt.cancel();
+        this.ctx.state.rankedAdmission?.noteCancelled(attempt.target);
+      });
     }
   }
 
@@ -141,6 +150,8 @@
   private handleResult(attempt: SendAttempt, result: AttemptResult): RunOutcome | undefined {
     this.pending.delete(attempt);
     this.recordLossOrSuccess(attempt, result);
+    const { rankedAdmission } = this.ctx.state;
+    this.isOutOfRoom = rankedAdmission?.noteEnded(result, this.ctx.clock.now()) ?? false;
     if (result.kind === 'answered' && result.status < FIRST_ERROR_STATUS) {
       this.ctx.state.durationEstimateOf(this.req.route).observe(attempt.elapsedMs);
       return { kind: 'answered', response: result, attempt };
@@ -184,6 +195,7 @@
       const failed = { kind: 'upstreamFailed', verdict: 'mayHaveRun', detail: mayHaveRun } as const;
       return RequestRun.refused(failed);
     }
+    if (!this.isOutOfRoom) this.ctx.state.rankedAdmission?.noteUnplaced(this.service);
     if (this.ctx.state.shutdown.isStopping) return this.refusedByStop();
     return RequestRun.refused({
       kind: 'notSent',
--- a/packages/gateway/src/entry/entry-extensions.ts
+++ b/packages/gateway/src/entry/entry-extensions.ts
@@ -4,6 +4,7 @@
 import type { GatewaySettings } from '../settings.js';
 import type { EntryExtension } from './EntryExtension.js';
 import type { EntryState } from './EntryState.js';
+import { RankedAdmission } from './RankedAdmission.js';
 
 export interface EntryExtensionContext {
   readonly clock: Clock;
@@ -12,6 +13,7 @@
   readonly state: EntryState;
 }
 
-export function createEntryExtensions(_ctx: EntryExtensionContext): readonly EntryExtension[] {
-  return [];
+export function createEntryExtensions(ctx: EntryExtensionContext): readonly EntryExtension[] {
+  const { settings } = ctx;
+  return [...(settings.overload?.rankedAdmission ? [new RankedAdmission(ctx)] : [])];
 }
--- a/packages/gateway/src/entry/run-types.ts
+++ b/packages/gateway/src/entry/run-types.ts
@@ -21,6 +21,8 @@
   readonly head: RequestHead;
   readonly body: Buffer;
   readonly route: Route;
+  /** The service, if it was picked before. */
+  readonly service?: string | undefined;
   readonly team: string | undefined;
   /** Priority of the team, or of the route. */
   readonly priority: number;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,6 +22,20 @@
   registers: [registry],
 });
 
+export const levelAdmittedShare = new Gauge({
+  name: 'marigoldbank_level_admitted_share',
+  help: 'Share of the requests that the level in force admits, by service and rank; absent while all are admitted',
+  labelNames: ['service', 'rank'] as const,
+  registers: [registry],
+});
+
+export const levelRefusalsTotal = new Counter({
+  name: 'marigoldbank_level_refusals_total',
+  help: 'Requests that were refused by a level, by service, rank and who computed it: hub, entry',
+  labelNames: ['service', 'rank', 'by'] as const,
+  registers: [registry],
+});
+
 export const targetNoticesTotal = new Counter({
   name: 'marigoldbank_target_notices_total',
   help: 'Times that a target said that it leaves or wants a pause, by service and notice',
--- a/review/fleet.mjs
+++ b/review/fleet.mjs
@@ -184,6 +184,7 @@
             fault_tolerance: { machines: tolerated },
             port_range: [first, first + 7],
             seeds,
+            contracts: [],
             bounds: BOUNDS,
             listen,
           }),
