--- a/packages/routing/src/load/ServiceLoadTable.ts
+++ b/packages/routing/src/load/ServiceLoadTable.ts
@@ -16,6 +16,8 @@
 /** Demand below this rate is forgotten. */
 const MIN_PER_SECOND = 0.001;
 
+const PRUNE_INTERVAL_MS = 5_000;
+
 const EVEN_PACE: PaceOfTarget = { pace: 1, room: 1 };
 
 interface Cell extends Pick<DemandSample, 'dataCentre' | 'rank' | 'team'> {
@@ -42,6 +44,8 @@
   readonly fresh: number;
 }
 
+type Mutable<T> = { -readonly [K in keyof T]: T[K] };
+
 export class ServiceLoadTable implements IServiceLoad {
   private readonly cells = new Map<string, Map<string, Cell>>();
 
@@ -61,6 +65,8 @@
 
   private sampledAt: number;
 
+  private prunedAt = -Infinity;
+
   public constructor(
     private readonly startedAt: number,
     private readonly paceOf: (target: string) => PaceOfTarget = () => EVEN_PACE,
@@ -101,10 +107,10 @@
     };
     cells.set(key, cell);
     cell.offered.add(offered, now);
-    cell.refused.add(refused, now);
+    if (refused > 0) cell.refused.add(refused, now);
     const totals = this.totalsFor(service);
     totals.offered.add(offered, now);
-    totals.refused.add(refused, now);
+    if (refused > 0) totals.refused.add(refused, now);
     if (!this.limits.has(team)) return;
     const total = this.teams.get(team) ?? this.newRate();
     this.teams.set(team, total);
@@ -132,7 +138,7 @@
     this.targets.forEach((targets, service) =>
       this.roomFor(service).sample(targets, inFlightOf, this.paceOf, heard, now),
     );
-    this.prune(now);
+    if (now - this.prunedAt >= PRUNE_INTERVAL_MS) this.prune(now);
   }
 
   public demandOf(service: string, now: number): readonly DemandRate[] {
@@ -147,19 +153,17 @@
   /** What arrives at a service in all data centres and takes slots. */
   public offeredTo(service: string, now: number): readonly OfferedRate[] {
     const placed = 1 - this.unplacedShare(service, now);
-    const sums = new Map<string, OfferedRate>();
+    const sums = new Map<string, Mutable<OfferedRate>>();
     this.cellsOf(service).forEach(({ rank, team, offered, refused }) => {
       const key = `${rank} ${team}`;
-      const known = sums.get(key) ?? { rank, team, perSecond: 0, arriving: 0, fresh: 0 };
+      const sum = sums.get(key) ?? { rank, team, perSecond: 0, arriving: 0, fresh: 0 };
+      sums.set(key, sum);
       const arriving = offered.perSecond(now) * placed;
       const returning = RETURNING_SHARE * refused.perSecond(now) * placed;
       const limited = this.limitedShare(team, now);
-      sums.set(key, {
-        ...known,
-        perSecond: known.perSecond + arriving * limited,
-        arriving: known.arriving + arriving,
-        fresh: known.fresh + Math.max(0, arriving - returning) * limited,
-      });
+      sum.perSecond += arriving * limited;
+      sum.arriving += arriving;
+      sum.fresh += Math.max(0, arriving - returning) * limited;
     });
     return [...sums.values()];
   }
@@ -193,6 +197,7 @@
   }
 
   private prune(now: number): void {
+    this.prunedAt = now;
     this.cells.forEach((cells, service) => {
       [...cells]
         .filter(([, { offered }]) => offered.perSecond(now) < MIN_PER_SECOND)
