--- a/packages/gateway/src/entry/entry-extensions.ts
+++ b/packages/gateway/src/entry/entry-extensions.ts
@@ -5,6 +5,7 @@
 import type { EntryExtension } from './EntryExtension.js';
 import type { EntryState } from './EntryState.js';
 import { EvacuationUpdates } from './EvacuationUpdates.js';
+import { RankedAdmission } from './RankedAdmission.js';
 
 export interface EntryExtensionContext {
   readonly clock: Clock;
@@ -14,5 +15,9 @@
 }
 
 export function createEntryExtensions(ctx: EntryExtensionContext): readonly EntryExtension[] {
-  return [new EvacuationUpdates(ctx)];
+  const { settings } = ctx;
+  return [
+    new EvacuationUpdates(ctx),
+    ...(settings.overload?.rankedAdmission ? [new RankedAdmission(ctx)] : []),
+  ];
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -81,6 +81,14 @@
       'Capacity of the link of this VM in Mbit/s in each direction. An entry refuses large bodies that it could not pass on in time.',
     ),
   bounds: boundsSchema,
+  overload: z
+    .object({
+      rankedAdmission: z
+        .boolean()
+        .default(false)
+        .describe('Whether requests are refused by rank and team while demand exceeds the room.'),
+    })
+    .optional(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
