--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -46,7 +46,7 @@
 const UTILISATION_COST = 0.05;
 
 /** Cost of waiting for a slot for the expected duration of the request. */
-const WAIT_COST = 0.3;
+export const WAIT_COST = 0.3;
 
 /** Maximum value of learning the state of a target that has been idle for a while. It is subtracted from the cost. */
 const EXPLORATION_VALUE = 0.1;
@@ -101,13 +101,18 @@
 }
 
 /** Expected cost of sending the request to a target, in units of the value of its response. */
-function expectedCost(target: TargetState, req: SelectionRequest, now: number): number {
+function expectedCost(
+  target: TargetState,
+  req: SelectionRequest,
+  now: number,
+  crossingCost: number,
+): number {
   const { info } = target;
   const failingProbability = target.belief.failingProbability(now);
   const inFlight = target.ownInFlight + target.othersInFlight;
   const slowdown = now < target.coldUntil ? COLD_SLOWDOWN : 1;
   const waitMs = expectedWaitMs(target, req.expectedMs, now);
-  const dataCentreCost = info.dataCentre === req.dataCentre ? 0 : CROSS_DATA_CENTRE_COST;
+  const dataCentreCost = info.dataCentre === req.dataCentre ? 0 : crossingCost;
   const loadCost =
     UTILISATION_COST * Math.min(1, (inFlight * slowdown) / info.slots) +
     WAIT_COST * (waitMs / req.expectedMs);
@@ -129,6 +134,7 @@
     private readonly limits: Pick<TargetLimits, 'admits'> = { admits: () => true },
     private readonly policy: ChoicePolicy = new LowestOfSample(random),
     private readonly notices: Pick<TargetNotices, 'isUsable'> = { isUsable: () => true },
+    private readonly crossingCost = CROSS_DATA_CENTRE_COST,
   ) {
     this.anyTarget = new LowestCost(random);
   }
@@ -151,7 +157,9 @@
       expectedMs,
       isConnected: ({ info }: TargetState) => req.hasIdleConnection?.(info.address) === true,
       costOf: (target: TargetState) =>
-        isAdmitted(target) ? expectedCost(target, req, now) : Infinity,
+        isAdmitted(target) ? expectedCost(target, req, now, this.crossingCost) : Infinity,
+      isFailing: ({ belief, unreachableUntil }: TargetState) =>
+        now < unreachableUntil || belief.failingProbability(now) >= FAILING_THRESHOLD,
     };
     const best = this.policy.choose(candidates, ctx) ?? this.anyTarget.choose(candidates, ctx);
     if (best === undefined) return undefined;
--- a/packages/routing/src/choice/ChoicePolicy.ts
+++ b/packages/routing/src/choice/ChoicePolicy.ts
@@ -24,6 +24,8 @@
   readonly isConnected: (target: TargetState) => boolean;
   /** Cost of a target, in units of the value of the response. Infinity for one that must not get the request. */
   readonly costOf: (target: TargetState) => number;
+  /** Whether a request to the target most likely fails. */
+  readonly isFailing: (target: TargetState) => boolean;
 }
 
 export abstract class ChoicePolicy {
