--- a/packages/routing/src/load/PlacementPolicy.ts
+++ b/packages/routing/src/load/PlacementPolicy.ts
@@ -23,8 +23,8 @@
 export type PlacementTable = ReadonlyMap<string, ShareRow>;
 
 /**
- * Requests start to leave a data centre above the first share of its room and stop below the second. At 0.85 a request waits
- * about 0.15 of its duration; between the two, counts of a second and a half vary by chance.
+ * Requests start to leave a data centre above the first share of its room and stop below the second. Below, it counts as having
+ * room for its own demand, which varies by chance and by a second or two before it is known.
  */
 const START_UTILISATION = 0.85;
 const STOP_UTILISATION = 0.75;
