--- a/packages/gateway/src/control/hub-extensions.ts
+++ b/packages/gateway/src/control/hub-extensions.ts
@@ -2,11 +2,17 @@
 import { EvacuationDistributor } from './EvacuationDistributor.js';
 import type { HubExtension, HubExtensionContext } from './HubExtension.js';
 import { LevelDistributor } from './LevelDistributor.js';
+import { PlacementDistributor } from './PlacementDistributor.js';
 
 export function createHubExtensions(ctx: HubExtensionContext): readonly HubExtension[] {
-  const { settings } = ctx;
+  const { overload, placement } = ctx.settings;
+  const levels = overload?.rankedAdmission === true ? new LevelDistributor(ctx) : undefined;
+  const crossingPrice = placement?.crossingPrice;
   return [
     new EvacuationDistributor(ctx),
-    ...(settings.overload?.rankedAdmission ? [new LevelDistributor(ctx)] : []),
+    ...(levels === undefined ? [] : [levels]),
+    ...(crossingPrice === undefined
+      ? []
+      : [new PlacementDistributor(ctx, crossingPrice, levels?.load)]),
   ];
 }
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -88,6 +88,7 @@
       undefined,
       undefined,
       coldBoundsOf(settings),
+      settings.placement?.crossingPrice,
     );
     this.reporter = this.add(new HubReporter(clock, this.state, logger));
     const extensions = createEntryExtensions({ clock, logger, settings, state: this.state });
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -2,7 +2,9 @@
 import { Emitter } from '@marigoldbank/base/events';
 import { Random } from '@marigoldbank/base/random';
 import { EvacuatedDataCentres } from '@marigoldbank/routing/EvacuatedDataCentres';
+import { PlacedSample } from '@marigoldbank/routing/choice/PlacedSample';
 import { DurationEstimate } from '@marigoldbank/routing/DurationEstimate';
+import { PlacementShares } from '@marigoldbank/routing/load/PlacementShares';
 import { isNewerVersion, type Route } from '@marigoldbank/routing/plan';
 import { PoisonTable } from '@marigoldbank/routing/PoisonTable';
 import {
@@ -88,6 +90,9 @@
   /** Admission by rank, undefined if the settings do not enable it. */
   public rankedAdmission: RankedAdmission | undefined;
 
+  /** Shares of the requests that go to other data centres. */
+  public readonly placements = new PlacementShares();
+
   private readonly planEmitter = new Emitter<RouteTable>();
 
   /** Fires when a plan has taken effect, also if its version is the previous one. */
@@ -117,6 +122,8 @@
     public readonly random = new Random(Math.floor(Math.random() * MAX_SEED)),
     private readonly timeOfDay: () => number = Date.now,
     coldBounds?: ColdBounds,
+    /** Price of a request to another data centre. Without one, shares of placement are not used. */
+    crossingPrice?: number,
   ) {
     this.limits = new TargetLimits(random, () => this.entryCount, {
       bounds: coldBounds,
@@ -125,10 +132,17 @@
     this.targets.onDidRemove((id) => this.limits.remove(id));
     // The targets of a data centre that is taken back may have become cold shortly before.
     this.evacuations.onDidEnd(({ dataCentre, at }) => this.limits.treatAsCold(dataCentre, at));
-    this.selector = new TargetSelector(this.targets, random, this.limits, undefined, {
-      isUsable: (info, now) =>
-        !this.evacuations.isEvacuated(info.dataCentre, now) && this.notices.isUsable(info, now),
-    });
+    this.selector = new TargetSelector(
+      this.targets,
+      random,
+      this.limits,
+      crossingPrice === undefined ? undefined : new PlacedSample(random, this.placements),
+      {
+        isUsable: (info, now) =>
+          !this.evacuations.isEvacuated(info.dataCentre, now) && this.notices.isUsable(info, now),
+      },
+      crossingPrice,
+    );
     this.retryLimiter = new RetryLimiter(bounds);
     this.teamLimiter = new TeamRateLimiter(random);
   }
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -3,6 +3,7 @@
 import { pickService } from '@marigoldbank/routing/RouteTable';
 import { FAILING_THRESHOLD, type Selection } from '@marigoldbank/routing/TargetSelector';
 import { coldHeldBackTotal } from '../metrics.js';
+import { CrossTraffic } from './CrossTraffic.js';
 import { stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import { noTargetError, overloadError } from './refusals.js';
 import type { RunContext, RunOutcome, RunRequest, UpstreamResponse } from './run-types.js';
@@ -66,6 +67,8 @@
 
   private readonly service: string;
 
+  private readonly crossTraffic: CrossTraffic;
+
   /** Number of targets that may have run the request. */
   private possibleRuns = 0;
 
@@ -88,6 +91,7 @@
     private readonly req: RunRequest,
   ) {
     this.service = req.service ?? pickService(req.route, ctx.state.random.float());
+    this.crossTraffic = new CrossTraffic(ctx.dataCentre);
   }
 
   /** Log fields about the targets that the request was sent to. */
@@ -153,6 +157,7 @@
     this.recordLossOrSuccess(attempt, result);
     const { rankedAdmission } = this.ctx.state;
     this.isOutOfRoom = rankedAdmission?.noteEnded(result, this.ctx.clock.now()) ?? false;
+    if (result.kind === 'answered') this.crossTraffic.countAnswer(result);
     if (result.kind === 'answered' && result.status < FIRST_ERROR_STATUS) {
       this.ctx.state.durationEstimateOf(this.req.route).observe(attempt.elapsedMs);
       return { kind: 'answered', response: result, attempt };
@@ -350,6 +355,7 @@
     const { ctx, req } = this;
     const { state, names, reporter } = ctx;
     this.triedTargets.add(target.info.id);
+    this.crossTraffic.countRequest(this.service, target.info.dataCentre, req.body.length);
     state.limits.spend(target.info.id, ctx.clock.now());
     if (this.sends === 0) reporter.countRequest(this.service);
     else if (this.possibleArrivals > 0) reporter.countRetry(this.service);
--- a/packages/gateway/src/entry/entry-extensions.ts
+++ b/packages/gateway/src/entry/entry-extensions.ts
@@ -6,6 +6,7 @@
 import type { EntryState } from './EntryState.js';
 import { EvacuationUpdates } from './EvacuationUpdates.js';
 import { RankedAdmission } from './RankedAdmission.js';
+import { PlacementFollower } from './PlacementFollower.js';
 
 export interface EntryExtensionContext {
   readonly clock: Clock;
@@ -15,9 +16,12 @@
 }
 
 export function createEntryExtensions(ctx: EntryExtensionContext): readonly EntryExtension[] {
-  const { settings } = ctx;
+  const { settings, state } = ctx;
   return [
     new EvacuationUpdates(ctx),
     ...(settings.overload?.rankedAdmission ? [new RankedAdmission(ctx)] : []),
+    ...(settings.placement?.crossingPrice === undefined
+      ? []
+      : [new PlacementFollower(state.placements, settings.dataCentre)]),
   ];
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -89,6 +89,17 @@
         .describe('Whether requests are refused by rank and team while demand exceeds the room.'),
     })
     .optional(),
+  placement: z
+    .object({
+      crossingPrice: z
+        .number()
+        .min(0)
+        .optional()
+        .describe(
+          'Price of one request to another data centre, in units of the value of an average answer. If omitted, entries compare a fixed sample of own and other targets.',
+        ),
+    })
+    .optional(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -38,6 +38,8 @@
   readonly seed?: number;
   /** The entries start within this time. */
   readonly startWithinMs?: number;
+  /** Price of a request to another data centre; without one, there is no placement. */
+  readonly crossingPrice?: number;
 }
 
 export interface FakeHub {
@@ -85,7 +87,11 @@
   updates: HubUpdate[];
 }
 
-export function makeSettings(ip: string, dataCentre: string): GatewaySettings {
+export function makeSettings(
+  ip: string,
+  dataCentre: string,
+  crossingPrice?: number,
+): GatewaySettings {
   return gatewaySettingsSchema.parse({
     vm: `control-${ip}`,
     ip,
@@ -97,6 +103,7 @@
     bootstrap: true,
     toleratedLosses: 1,
     bounds: BOUNDS,
+    ...(crossingPrice === undefined ? {} : { placement: { crossingPrice } }),
   });
 }
 
@@ -106,13 +113,14 @@
   dataCentre: string,
   clock: Clock,
   random: Random,
+  crossingPrice?: number,
 ): { readonly entry: FakeEntry; readonly extensions: readonly EntryExtension[] } {
   const logger = new NullLogger();
+  const settings = makeSettings(LEADER_IP, dataCentre, crossingPrice);
   const bounds = { ratio: 0.2, slack: 188, windowMs: 10_000 };
-  const state = new EntryState(bounds, random, () => clock.now());
+  const state = new EntryState(bounds, random, () => clock.now(), undefined, crossingPrice);
   const isAccepting = (): Promise<boolean> => Promise.resolve(false);
   const reporter = new HubReporter(clock, state, logger, { isAccepting });
-  const settings = makeSettings(LEADER_IP, dataCentre);
   const extensions = createEntryExtensions({ clock, logger, settings, state });
   extensions.forEach((extension) => reporter.addExtension(extension));
   const entry = { vm, clock, dataCentre, state, reporter, followed: undefined, updates: [] };
