--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -3,6 +3,7 @@
 import type { ChoicePolicy } from './choice/ChoicePolicy.js';
 import { LowestCost } from './choice/LowestCost.js';
 import { LowestOfSample } from './choice/LowestOfSample.js';
+import type { ITargetPaces } from './load/TargetPaces.js';
 import type { TargetLimits } from './TargetLimits.js';
 import type { TargetNotices } from './TargetNotices.js';
 import type { TargetTable, TargetState } from './TargetTable.js';
@@ -22,6 +23,10 @@
   readonly remainingMs: number;
   /** Whether this entry has an idle connection to an address, `ip:port`. Without it, all targets count as without one. */
   readonly hasIdleConnection?: (address: string) => boolean;
+  /** How fast targets are. Without it, all targets of a service count as equally fast. */
+  readonly paces?: ITargetPaces | undefined;
+  /** Only these targets are compared, if given. */
+  readonly among?: readonly TargetState[] | undefined;
 }
 
 export interface Selection {
@@ -75,14 +80,46 @@
 /** A new connection costs processor time at both ends and a round trip. Small, so that it decides only among equals. */
 const IDLE_CONNECTION_VALUE = 0.01;
 
+/** Number of slots that a target uses. */
+export function usableSlots(
+  { info }: TargetState,
+  paces: ITargetPaces | undefined,
+  now: number,
+): number {
+  if (paces === undefined) return info.slots;
+  return Math.max(1, Math.round(info.slots * paces.paceOf(info, now).room));
+}
+
+/** Factor on the duration of requests at a target. */
+export function slowdownOf(
+  { info, coldUntil }: TargetState,
+  paces: ITargetPaces | undefined,
+  now: number,
+): number {
+  const slowdown = now < coldUntil ? COLD_SLOWDOWN : 1;
+  if (paces === undefined) return slowdown;
+  const { pace } = paces.paceOf(info, now);
+  return slowdown === 1 ? pace : Math.max(slowdown, pace);
+}
+
 /** Expected wait for a slot at a target, in milliseconds. */
-export function expectedWaitMs(target: TargetState, expectedMs: number, now: number): number {
-  const { slots } = target.info;
+export function expectedWaitMs(
+  target: TargetState,
+  expectedMs: number,
+  now: number,
+  paces?: ITargetPaces,
+): number {
+  const slots = usableSlots(target, paces, now);
   const inFlight = target.ownInFlight + target.othersInFlight;
-  const slowdown = now < target.coldUntil ? COLD_SLOWDOWN : 1;
+  const slowdown = slowdownOf(target, paces, now);
   return (Math.max(0, inFlight + 1 - slots) / slots) * expectedMs * slowdown;
 }
 
+/** Cost of the time that a target takes longer than the usual one, negative for a faster one. */
+function paceCost({ info }: TargetState, paces: ITargetPaces | undefined, now: number): number {
+  return paces === undefined ? 0 : WAIT_COST * (paces.paceOf(info, now).pace - 1);
+}
+
 /** Value of what a retryable request to this target would reveal about its state. */
 function informationValue(
   target: TargetState,
@@ -105,12 +142,14 @@
   const { info } = target;
   const failingProbability = target.belief.failingProbability(now);
   const inFlight = target.ownInFlight + target.othersInFlight;
-  const slowdown = now < target.coldUntil ? COLD_SLOWDOWN : 1;
-  const waitMs = expectedWaitMs(target, req.expectedMs, now);
+  const { paces } = req;
+  const slowdown = slowdownOf(target, paces, now);
+  const waitMs = expectedWaitMs(target, req.expectedMs, now, paces);
   const dataCentreCost = info.dataCentre === req.dataCentre ? 0 : CROSS_DATA_CENTRE_COST;
   const loadCost =
-    UTILISATION_COST * Math.min(1, (inFlight * slowdown) / info.slots) +
-    WAIT_COST * (waitMs / req.expectedMs);
+    UTILISATION_COST * Math.min(1, (inFlight * slowdown) / usableSlots(target, paces, now)) +
+    WAIT_COST * (waitMs / req.expectedMs) +
+    paceCost(target, paces, now);
   const failureCost = failingProbability * (req.canRetry ? RETRIED_FAILURE_COST : FAILURE_COST);
   const value = req.canRetry ? informationValue(target, failingProbability, req, now) : 0;
   const unreachableCost = now < target.unreachableUntil ? UNREACHABLE_COST : 0;
@@ -135,9 +174,9 @@
 
   /** Returns undefined if no target of the service may get the request: each leaves, pauses, or has used up its limit. */
   public select(req: SelectionRequest, now: number): Selection | undefined {
-    const candidates = this.targets
-      .candidates(req.service)
-      .filter(({ info }) => !req.excluded.has(info.id) && this.notices.isUsable(info, now));
+    const candidates = (req.among ?? this.targets.candidates(req.service)).filter(
+      ({ info }) => !req.excluded.has(info.id) && this.notices.isUsable(info, now),
+    );
     const { dataCentre, expectedMs } = req;
     // Asked once for each target and request: a limit that does not admit the request has used up its share.
     const admitted = new Map<string, boolean>();
@@ -155,7 +194,7 @@
     };
     const best = this.policy.choose(candidates, ctx) ?? this.anyTarget.choose(candidates, ctx);
     if (best === undefined) return undefined;
-    const waitMs = expectedWaitMs(best.target, expectedMs, now);
+    const waitMs = expectedWaitMs(best.target, expectedMs, now, req.paces);
     return { ...best, waitMs, candidates: candidates.length };
   }
 }
