Let requests wait at entries for slots, and spread the times of return

Under overload requests waited at targets in the order of their arrival, whatever their rank, and callers that were refused at the same moment returned together. A rejection by a target with free slots counted as an overload.

With overload.rankedAdmission, entries start requests by rank and time left within their share of the slots, hand over the slots that they leave, and refuse at once what cannot be answered within its objective. Hubs learn the paces of targets and tell them. Each refusal has a spread time of return of at most a third of the time left.

Ruled out: to start requests at the free slots that hubs report, without a share.

--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -311,6 +311,7 @@
       team: team?.name,
       priority: team?.priority ?? route.priority,
       dueAt: tx.receivedAt + timeoutMs,
+      receivedAt: tx.receivedAt,
       fingerprint,
       signal: tx.callerGone.signal,
     });
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -19,6 +19,7 @@
 import { TargetSelector } from '@marigoldbank/routing/TargetSelector';
 import { TeamRateLimiter } from '@marigoldbank/routing/TeamRateLimiter';
 import { AddressBook } from '../AddressBook.js';
+import type { EntryCapacity } from './EntryCapacity.js';
 import { ShutdownSchedule } from './ShutdownSchedule.js';
 
 /** Time without contact to the budget holder after which an entry limits teams to a part of its even share. */
@@ -85,6 +86,9 @@
 
   public readonly suspects = new PoisonTable();
 
+  /** Waiting for slots and times to come back, undefined if the settings do not call for them. */
+  public capacity: EntryCapacity | undefined;
+
   private readonly planEmitter = new Emitter<RouteTable>();
 
   /** Fires when a plan has taken effect, also if its version is the previous one. */
--- a/packages/gateway/src/entry/ErrorResponse.ts
+++ b/packages/gateway/src/entry/ErrorResponse.ts
@@ -1,5 +1,13 @@
 /** Error responses to callers, with a verdict that says whether the request may have run. */
 
+interface NotSent {
+  readonly kind: 'notSent';
+  readonly verdict: 'notRun';
+  readonly detail: string;
+}
+
+type WithReturnTime<T> = T & { readonly retryAfterMs: number };
+
 /** Refusals by the entry itself, and failures of upstreams. */
 export type ErrorResponse =
   | { readonly kind: 'badRequest'; readonly verdict: 'notRun'; readonly detail: string }
@@ -18,18 +26,20 @@
       readonly decidedBy: 'holder' | 'entry';
     }
   | { readonly kind: 'noTarget'; readonly verdict: 'notRun' }
+  | WithReturnTime<{ readonly kind: 'noTarget'; readonly verdict: 'notRun' }>
   | { readonly kind: 'overloaded'; readonly verdict: 'notRun'; readonly retryAfterMs: number }
   /** Targets ended under the same request before. */
   | { readonly kind: 'quarantined'; readonly verdict: 'notRun'; readonly retryAfterMs: number }
   /** The process ends before the request could be answered. */
   | { readonly kind: 'stopping'; readonly verdict: 'notRun'; readonly retryAfterMs: number }
   /** No target ran the request, and no further attempt is possible: no target, time or retry budget is left. */
-  | { readonly kind: 'notSent'; readonly verdict: 'notRun'; readonly detail: string }
+  | NotSent
+  | WithReturnTime<NotSent>
   | { readonly kind: 'upstreamFailed'; readonly verdict: 'mayHaveRun'; readonly detail: string }
   | { readonly kind: 'timedOut'; readonly verdict: 'mayHaveRun' };
 
 /** Default of the Retry-After header of 503 responses. Targets recover within seconds. */
-const DEFAULT_RETRY_AFTER_MS = 300;
+export const DEFAULT_RETRY_AFTER_MS = 300;
 
 /** The refusal of an entry that stops. Callers need not wait if other entries are ready. */
 export function stoppingError(hasOtherEntries: boolean): ErrorResponse {
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -11,7 +11,7 @@
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import { quarantinesTotal, targetNoticesTotal } from '../metrics.js';
 import { Batcher } from '../sync/Batcher.js';
-import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
+import { EvidenceBuffer, type PaceDetail } from '../sync/EvidenceBuffer.js';
 import { toLimitMessage } from '../sync/limit-codec.js';
 import { SendWindow } from '../sync/SendWindow.js';
 import { toSuspectMessage, type SuspectRequestInit } from '../sync/suspect-codec.js';
@@ -134,7 +134,7 @@
     this.batcher.request(FLUSH_MS);
   }
 
-  public recordOutcome(id: string, outcome: TargetOutcome): void {
+  public recordOutcome(id: string, outcome: TargetOutcome, pace?: PaceDetail): void {
     this.state.targets.observe(id, outcome, this.clock.now());
     this.evidence.add(
       id,
@@ -142,6 +142,7 @@
       outcome === 'failed' ? 1 : 0,
       outcome === 'suspect' ? 1 : 0,
     );
+    if (pace !== undefined) this.evidence.addPace(id, pace);
     if (outcome === 'succeeded') this.batcher.request(FLUSH_MS);
     else this.requestUrgent();
   }
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -1,21 +1,20 @@
 /** Sends one admitted request to targets until one responds or no further attempt is possible. */
 import type { IDisposable } from '@marigoldbank/base/lifecycle';
+import { USUAL_PACE } from '@marigoldbank/routing/load/TargetPaces';
 import { pickService } from '@marigoldbank/routing/RouteTable';
 import { FAILING_THRESHOLD, type Selection } from '@marigoldbank/routing/TargetSelector';
+import type { TargetState } from '@marigoldbank/routing/TargetTable';
+import { CapacityTurn } from './CapacityTurn.js';
 import { stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import { noTargetError, overloadError } from './refusals.js';
 import type { RunContext, RunOutcome, RunRequest, UpstreamResponse } from './run-types.js';
 import { SendAttempt, type AttemptResult } from './SendAttempt.js';
+import { watchForStall } from './stall.js';
+import { toUpstreamRequest } from './upstream-request.js';
 
 /** Maximum number of attempts for one request, including those that targets did not run. */
 const MAX_SENDS = 4;
 
-/** A hedged request is sent to a second target when the first takes this multiple of the expected duration. */
-const HEDGE_AFTER_DURATIONS = 2.2;
-
-/** Minimum delay of a hedged request as a fraction of the latency objective. */
-const HEDGE_MIN_OBJECTIVE_FRACTION = 0.3;
-
 /** Minimum time left for another attempt. Connecting is limited to the time left, and less is not worth it. */
 const MIN_SEND_MS = 15;
 
@@ -65,6 +64,9 @@
 
   private readonly service: string;
 
+  /** Undefined if requests do not wait for slots. */
+  private readonly turn: CapacityTurn | undefined;
+
   /** Number of targets that may have run the request. */
   private possibleRuns = 0;
 
@@ -84,6 +86,11 @@
     private readonly req: RunRequest,
   ) {
     this.service = pickService(req.route, ctx.state.random.float());
+    this.turn = CapacityTurn.create(ctx, req, {
+      select: (among) => this.select(among),
+      send: (selection) => this.send(selection),
+      timing: () => ({ service: this.service, dueAt: this.dueAt, expectedMs: this.expectedMs }),
+    });
   }
 
   /** Log fields about the targets that the request was sent to. */
@@ -91,21 +98,24 @@
     return { service: this.service, targets: [...this.triedTargets].join(','), sends: this.sends };
   }
 
-  public async run(): Promise<RunOutcome> {
+  public run(): Promise<RunOutcome> {
+    const { turn } = this;
+    const outcome = this.findOutcome();
+    return turn === undefined ? outcome : outcome.then((known) => turn.withReturnTime(known));
+  }
+
+  private async findOutcome(): Promise<RunOutcome> {
     if (this.req.signal.aborted) return { kind: 'callerGone' };
     if (!this.mayPassOn()) return this.refusedByStop();
     const first = this.select();
     if (first === undefined) return RequestRun.refused(this.findNoTarget());
-    const overload = overloadError(
-      first.waitMs,
-      this.expectedMs,
-      this.dueAt - this.ctx.clock.now(),
-    );
+    const overload = this.overload(first);
     if (overload !== undefined) return RequestRun.refused(overload);
     const timers: IDisposable[] = [];
     const ended = this.waitForEnd(timers);
     try {
-      this.send(first);
+      if (this.turn === undefined) this.send(first);
+      else if ((await this.turn.start(first, ended)) !== 'started') return this.notStarted();
       return await this.awaitOutcome(ended);
     } finally {
       timers.forEach((timer) => timer.dispose());
@@ -143,6 +153,7 @@
     this.recordLossOrSuccess(attempt, result);
     if (result.kind === 'answered' && result.status < FIRST_ERROR_STATUS) {
       this.ctx.state.durationEstimateOf(this.req.route).observe(attempt.elapsedMs);
+      this.ctx.state.capacity?.slotFreed(attempt.target);
       return { kind: 'answered', response: result, attempt };
     }
     if (result.kind === 'answered') this.failures.errorResponse = { response: result, attempt };
@@ -150,12 +161,13 @@
     if (result.kind === 'notRun') {
       this.possibleRuns -= 1;
       if (!result.wasSent) this.possibleArrivals -= 1;
+      this.turn?.noteRejection({ hadFreeSlot: attempt.hadFreeSlot, wasSent: result.wasSent });
       this.failures.notRun = result.detail;
     }
     if (this.pending.size > 0) return undefined;
     const mayRetry = result.kind === 'notRun' || this.isWorthRetrying(result);
     const next = mayRetry ? this.selectNext() : undefined;
-    if (next !== undefined) this.send(next);
+    if (next !== undefined && !this.isTooLate(next)) this.send(next);
     return undefined;
   }
 
@@ -233,7 +245,8 @@
     [...this.pending.keys()].forEach((attempt) => attempt.recordStall());
     if (!this.req.route.isIdempotent) return;
     const next = this.selectNext();
-    if (next !== undefined) this.send(next);
+    const hasToWait = this.turn !== undefined && (next?.waitMs ?? 0) > 0;
+    if (next !== undefined && !hasToWait) this.send(next);
   }
 
   /** Returns an event that occurs once in a run, when the only attempt takes much longer than expected. */
@@ -242,20 +255,14 @@
     if (this.sends > 1 || attempt === undefined || this.hasReportedStall) {
       return { event: NEVER, timer: undefined };
     }
-    const { expectedMs } = this.ctx.state.durationEstimateOf(this.req.route);
-    const afterMs = Math.max(
-      HEDGE_AFTER_DURATIONS * expectedMs,
-      HEDGE_MIN_OBJECTIVE_FRACTION * this.req.route.objectiveMs,
-    );
+    const { expectedMs } = this;
+    const { objectiveMs } = this.req.route;
     let timer: IDisposable | undefined;
     const event = new Promise<RunEvent>((resolve) => {
-      timer = this.ctx.clock.setTimeout(
-        () => {
-          this.hasReportedStall = true;
-          resolve({ kind: 'stalled' });
-        },
-        Math.max(0, afterMs - attempt.elapsedMs),
-      );
+      timer = watchForStall(this.ctx.clock, attempt, { expectedMs, objectiveMs }, () => {
+        this.hasReportedStall = true;
+        resolve({ kind: 'stalled' });
+      });
     });
     return { event, timer };
   }
@@ -281,11 +288,31 @@
     return this.ctx.state.durationEstimateOf(this.req.route).expectedMs;
   }
 
+  private overload({ target, waitMs }: Selection): ErrorResponse | undefined {
+    const now = this.ctx.clock.now();
+    const { pace } = this.ctx.state.capacity?.paces.paceOf(target.info, now) ?? USUAL_PACE;
+    const error = overloadError(waitMs, this.expectedMs * pace, this.dueAt - now);
+    if (error !== undefined) this.turn?.noteWithoutSlot();
+    return error;
+  }
+
+  /** Whether a further attempt would most likely miss the deadline. */
+  private isTooLate(next: Selection): boolean {
+    return this.turn !== undefined && this.overload(next) !== undefined;
+  }
+
+  /** The outcome of a request that waited for a slot and was not sent. */
+  private notStarted(): RunOutcome {
+    if (this.req.signal.aborted) return { kind: 'callerGone' };
+    if (this.hasGivenUp) return this.refusedByStop();
+    return RequestRun.refused({ kind: 'overloaded', verdict: 'notRun', retryAfterMs: 0 });
+  }
+
   private findNoTarget(): ErrorResponse {
     return noTargetError(this.ctx.state, this.service, this.ctx.clock.now());
   }
 
-  private select(): Selection | undefined {
+  private select(among?: readonly TargetState[]): Selection | undefined {
     const { state, clock, upstream } = this.ctx;
     const { route } = this.req;
     const { dueAt } = this;
@@ -299,6 +326,8 @@
         expectedMs: state.durationEstimateOf(route).expectedMs,
         remainingMs: dueAt - now,
         hasIdleConnection: (address) => upstream.hasIdleConnection(address),
+        paces: state.capacity?.paces,
+        among,
       },
       now,
     );
@@ -328,9 +357,9 @@
     return !suspects.isEmpty && suspects.isSuspected(this.req.fingerprint());
   }
 
-  private send({ target }: Selection): void {
+  private send({ target, waitMs }: Selection): void {
     const { ctx, req } = this;
-    const { state, names, reporter } = ctx;
+    const { state, reporter } = ctx;
     this.triedTargets.add(target.info.id);
     state.limits.spend(target.info.id, ctx.clock.now());
     if (this.sends === 0) reporter.countRequest(this.service);
@@ -344,25 +373,13 @@
     const attempt = new SendAttempt(
       ctx,
       target,
-      {
-        address: target.info.address,
+      toUpstreamRequest(req, target.info, ctx.names, {
         maxConnections: Math.max(MIN_CONNECTIONS, share),
-        method: req.head.method,
-        target: req.head.target,
-        headers: [
-          ...req.head.headers.flat(),
-          names.expectedTarget,
-          target.info.id,
-          ...(req.team === undefined ? [] : [names.team, req.team]),
-        ],
-        body: req.body,
-        requestId: req.head.requestId,
         deadlineAt: this.dueAt,
-        signal: req.signal,
-        checkDispatch: () => undefined,
-      },
+      }),
       () => duration.slowThresholdMs,
       req.route.isIdempotent,
+      state.capacity?.expectationOf(target, waitMs, duration.expectedMs),
     );
     this.pending.set(
       attempt,
--- a/packages/gateway/src/entry/SendAttempt.ts
+++ b/packages/gateway/src/entry/SendAttempt.ts
@@ -12,6 +12,7 @@
 import type { TargetState } from '@marigoldbank/routing/TargetTable';
 import type { HeaderNames } from '../ProtocolAdapter.js';
 import { attemptsTotal } from '../metrics.js';
+import type { PaceDetail } from '../sync/EvidenceBuffer.js';
 import type { HubReporter } from './HubReporter.js';
 
 /** Responses up to this size are buffered as a whole before any part of them is forwarded. */
@@ -31,6 +32,11 @@
  */
 const NOT_RUN_STATUSES = [408, 429, 503];
 
+const PERMILLE = 1_000;
+
+/** Longest duration that is reported, in thousandths of the expected one. */
+const MAX_PERMILLE = 20_000;
+
 /** Result of an attempt. */
 export type AttemptResult =
   /** The response to a request that the target ran. `rest` delivers what follows the buffered part. */
@@ -58,6 +64,13 @@
       readonly target: TargetState;
     };
 
+/** What was expected of an attempt when it began. */
+export interface Expectation {
+  /** Duration at a target of usual pace, with the wait for a slot there. */
+  readonly durationMs: number;
+  readonly hasFreeSlot: boolean;
+}
+
 export interface AttemptContext {
   readonly clock: Clock;
   readonly upstream: UpstreamClient;
@@ -91,6 +104,8 @@
     private readonly slowThresholdMs: () => number,
     /** Whether the request may run more than once. */
     private readonly isIdempotent: boolean,
+    /** Undefined if paces of targets are not learnt. */
+    private readonly expectation?: Expectation,
   ) {
     this.startedAt = ctx.clock.now();
     this.target.ownInFlight += 1;
@@ -100,6 +115,11 @@
     this.result = this.receive();
   }
 
+  /** Whether the target seemed to have a free slot when the attempt began. */
+  public get hadFreeSlot(): boolean {
+    return this.expectation?.hasFreeSlot ?? false;
+  }
+
   /** Time since the start in ms. */
   public get elapsedMs(): number {
     return this.ctx.clock.now() - this.startedAt;
@@ -107,7 +127,9 @@
 
   /** Reports that the target is slow while the response is still pending. */
   public recordStall(): void {
-    if (!this.hasEnded) this.ctx.reporter.recordOutcome(this.target.info.id, 'suspect');
+    if (this.hasEnded) return;
+    // The attempt may be cancelled, so that its duration would not be known. It is at least this long.
+    this.ctx.reporter.recordOutcome(this.target.info.id, 'suspect', this.paceDetail());
   }
 
   /** Cancels the attempt without reporting an outcome of the target. */
@@ -130,7 +152,8 @@
       this.discardBody();
       this.end('notRun');
       // A target at its capacity is healthy, but for a moment another one is preferable.
-      if (status === 503) reporter.recordOutcome(id, 'suspect');
+      const pace = this.expectation === undefined ? undefined : { rejected: 1 };
+      if (status === 503) reporter.recordOutcome(id, 'suspect', pace);
       return { kind: 'notRun', detail: `target answered ${status}`, wasSent: true, target };
     }
     if (status === 421) {
@@ -213,8 +236,15 @@
   public complete(status: number): void {
     if (this.hasEnded) return;
     const isSuspect = status >= FIRST_ERROR_STATUS || this.elapsedMs > this.slowThresholdMs();
+    const pace = status >= FIRST_ERROR_STATUS ? undefined : this.paceDetail();
     this.end(status >= FIRST_ERROR_STATUS ? 'error' : 'succeeded');
-    this.ctx.reporter.recordOutcome(this.target.info.id, isSuspect ? 'suspect' : 'succeeded');
+    this.ctx.reporter.recordOutcome(this.target.info.id, isSuspect ? 'suspect' : 'succeeded', pace);
+  }
+
+  private paceDetail(): PaceDetail | undefined {
+    if (this.expectation === undefined) return undefined;
+    const permille = (PERMILLE * this.elapsedMs) / this.expectation.durationMs;
+    return { durationPermille: Math.min(MAX_PERMILLE, Math.max(1, Math.round(permille))) };
   }
 
   private fail(failure: ExchangeFailure): AttemptResult {
--- a/packages/gateway/src/entry/entry-extensions.ts
+++ b/packages/gateway/src/entry/entry-extensions.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@marigoldbank/base/clock';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { GatewaySettings } from '../settings.js';
+import { CapacityExtension } from './CapacityExtension.js';
 import type { EntryExtension } from './EntryExtension.js';
 import type { EntryState } from './EntryState.js';
 
@@ -12,6 +13,6 @@
   readonly state: EntryState;
 }
 
-export function createEntryExtensions(_ctx: EntryExtensionContext): readonly EntryExtension[] {
-  return [];
+export function createEntryExtensions(ctx: EntryExtensionContext): readonly EntryExtension[] {
+  return ctx.settings.overload.rankedAdmission ? [new CapacityExtension(ctx)] : [];
 }
--- a/packages/gateway/src/entry/run-types.ts
+++ b/packages/gateway/src/entry/run-types.ts
@@ -26,6 +26,8 @@
   readonly priority: number;
   /** Deadline of the final response in monotonic ms. */
   readonly dueAt: number;
+  /** Arrival of the request in monotonic ms, if it was before the run. Its objective counts from then. */
+  readonly receivedAt?: number;
   /** Identifies equal requests. Computed when it is needed for the first time. */
   readonly fingerprint: () => string;
   /** Aborted when the caller has disconnected. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -29,6 +29,41 @@
   registers: [registry],
 });
 
+export const waitingRequests = new Gauge({
+  name: 'marigoldbank_waiting_requests',
+  help: 'Requests that wait at this entry until a target has a free slot',
+  registers: [registry],
+});
+
+export const slotWaitSeconds = new Histogram({
+  name: 'marigoldbank_slot_wait_duration_seconds',
+  help: 'Time that requests waited for a free slot, by outcome: started, refused, ended',
+  labelNames: ['outcome'] as const,
+  buckets: DURATION_BUCKETS_S,
+  registers: [registry],
+});
+
+export const refusalsTotal = new Counter({
+  name: 'marigoldbank_refusals_total',
+  help: 'Requests that were refused with a time to come back, by service and reason: rejected, noSlot, noTarget, other',
+  labelNames: ['service', 'reason'] as const,
+  registers: [registry],
+});
+
+export const returnSeconds = new Histogram({
+  name: 'marigoldbank_retry_after_seconds',
+  help: 'Times after which callers of refused requests were asked to return, by reason',
+  labelNames: ['reason'] as const,
+  buckets: DURATION_BUCKETS_S,
+  registers: [registry],
+});
+
+export const unusualPaces = new Gauge({
+  name: 'marigoldbank_unusual_target_paces',
+  help: 'Targets that this hub has told entries to be faster or slower than others, or to use fewer slots',
+  registers: [registry],
+});
+
 export const quarantinesTotal = new Counter({
   name: 'marigoldbank_quarantined_requests_total',
   help: 'Requests that are refused from then on because targets ended under them, each counted once a quarantine',
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -54,6 +54,14 @@
       'An entry whose configuration has not been confirmed by a majority of the control VMs for this long refuses requests that need a key. If omitted, it continues to serve with the configuration it has.',
     ),
   bounds: boundsSchema,
+  overload: z
+    .object({
+      rankedAdmission: z
+        .boolean()
+        .default(false)
+        .describe('Whether requests wait for slots, and are admitted and asked to return by rank.'),
+    })
+    .default({ rankedAdmission: false }),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
--- a/packages/gateway/src/sync/EvidenceBuffer.ts
+++ b/packages/gateway/src/sync/EvidenceBuffer.ts
@@ -8,12 +8,21 @@
   readonly suspect: number;
   /** Requests in flight, as counted by the sender. */
   readonly inFlight: number;
+  /** Durations of the answered requests in thousandths of the expected ones, added up. */
+  readonly durationPermille?: number;
+  /** Requests that the target rejected without running them. */
+  readonly rejected?: number;
 }
 
+/** What an outcome shows about the pace of a target. */
+export type PaceDetail = Pick<Evidence, 'durationPermille' | 'rejected'>;
+
 interface Counts {
   succeeded: number;
   failed: number;
   suspect: number;
+  durationPermille?: number;
+  rejected?: number;
 }
 
 export class EvidenceBuffer {
@@ -35,6 +44,14 @@
     known.suspect += suspect;
   }
 
+  /** Adds what an outcome that was added shows about the pace of its target. */
+  public addPace(id: string, { durationPermille = 0, rejected = 0 }: PaceDetail): void {
+    const counts = this.counts.get(id);
+    if (counts === undefined) return;
+    counts.durationPermille = (counts.durationPermille ?? 0) + durationPermille;
+    counts.rejected = (counts.rejected ?? 0) + rejected;
+  }
+
   /** Empties the buffer. The number of requests in flight is read at this point, not when outcomes are added. */
   public take(inFlightOf: (id: string) => number): Evidence[] {
     const taken = [...this.counts].map(([id, counts]) => ({
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -24,7 +24,7 @@
 import { EntryState } from '../entry/EntryState.js';
 import { HubFollower } from '../entry/HubFollower.js';
 import { HubLocator } from '../entry/HubLocator.js';
-import { HubReporter, type EntryReportInit } from '../entry/HubReporter.js';
+import type { EntryReportInit } from '../entry/HubReporter.js';
 import { HubSelector } from '../entry/HubSelector.js';
 import { PlanRefresher } from '../entry/PlanRefresher.js';
 import { syncAddress } from '../settings.js';
@@ -34,6 +34,7 @@
   isWithoutMajority,
   LEADER_IP,
   makeHistory,
+  makeReporter,
   makeSettings,
   makeUnansweredLog,
   VOTERS,
@@ -158,7 +159,7 @@
   }
 
   private createHub(ip: string, dataCentre: string): FakeHub {
-    const settings = makeSettings(ip, dataCentre);
+    const settings = makeSettings(ip, dataCentre, this.options);
     const stateMachine = new PlanStateMachine();
     const log = makeUnansweredLog(ip === LEADER_IP, this.ips);
     const clock = this.processClock();
@@ -247,9 +248,7 @@
       new Random(this.random.int(MAX_SEED)),
       () => clock.now(),
     );
-    const reporter = new HubReporter(clock, state, new NullLogger(), {
-      isAccepting: () => Promise.resolve(false),
-    });
+    const { reporter, extensions } = makeReporter(clock, state, this.options);
     const seeds = this.hubs.slice(0, 3).map(({ address }) => address);
     const entry: FakeEntry = {
       vm,
@@ -274,6 +273,7 @@
       state,
       reporter,
       hubs: selector,
+      extensions,
       logger: new NullLogger(),
       identity: { vm, address: `${vm}:80`, dataCentre },
       seeds: () => seeds,
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -8,7 +8,9 @@
 import { CommitHistory } from '../control/CommitHistory.js';
 import type { PlanStateMachine } from '../control/PlanStateMachine.js';
 import type { EntryState } from '../entry/EntryState.js';
-import type { HubReporter } from '../entry/HubReporter.js';
+import { createEntryExtensions } from '../entry/entry-extensions.js';
+import type { EntryExtension } from '../entry/EntryExtension.js';
+import { HubReporter } from '../entry/HubReporter.js';
 import type { FakeStoredLog } from './FakeStoredLog.js';
 import { gatewaySettingsSchema, type GatewaySettings } from '../settings.js';
 
@@ -35,6 +37,8 @@
   readonly seed?: number;
   /** The entries start within this time. */
   readonly startWithinMs?: number;
+  /** Setting of all processes, off if omitted. */
+  readonly overload?: GatewaySettings['overload'];
 }
 
 export interface FakeHub {
@@ -82,8 +86,13 @@
   updates: HubUpdate[];
 }
 
-export function makeSettings(ip: string, dataCentre: string): GatewaySettings {
+export function makeSettings(
+  ip: string,
+  dataCentre: string,
+  { overload }: Pick<FakeFleetOptions, 'overload'> = {},
+): GatewaySettings {
   return gatewaySettingsSchema.parse({
+    overload,
     vm: `control-${ip}`,
     ip,
     dataCentre,
@@ -97,6 +106,22 @@
   });
 }
 
+/** The reporter of an entry, with the extensions that the settings of the fleet call for. */
+export function makeReporter(
+  clock: Clock,
+  state: EntryState,
+  options: FakeFleetOptions,
+): { reporter: HubReporter; extensions: readonly EntryExtension[] } {
+  const logger = new NullLogger();
+  const settings = makeSettings('10.0.1.1', '', options);
+  const extensions = createEntryExtensions({ clock, logger, settings, state });
+  const reporter = new HubReporter(clock, state, logger, {
+    isAccepting: () => Promise.resolve(false),
+  });
+  extensions.forEach((extension) => reporter.addExtension(extension));
+  return { reporter, extensions };
+}
+
 /** What a hub knows of the log before it has been confirmed. */
 export function makeUnansweredLog(isLeader: boolean, voters: readonly string[]): ILogView {
   return {
--- a/packages/routing/src/load/EntryRoom.ts
+++ b/packages/routing/src/load/EntryRoom.ts
@@ -14,35 +14,47 @@
   readonly waitMs: number;
   /** Requests a millisecond that the entry may start: its even share of what the targets complete. 0 without targets. */
   readonly perMs: number;
-  /** Requests of this entry in flight. */
-  readonly own: number;
-  /** Requests that this entry may have in flight: its share of the slots, and more while others leave slots free. */
+  /** Requests that the entry may have in flight: its share of the slots, and more while others leave slots free. */
   readonly most: number;
 }
 
-/** Estimates the room of a service. `expectedMs` is the expected duration of a request at a target of usual pace. */
-export function estimateRoom(
+/** Slots of all targets of a service. */
+export interface SlotTotals {
+  readonly slots: number;
+  /** Requests that the targets complete within the usual duration of one. */
+  readonly perDuration: number;
+  /** Slots that no request uses. */
+  readonly free: number;
+  /** Requests beyond the slots of their targets. */
+  readonly excess: number;
+}
+
+export function measureSlots(
   targets: readonly TargetState[],
-  expectedMs: number,
-  entries: number,
   now: number,
   paces: ITargetPaces,
-): EntryRoom {
-  const total = { perMs: 0, slots: 0, own: 0, excess: 0, free: 0 };
+): SlotTotals {
+  const total = { slots: 0, perDuration: 0, free: 0, excess: 0 };
   targets.forEach((target) => {
-    const { ownInFlight, othersInFlight } = target;
     const slots = usableSlots(target, paces, now);
-    total.perMs += slots / (expectedMs * slowdownOf(target, paces, now));
+    const unused = slots - target.ownInFlight - target.othersInFlight;
     total.slots += slots;
-    total.own += ownInFlight;
-    total.excess += Math.max(0, ownInFlight + othersInFlight - slots);
-    total.free += Math.max(0, slots - ownInFlight - othersInFlight);
+    total.perDuration += slots / slowdownOf(target, paces, now);
+    total.free += Math.max(0, unused);
+    total.excess += Math.max(0, -unused);
   });
-  const { perMs, slots, own, excess, free } = total;
+  return total;
+}
+
+/** Estimates the room of a service for one of so many entries. `expectedMs` is the usual duration of a request. */
+export function estimateRoom(
+  { slots, perDuration, free, excess }: SlotTotals,
+  expectedMs: number,
+  entries: number,
+): EntryRoom {
   return {
-    waitMs: perMs === 0 ? 0 : excess / perMs,
-    perMs: perMs / Math.max(1, entries),
-    own,
-    most: Math.max(1, Math.ceil((slots + FREE_SLOTS_FACTOR * free) / Math.max(1, entries))),
+    waitMs: perDuration === 0 ? 0 : (excess / perDuration) * expectedMs,
+    perMs: perDuration / expectedMs / entries,
+    most: Math.max(1, Math.ceil((slots + FREE_SLOTS_FACTOR * free) / entries)),
   };
 }
