--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -87,7 +87,7 @@
   ) {
     this.service = pickService(req.route, ctx.state.random.float());
     this.turn = CapacityTurn.create(ctx, req, {
-      select: (among) => this.select(among),
+      select: (among) => (this.mayPassOn() ? this.select(among) : undefined),
       send: (selection) => this.send(selection),
       timing: () => ({ service: this.service, dueAt: this.dueAt, expectedMs: this.expectedMs }),
     });
