--- a/packages/gateway/src/control/LevelDistributor.ts
+++ b/packages/gateway/src/control/LevelDistributor.ts
@@ -8,6 +8,7 @@
 import { RankLevelPolicy } from '@marigoldbank/routing/load/RankLevelPolicy';
 import { rankedServices } from '@marigoldbank/routing/load/ranked-services';
 import { ServiceLoadTable } from '@marigoldbank/routing/load/ServiceLoadTable';
+import type { TargetPaces } from '@marigoldbank/routing/load/TargetPaces';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { levelAdmittedShare } from '../metrics.js';
 import { DemandCounts } from '../sync/DemandCounts.js';
@@ -65,10 +66,13 @@
 
   private nextUpdateAt: number;
 
-  public constructor(ctx: HubExtensionContext) {
+  /** `paces` says how long targets take relative to others, and which part of their slots they use. */
+  public constructor(ctx: HubExtensionContext, paces: TargetPaces) {
     super(ctx);
     const now = ctx.clock.now();
-    this.load = new ServiceLoadTable(now);
+    this.load = new ServiceLoadTable(now, (id) =>
+      paces.paceOf({ id, born: ctx.targets.bornOf(id) }, ctx.clock.now()),
+    );
     this.tickedAt = now;
     // The first counts are those of few entries.
     this.nextUpdateAt = now + SETTLE_MS;
--- a/packages/gateway/src/control/PlacementPaths.test.ts
+++ b/packages/gateway/src/control/PlacementPaths.test.ts
@@ -13,6 +13,7 @@
   lastMessageAt: 0,
   time: undefined,
   report: undefined,
+  takesTokenOrders: false,
   refs: new TargetRefs(),
 };
 
--- a/packages/gateway/src/control/hub-extensions.ts
+++ b/packages/gateway/src/control/hub-extensions.ts
@@ -3,13 +3,16 @@
 import type { HubExtension, HubExtensionContext } from './HubExtension.js';
 import { LevelDistributor } from './LevelDistributor.js';
 import { PlacementDistributor } from './PlacementDistributor.js';
+import { TargetPaceExtension } from './TargetPaceExtension.js';
 
 export function createHubExtensions(ctx: HubExtensionContext): readonly HubExtension[] {
   const { overload, placement } = ctx.settings;
-  const levels = overload?.rankedAdmission === true ? new LevelDistributor(ctx) : undefined;
+  const paces = overload?.rankedAdmission === true ? new TargetPaceExtension(ctx) : undefined;
+  const levels = paces === undefined ? undefined : new LevelDistributor(ctx, paces.paces);
   const crossingPrice = placement?.crossingPrice;
   return [
     new EvacuationDistributor(ctx),
+    ...(paces === undefined ? [] : [paces]),
     ...(levels === undefined ? [] : [levels]),
     ...(crossingPrice === undefined
       ? []
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -292,6 +292,7 @@
       team: team?.name,
       priority: team?.priority ?? route.priority,
       dueAt: tx.receivedAt + timeoutOf(head, route),
+      receivedAt: tx.receivedAt,
       fingerprint,
       signal: tx.callerGone.signal,
     });
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -25,6 +25,7 @@
 import { TeamRateLimiter } from '@marigoldbank/routing/TeamRateLimiter';
 import { AddressBook } from '../AddressBook.js';
 import type { RankedAdmission } from './RankedAdmission.js';
+import type { EntryCapacity } from './EntryCapacity.js';
 import { ShutdownSchedule } from './ShutdownSchedule.js';
 
 /** Time without contact to the budget holder after which an entry limits teams to a part of its even share. */
@@ -92,6 +93,8 @@
 
   /** Shares of the requests that go to other data centres. */
   public readonly placements = new PlacementShares();
+  /** Waiting for slots and times to come back, undefined if the settings do not call for them. */
+  public capacity: EntryCapacity | undefined;
 
   private readonly planEmitter = new Emitter<RouteTable>();
 
--- a/packages/gateway/src/entry/entry-extensions.ts
+++ b/packages/gateway/src/entry/entry-extensions.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@marigoldbank/base/clock';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { GatewaySettings } from '../settings.js';
+import { CapacityExtension } from './CapacityExtension.js';
 import type { EntryExtension } from './EntryExtension.js';
 import type { EntryState } from './EntryState.js';
 import { EvacuationUpdates } from './EvacuationUpdates.js';
@@ -19,7 +20,9 @@
   const { settings, state } = ctx;
   return [
     new EvacuationUpdates(ctx),
-    ...(settings.overload?.rankedAdmission ? [new RankedAdmission(ctx)] : []),
+    ...(settings.overload?.rankedAdmission
+      ? [new RankedAdmission(ctx), new CapacityExtension(ctx)]
+      : []),
     ...(settings.placement?.crossingPrice === undefined
       ? []
       : [new PlacementFollower(state.placements, settings.dataCentre)]),
--- a/packages/gateway/src/testing/FakeFleet.ts
+++ b/packages/gateway/src/testing/FakeFleet.ts
@@ -165,7 +165,7 @@
   }
 
   private createHub(ip: string, dataCentre: string): FakeHub {
-    const settings = makeSettings(ip, dataCentre, this.options.crossingPrice);
+    const settings = makeSettings(ip, dataCentre, this.options);
     const stateMachine = new PlanStateMachine();
     const log = makeUnansweredLog(ip === LEADER_IP, this.ips);
     const clock = this.processClock();
@@ -250,13 +250,7 @@
   private createEntry(vm: string, dataCentre: string): FakeEntry {
     const clock = this.processClock();
     const seed = this.random.int(MAX_SEED);
-    const { entry, extensions } = makeEntry(
-      vm,
-      dataCentre,
-      clock,
-      new Random(seed),
-      this.options.crossingPrice,
-    );
+    const { entry, extensions } = makeEntry(vm, dataCentre, clock, new Random(seed), this.options);
     const { state, reporter } = entry;
     const seeds = this.hubs.slice(0, 3).map(({ address }) => address);
     const selector = new HubSelector(dataCentre, seeds, clock.now(), state.random.float());
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -39,7 +39,9 @@
   /** The entries start within this time. */
   readonly startWithinMs?: number;
   /** Price of a request to another data centre; without one, there is no placement. */
-  readonly crossingPrice?: number;
+  readonly crossingPrice?: number | undefined;
+  /** Setting of all processes, off if omitted. */
+  readonly overload?: GatewaySettings['overload'] | undefined;
 }
 
 export interface FakeHub {
@@ -90,9 +92,10 @@
 export function makeSettings(
   ip: string,
   dataCentre: string,
-  crossingPrice?: number,
+  { crossingPrice, overload }: Pick<FakeFleetOptions, 'crossingPrice' | 'overload'> = {},
 ): GatewaySettings {
   return gatewaySettingsSchema.parse({
+    overload,
     vm: `control-${ip}`,
     ip,
     dataCentre,
@@ -113,12 +116,12 @@
   dataCentre: string,
   clock: Clock,
   random: Random,
-  crossingPrice?: number,
+  options: Pick<FakeFleetOptions, 'crossingPrice' | 'overload'> = {},
 ): { readonly entry: FakeEntry; readonly extensions: readonly EntryExtension[] } {
   const logger = new NullLogger();
-  const settings = makeSettings(LEADER_IP, dataCentre, crossingPrice);
+  const settings = makeSettings(LEADER_IP, dataCentre, options);
   const bounds = { ratio: 0.2, slack: 188, windowMs: 10_000 };
-  const state = new EntryState(bounds, random, () => clock.now(), undefined, crossingPrice);
+  const state = new EntryState(bounds, random, () => clock.now(), undefined, options.crossingPrice);
   const isAccepting = (): Promise<boolean> => Promise.resolve(false);
   const reporter = new HubReporter(clock, state, logger, { isAccepting });
   const extensions = createEntryExtensions({ clock, logger, settings, state });
