--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -3,13 +3,15 @@
 import { USUAL_PACE } from '@marigoldbank/routing/load/TargetPaces';
 import { pickService } from '@marigoldbank/routing/RouteTable';
 import { FAILING_THRESHOLD, type Selection } from '@marigoldbank/routing/TargetSelector';
-import { coldHeldBackTotal } from '../metrics.js';
-import { CrossTraffic } from './CrossTraffic.js';
 import type { TargetState } from '@marigoldbank/routing/TargetTable';
+import { CrossTraffic } from './CrossTraffic.js';
+import { onAborted } from './abort.js';
 import { CapacityTurn } from './CapacityTurn.js';
+import { countHeldBack } from './held-back.js';
 import { stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import { noTargetError, overloadError } from './refusals.js';
-import type { RunContext, RunOutcome, RunRequest, UpstreamResponse } from './run-types.js';
+import type { Failures, RunContext, RunOutcome, RunRequest } from './run-types.js';
+import { NEVER, type RunEvent } from './run-events.js';
 import { SendAttempt, type AttemptResult } from './SendAttempt.js';
 import { watchForStall } from './stall.js';
 import { toUpstreamRequest } from './upstream-request.js';
@@ -34,25 +36,6 @@
 
 const FIRST_ERROR_STATUS = 500;
 
-type RunEvent =
-  | { readonly kind: 'result'; readonly attempt: SendAttempt; readonly result: AttemptResult }
-  | { readonly kind: 'stalled' }
-  | { readonly kind: 'due' }
-  | { readonly kind: 'stopped' }
-  | { readonly kind: 'gone' };
-
-const NEVER = new Promise<RunEvent>(() => {
-  // Stands for an event that never occurs.
-});
-
-/** Results of failed attempts, from which the final error response is made. */
-interface Failures {
-  notRun: string;
-  mayHaveRun: string | undefined;
-  /** Error response of a target, which is forwarded if no other target responds. */
-  errorResponse: { readonly response: UpstreamResponse; readonly attempt: SendAttempt } | undefined;
-}
-
 export class RequestRun {
   private readonly triedTargets = new Set<string>();
 
@@ -67,6 +50,7 @@
   private readonly service: string;
 
   private readonly crossTraffic: CrossTraffic;
+
   /** Undefined if requests do not wait for slots. */
   private readonly turn: CapacityTurn | undefined;
 
@@ -93,6 +77,11 @@
   ) {
     this.service = req.service ?? pickService(req.route, ctx.state.random.float());
     this.crossTraffic = new CrossTraffic(ctx.dataCentre);
+    this.turn = CapacityTurn.create(ctx, req, {
+      select: (among) => (this.mayPassOn() ? this.select(among) : undefined),
+      send: (selection) => this.send(selection),
+      timing: () => ({ service: this.service, dueAt: this.dueAt, expectedMs: this.expectedMs }),
+    });
   }
 
   /** Log fields about the targets that the request was sent to. */
@@ -288,10 +277,7 @@
       this.onGiveUp = () => resolve({ kind: 'stopped' });
       const remainingMs = Math.max(0, dueAt - clock.now());
       timers.push(clock.setTimeout(() => resolve({ kind: 'due' }), remainingMs));
-      const onAbort = (): void => resolve({ kind: 'gone' });
-      signal.addEventListener('abort', onAbort, { once: true });
-      timers.push({ dispose: () => signal.removeEventListener('abort', onAbort) });
-      if (signal.aborted) onAbort();
+      timers.push(onAborted(signal, () => resolve({ kind: 'gone' })));
     });
   }
 
@@ -343,10 +329,7 @@
       },
       now,
     );
-    if (state.limits.takeHeldBack() > 0) {
-      const outcome = selection === undefined ? 'refused' : 'sent elsewhere';
-      coldHeldBackTotal.inc({ service: this.service, outcome });
-    }
+    countHeldBack(state.limits, this.service, selection !== undefined);
     return selection;
   }
 
@@ -391,14 +374,9 @@
     const attempt = new SendAttempt(
       ctx,
       target,
-      toUpstreamRequest(req, target.info, ctx.names, {
+      toUpstreamRequest(ctx, req, target.info, {
         maxConnections: Math.max(MIN_CONNECTIONS, share),
         deadlineAt: this.dueAt,
-        // The request may wait for a connection until its deadline.
-        checkDispatch: () =>
-          state.evacuations.isEvacuated(target.info.dataCentre, ctx.clock.now())
-            ? { kind: 'leaseEnded' }
-            : undefined,
       }),
       () => duration.slowThresholdMs,
       req.route.isIdempotent,
--- a/packages/gateway/src/entry/run-types.ts
+++ b/packages/gateway/src/entry/run-types.ts
@@ -17,6 +17,14 @@
   | { readonly kind: 'refused'; readonly error: ErrorResponse }
   | { readonly kind: 'callerGone' };
 
+/** Results of failed attempts, from which the final error response is made. */
+export interface Failures {
+  notRun: string;
+  mayHaveRun: string | undefined;
+  /** Error response of a target, which is forwarded if no other target responds. */
+  errorResponse: { readonly response: UpstreamResponse; readonly attempt: SendAttempt } | undefined;
+}
+
 export interface RunRequest {
   readonly head: RequestHead;
   readonly body: Buffer;
--- a/packages/gateway/src/entry/upstream-request.ts
+++ b/packages/gateway/src/entry/upstream-request.ts
@@ -1,14 +1,13 @@
 /** The request that is sent to a target. */
 import type { UpstreamRequest } from '@marigoldbank/daemon/entry/UpstreamClient';
 import type { TargetInfo } from '@marigoldbank/routing/TargetTable';
-import type { HeaderNames } from '../ProtocolAdapter.js';
-import type { RunRequest } from './run-types.js';
+import type { RunContext, RunRequest } from './run-types.js';
 
 export function toUpstreamRequest(
+  { names, state, clock }: Pick<RunContext, 'names' | 'state' | 'clock'>,
   { head, body, team, signal }: RunRequest,
   target: TargetInfo,
-  names: HeaderNames,
-  limits: Pick<UpstreamRequest, 'maxConnections' | 'deadlineAt' | 'checkDispatch'>,
+  limits: Pick<UpstreamRequest, 'maxConnections' | 'deadlineAt'>,
 ): UpstreamRequest {
   return {
     ...limits,
@@ -24,5 +23,10 @@
     body,
     requestId: head.requestId,
     signal,
+    // The request may wait for a connection until its deadline.
+    checkDispatch: () =>
+      state.evacuations.isEvacuated(target.dataCentre, clock.now())
+        ? { kind: 'leaseEnded' }
+        : undefined,
   };
 }
