--- a/packages/gateway/src/control/LevelDistributor.ts
+++ b/packages/gateway/src/control/LevelDistributor.ts
@@ -8,7 +8,7 @@
 import { RankLevelPolicy } from '@marigoldbank/routing/load/RankLevelPolicy';
 import { rankedServices } from '@marigoldbank/routing/load/ranked-services';
 import { ServiceLoadTable } from '@marigoldbank/routing/load/ServiceLoadTable';
-import type { TargetPaces } from '@marigoldbank/routing/load/TargetPaces';
+import { USUAL_PACE, type TargetPaces } from '@marigoldbank/routing/load/TargetPaces';
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import { levelAdmittedShare } from '../metrics.js';
 import { DemandCounts } from '../sync/DemandCounts.js';
@@ -66,12 +66,14 @@
 
   private nextUpdateAt: number;
 
-  /** `paces` says how long targets take relative to others, and which part of their slots they use. */
-  public constructor(ctx: HubExtensionContext, paces: TargetPaces) {
+  /** `paces` says how long targets take relative to others, and which part of their slots they use. All are alike without it. */
+  public constructor(ctx: HubExtensionContext, paces?: TargetPaces) {
     super(ctx);
     const now = ctx.clock.now();
     this.load = new ServiceLoadTable(now, (id) =>
-      paces.paceOf({ id, born: ctx.targets.bornOf(id) }, ctx.clock.now()),
+      paces === undefined
+        ? USUAL_PACE
+        : paces.paceOf({ id, born: ctx.targets.bornOf(id) }, ctx.clock.now()),
     );
     this.tickedAt = now;
     // The first counts are those of few entries.
--- a/packages/gateway/src/control/hub-extensions.ts
+++ b/packages/gateway/src/control/hub-extensions.ts
@@ -7,8 +7,9 @@
 
 export function createHubExtensions(ctx: HubExtensionContext): readonly HubExtension[] {
   const { overload, placement } = ctx.settings;
-  const paces = overload?.rankedAdmission === true ? new TargetPaceExtension(ctx) : undefined;
-  const levels = paces === undefined ? undefined : new LevelDistributor(ctx, paces.paces);
+  const paces = overload?.slotQueue === true ? new TargetPaceExtension(ctx) : undefined;
+  const levels =
+    overload?.rankedAdmission === true ? new LevelDistributor(ctx, paces?.paces) : undefined;
   const crossingPrice = placement?.crossingPrice;
   return [
     new EvacuationDistributor(ctx),
--- a/packages/gateway/src/entry/entry-extensions.ts
+++ b/packages/gateway/src/entry/entry-extensions.ts
@@ -20,9 +20,8 @@
   const { settings, state } = ctx;
   return [
     new EvacuationUpdates(ctx),
-    ...(settings.overload?.rankedAdmission
-      ? [new RankedAdmission(ctx), new CapacityExtension(ctx)]
-      : []),
+    ...(settings.overload?.rankedAdmission === true ? [new RankedAdmission(ctx)] : []),
+    ...(settings.overload?.slotQueue === true ? [new CapacityExtension(ctx)] : []),
     ...(settings.placement?.crossingPrice === undefined
       ? []
       : [new PlacementFollower(state.placements, settings.dataCentre)]),
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -87,6 +87,12 @@
         .boolean()
         .default(false)
         .describe('Whether requests are refused by rank and team while demand exceeds the room.'),
+      slotQueue: z
+        .boolean()
+        .default(false)
+        .describe(
+          'Whether requests wait at entries for free slots of targets, by rank, and refusals name the time at which slots are expected.',
+        ),
     })
     .optional(),
   placement: z
