Count no room of targets in evacuated data centres

Levels, placement and waiting for slots counted the slots of all announced targets, while selection leaves out those of evacuated data centres: a fleet would have admitted more than the others can do. Seen by reading. Hubs and entries now have one filter each for targets that may get requests. Ruled out: marking these targets as leaving, which entries would remember beyond the end of the evacuation.

--- a/packages/gateway/src/control/HubTargets.ts
+++ b/packages/gateway/src/control/HubTargets.ts
@@ -114,6 +114,14 @@
     return sumSlots(this.registry.all().map(({ announcement }) => announcement));
   }
 
+  /** Targets that may get requests: those that do not leave, outside of evacuated data centres. */
+  public describeUsable(): TargetInit[] {
+    const evacuated = new Set(this.ctx.stateMachine.evacuations.evacuated);
+    return this.describeAll().filter(
+      ({ isDraining, dataCentre = '' }) => isDraining !== true && !evacuated.has(dataCentre),
+    );
+  }
+
   public describeAll(): TargetInit[] {
     return this.registry.all().map(({ announcement }) => this.describe(announcement.id)!);
   }
--- a/packages/gateway/src/control/LevelDistributor.ts
+++ b/packages/gateway/src/control/LevelDistributor.ts
@@ -136,11 +136,15 @@
   private listTargets(now: number): void {
     if (now - this.listedAt < TARGETS_INTERVAL_MS) return;
     this.listedAt = now;
-    const targets = this.ctx.targets.describeAll().map((target) => {
-      const { id = '', service = '', dataCentre = '', slots = 0, isDraining = false } = target;
-      return { id, service, dataCentre, slots, isDraining };
-    });
-    this.load.setTargets(targets.filter(({ isDraining }) => !isDraining));
+    const targets = this.ctx.targets
+      .describeUsable()
+      .map(({ id, service = '', dataCentre = '', slots = 0 }) => ({
+        id,
+        service,
+        dataCentre,
+        slots,
+      }));
+    this.load.setTargets(targets);
   }
 
   /** Share of the entries whose demand and load arrive here. */
--- a/packages/gateway/src/control/PlacementLoad.test.ts
+++ b/packages/gateway/src/control/PlacementLoad.test.ts
@@ -20,7 +20,7 @@
 /** Room in requests a second by data centre, after a while of the same load. */
 function roomsAfter({ inFlight, answers, failing }: Play): Record<string, number> {
   const targets = {
-    describeAll: () => TARGETS,
+    describeUsable: () => TARGETS,
     beliefs: () =>
       TARGETS.map(({ id }) => ({ id, failingProbability: id === failing ? 0.9 : 0.05 })),
   };
--- a/packages/gateway/src/control/PlacementLoad.ts
+++ b/packages/gateway/src/control/PlacementLoad.ts
@@ -18,7 +18,7 @@
 const MAX_PACE = 4;
 
 export interface PlacementLoadContext {
-  readonly targets: Pick<HubTargets, 'describeAll' | 'beliefs'>;
+  readonly targets: Pick<HubTargets, 'describeUsable' | 'beliefs'>;
   /** Requests of all entries in flight at a target. */
   readonly inFlight: (target: string) => number;
 }
@@ -96,14 +96,13 @@
     const failing = new Map(
       this.ctx.targets.beliefs(now).map(({ id, failingProbability }) => [id, failingProbability]),
     );
-    const described = this.ctx.targets.describeAll();
+    const described = this.ctx.targets.describeUsable();
     this.sites.forEach((site) => Object.assign(site, { slots: 0, inFlight: 0 }));
     this.targets = new Map(
-      described.map(({ id, service = '', dataCentre = '', slots = 0, isDraining = false }) => {
+      described.map(({ id, service = '', dataCentre = '', slots = 0 }) => {
         const site = this.siteOf(service, dataCentre);
         site.inFlight += this.ctx.inFlight(id);
-        const isUsable = !isDraining && (failing.get(id) ?? 0) < FAILING_THRESHOLD;
-        if (isUsable) site.slots += slots;
+        if ((failing.get(id) ?? 0) < FAILING_THRESHOLD) site.slots += slots;
         return [id, { site, slots }];
       }),
     );
--- a/packages/gateway/src/entry/CapacityExtension.ts
+++ b/packages/gateway/src/entry/CapacityExtension.ts
@@ -14,11 +14,11 @@
 
   public constructor({ clock, state }: { readonly clock: Clock; readonly state: EntryState }) {
     super();
-    const { targets, notices, random } = state;
+    const { targets, targetFilter, random } = state;
     this.capacity = new EntryCapacity({
       clock,
       targets,
-      notices,
+      filter: targetFilter,
       random,
       entryCount: () => state.entryCount,
       isFollowingHub: (now) => state.isFollowingHub(now),
--- a/packages/gateway/src/entry/EntryCapacity.ts
+++ b/packages/gateway/src/entry/EntryCapacity.ts
@@ -18,8 +18,11 @@
   type WaitingRequest,
   type WaitOutcome,
 } from '@marigoldbank/routing/load/WaitingRequests';
-import type { TargetNotices } from '@marigoldbank/routing/TargetNotices';
-import { expectedWaitMs, type Selection } from '@marigoldbank/routing/TargetSelector';
+import {
+  expectedWaitMs,
+  type ITargetFilter,
+  type Selection,
+} from '@marigoldbank/routing/TargetSelector';
 import type { TargetState, TargetTable } from '@marigoldbank/routing/TargetTable';
 import { refusalsTotal, returnSeconds, slotWaitSeconds, waitingRequests } from '../metrics.js';
 import { DEFAULT_RETRY_AFTER_MS, type ErrorResponse } from './ErrorResponse.js';
@@ -66,7 +69,7 @@
 export interface EntryCapacityContext {
   readonly clock: Clock;
   readonly targets: TargetTable;
-  readonly notices: Pick<TargetNotices, 'isUsable'>;
+  readonly filter: ITargetFilter;
   readonly random: Random;
   readonly entryCount: () => number;
   readonly isFollowingHub: (now: number) => boolean;
@@ -230,12 +233,12 @@
   }
 
   private roomOf(service: string, expectedMs: number, now: number): EntryRoom {
-    const { targets, notices, entryCount } = this.ctx;
+    const { targets, filter, entryCount } = this.ctx;
     const known = this.totals.get(service);
     if (known !== undefined && now - known.at < ROOM_AGE_MS) {
       return estimateRoom(known.totals, expectedMs, entryCount());
     }
-    const usable = targets.candidates(service).filter(({ info }) => notices.isUsable(info, now));
+    const usable = targets.candidates(service).filter(({ info }) => filter.isUsable(info, now));
     const totals = measureSlots(usable, now, this.paces);
     this.totals.set(service, { totals, at: now });
     return estimateRoom(totals, expectedMs, entryCount());
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -21,7 +21,7 @@
 import { TargetLimits } from '@marigoldbank/routing/TargetLimits';
 import { TargetTable } from '@marigoldbank/routing/TargetTable';
 import { TargetNotices } from '@marigoldbank/routing/TargetNotices';
-import { TargetSelector } from '@marigoldbank/routing/TargetSelector';
+import { TargetSelector, type ITargetFilter } from '@marigoldbank/routing/TargetSelector';
 import { TeamRateLimiter } from '@marigoldbank/routing/TeamRateLimiter';
 import { AddressBook } from '../AddressBook.js';
 import type { RankedAdmission } from './RankedAdmission.js';
@@ -88,6 +88,12 @@
 
   public readonly suspects = new PoisonTable();
 
+  /** Targets that may get requests: not leaving, not pausing, and outside of evacuated data centres. */
+  public readonly targetFilter: ITargetFilter = {
+    isUsable: (info, now) =>
+      !this.evacuations.isEvacuated(info.dataCentre, now) && this.notices.isUsable(info, now),
+  };
+
   /** Admission by rank, undefined if the settings do not enable it. */
   public rankedAdmission: RankedAdmission | undefined;
 
@@ -140,10 +146,7 @@
       random,
       this.limits,
       crossingPrice === undefined ? undefined : new PlacedSample(random, this.placements),
-      {
-        isUsable: (info, now) =>
-          !this.evacuations.isEvacuated(info.dataCentre, now) && this.notices.isUsable(info, now),
-      },
+      this.targetFilter,
       crossingPrice,
     );
     this.retryLimiter = new RetryLimiter(bounds);
