Count refused requests for the retry budget of their service

While all targets of a service reject half of what arrives, the retry budget decides how many requests are answered. Only requests that were sent to a target earned retries, although the bound counts all that callers send.

Ruled out: letting the whole window before count, since retries shortly after a surge could exceed what a later window earns.

--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -6,8 +6,9 @@
 import { DisposableStore, type IDisposable } from '@marigoldbank/base/lifecycle';
 import type { EntryReport, HubRelay } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { Announcement } from '../announcement.js';
-import { ipOf, syncAddress } from '../settings.js';
+import { ipOf, retryBudgetLimits, syncAddress } from '../settings.js';
 import { toVersion } from '../sync/plan-version.js';
+import { earningRequests } from '../sync/service-use.js';
 import { AdvertisedEntries } from './AdvertisedEntries.js';
 import { RelayHandler } from './RelayHandler.js';
 import { RetryBudgets } from './RetryBudgets.js';
@@ -88,12 +89,7 @@
   public constructor(private readonly ctx: HubContext) {
     super();
     const { settings, clock, stateMachine } = ctx;
-    const { retryRatio, retrySlack, retryWindow } = settings.bounds;
-    this.retryBudgets = new RetryBudgets({
-      ratio: retryRatio,
-      slack: retrySlack,
-      windowMs: retryWindow,
-    });
+    this.retryBudgets = new RetryBudgets(retryBudgetLimits(settings));
     this.peers = this.add(
       new HubPeers({
         ...ctx,
@@ -238,9 +234,9 @@
     this.limits.addFromEntry(report.limits, now);
     this.suspects.addFromEntry(report.suspects, now);
     this.extensions.forEach((extension) => extension.handleReport?.(identity, report, now));
-    report.uses.forEach(({ service, requests, repeats }) => {
-      this.retryBudgets.add(service, requests, repeats, now);
-      this.peers.links.forEach((link) => link.addUse(service, requests, repeats));
+    report.uses.forEach((use) => {
+      this.retryBudgets.add(use.service, earningRequests(use), use.repeats, now);
+      this.peers.links.forEach((link) => link.addUse(use));
     });
     this.tokenRequests.chargeUses(report.teams, now);
     this.tokenRequests.answerEntry(identity.vm, report.tokens, now);
--- a/packages/gateway/src/control/RelayHandler.ts
+++ b/packages/gateway/src/control/RelayHandler.ts
@@ -10,6 +10,7 @@
 import type { PeerHub } from './PeerHub.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { SuspectDistributor } from './SuspectDistributor.js';
+import { earningRequests } from '../sync/service-use.js';
 import { usedOf } from '../sync/team-use.js';
 import { toAnnouncement } from './targets-codec.js';
 import type { TeamBudgets } from './TeamBudgets.js';
@@ -50,8 +51,8 @@
     );
     limits.addFromHub(relay.limits, now);
     suspects.addFromHub(relay.suspects, now);
-    relay.uses.forEach(({ service, requests, repeats }) =>
-      retryBudgets.add(service, requests, repeats, now),
+    relay.uses.forEach((use) =>
+      retryBudgets.add(use.service, earningRequests(use), use.repeats, now),
     );
     relay.teams.forEach((use) => teamBudgets.charge(use.team, usedOf(use), now));
     tokenRequests.answerHub(peer, relay.tokens, now);
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -18,6 +18,7 @@
 import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
+import { addServiceUse, type ServiceUseCounts } from '../sync/service-use.js';
 import { toTeamUse } from '../sync/team-use.js';
 import { toSuspectMessage } from '../sync/suspect-codec.js';
 import { URGENT_FLUSH_MS } from './EntrySession.js';
@@ -47,11 +48,6 @@
   readonly refOf: (target: string) => number | undefined;
 }
 
-interface UseCounts {
-  requests: number;
-  repeats: number;
-}
-
 export class RelayLink implements IDisposable {
   private queue: MessageQueue<HubRelayInit> | undefined;
 
@@ -63,7 +59,7 @@
 
   private readonly suspects = new Map<string, SuspectStatement>();
 
-  private readonly usesByService = new Map<string, UseCounts>();
+  private readonly usesByService = new Map<string, ServiceUseCounts>();
 
   private readonly usedByTeam = new Map<string, number>();
 
@@ -112,12 +108,9 @@
     this.batcher.request(FLUSH_MS);
   }
 
-  public addUse(service: string, requests: number, repeats: number): void {
-    const known = this.usesByService.get(service) ?? { requests: 0, repeats: 0 };
-    this.usesByService.set(service, {
-      requests: known.requests + requests,
-      repeats: known.repeats + repeats,
-    });
+  public addUse({ service, ...counts }: ServiceUseCounts & { readonly service: string }): void {
+    const known = this.usesByService.get(service);
+    this.usesByService.set(service, known === undefined ? counts : addServiceUse(known, counts));
     this.batcher.request(FLUSH_MS);
   }
 
--- a/packages/gateway/src/entry/CallerServer.ts
+++ b/packages/gateway/src/entry/CallerServer.ts
@@ -5,7 +5,7 @@
 import { CallerConnection } from '@marigoldbank/daemon/entry/CallerConnection';
 import { parseAddress } from '@marigoldbank/daemon/transport/InternalServer';
 import type { Route, Team } from '@marigoldbank/routing/plan';
-import type { RouteTable } from '@marigoldbank/routing/RouteTable';
+import { pickService, type RouteTable } from '@marigoldbank/routing/RouteTable';
 import { requestSeconds, requestsTotal } from '../metrics.js';
 import { ActiveRequests } from './ActiveRequests.js';
 import { BodyReader, type BodyContext, DEFAULT_DEADLINE_MS, timeoutOf } from './BodyReader.js';
@@ -210,6 +210,7 @@
     const { route, team } = admission.admitted;
     const dueAt = tx.receivedAt + timeoutOf(head, route);
     const ranked = state.rankedAdmission?.decide(route, team, dueAt);
+    const service = this.countOffered(route, ranked?.service);
     if (ranked?.error !== undefined) {
       ctx.reporter.requestReport();
       await this.writeError(tx, head, route, ranked.error);
@@ -236,7 +237,19 @@
       await this.writeError(tx, head, route, error);
       return;
     }
-    await this.forward(tx, head, body, fingerprint, admission.admitted, ranked?.service);
+    await this.forward(tx, head, body, fingerprint, admission.admitted, service);
+  }
+
+  /**
+   * Counts a request at its service if the retry budget calls for it, whatever becomes of the request. `service` is the one
+   * that has been picked for it; if none has been, picks and returns one.
+   */
+  private countOffered(route: Route, service: string | undefined): string | undefined {
+    const { state, reporter } = this.ctx;
+    if (!state.retryLimiter.countsOffered) return service;
+    const counted = service ?? pickService(route, state.random.float());
+    reporter.countOffered(counted);
+    return counted;
   }
 
   /** Looks up route and team. If the plan is not confirmed, an unknown route or key may exist in a newer one. */
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -17,6 +17,7 @@
   INTERNAL_SECRET,
   ipOf,
   metricsAddress,
+  retryBudgetLimits,
   syncAddress,
   type GatewaySettings,
 } from '../settings.js';
@@ -81,10 +82,9 @@
     private readonly logger: Logger,
   ) {
     super();
-    const { retryRatio, retrySlack, retryWindow } = settings.bounds;
     const clients = this.add(new SyncClients());
     this.state = new EntryState(
-      { ratio: retryRatio, slack: retrySlack, windowMs: retryWindow },
+      retryBudgetLimits(settings),
       undefined,
       undefined,
       coldBoundsOf(settings),
--- a/packages/gateway/src/entry/HubReporter.ts
+++ b/packages/gateway/src/entry/HubReporter.ts
@@ -14,6 +14,7 @@
 import { EvidenceBuffer, type PaceDetail } from '../sync/EvidenceBuffer.js';
 import { toLimitMessage } from '../sync/limit-codec.js';
 import { SendWindow } from '../sync/SendWindow.js';
+import { addServiceUse, earningRequests, type ServiceUseCounts } from '../sync/service-use.js';
 import { toTeamUse } from '../sync/team-use.js';
 import { toSuspectMessage, type SuspectRequestInit } from '../sync/suspect-codec.js';
 import { takeReportFields, type EntryExtension } from './EntryExtension.js';
@@ -42,11 +43,6 @@
   /** The budget holder did not answer in time. */
   | { readonly kind: 'unanswered' };
 
-interface ServiceUseCounts {
-  requests: number;
-  repeats: number;
-}
-
 export class HubReporter implements IDisposable {
   private readonly evidence = new EvidenceBuffer();
 
@@ -231,14 +227,19 @@
     this.state.targets.recordConnected(id);
   }
 
-  /** Counts a request for a service. */
+  /** Counts a request that a caller has sent on a route to a service. */
+  public countOffered(service: string): void {
+    this.count(service, { requests: 0, repeats: 0, offered: 1 });
+  }
+
+  /** Counts a request that is sent to a target of a service. */
   public countRequest(service: string): void {
-    this.count(service, 1, 0);
+    this.count(service, { requests: 1, repeats: 0, ...this.noneOffered });
   }
 
   /** Counts a request that is sent to another target. */
   public countRetry(service: string): void {
-    this.count(service, 0, 1);
+    this.count(service, { requests: 0, repeats: 1, ...this.noneOffered });
   }
 
   /** Counts a request of a team that was admitted without a token. */
@@ -367,12 +368,15 @@
     else this.isHeld = true;
   }
 
-  private count(service: string, requests: number, retries: number): void {
-    const use = this.uses.get(service) ?? { requests: 0, repeats: 0 };
-    use.requests += requests;
-    use.repeats += retries;
-    this.uses.set(service, use);
-    this.state.retryLimiter.count(service, requests, retries, this.clock.now());
+  private get noneOffered(): { readonly offered?: number } {
+    return this.state.retryLimiter.countsOffered ? { offered: 0 } : {};
+  }
+
+  private count(service: string, counts: ServiceUseCounts): void {
+    const known = this.uses.get(service);
+    this.uses.set(service, known === undefined ? counts : addServiceUse(known, counts));
+    const { retryLimiter } = this.state;
+    retryLimiter.count(service, earningRequests(counts), counts.repeats, this.clock.now());
     this.batcher.request(FLUSH_MS);
   }
 }
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -12,6 +12,7 @@
 import { noTargetError, overloadError } from './refusals.js';
 import type { Failures, RunContext, RunOutcome, RunRequest } from './run-types.js';
 import { NEVER, type RunEvent } from './run-events.js';
+import { retryValueOf } from './retry-value.js';
 import { SendAttempt, type AttemptResult } from './SendAttempt.js';
 import { watchForStall } from './stall.js';
 import { toUpstreamRequest } from './upstream-request.js';
@@ -28,9 +29,6 @@
  */
 const TIMER_SLACK_MS = 5;
 
-/** Requests with a priority up to this number may use the part of the retry budget that is kept for urgent ones. */
-const URGENT_PRIORITY = 1;
-
 /** The connections to one target are divided among the entries, but each may open at least this many. */
 const MIN_CONNECTIONS = 4;
 
@@ -336,19 +334,18 @@
   /** Selects a further target if the limits of the route, the time left and the retry budget allow one. */
   private selectNext(): Selection | undefined {
     const { state, clock } = this.ctx;
-    const { route, priority } = this.req;
+    const { route } = this.req;
     const now = clock.now();
     if (this.hasGivenUp || !this.mayPassOn()) return undefined;
     if (this.possibleRuns >= route.maxTargets || this.sends >= MAX_SENDS) return undefined;
     if (this.dueAt - now < MIN_SEND_MS) return undefined;
     if (this.possibleArrivals === 0) return this.select();
     if (this.isSuspected()) return undefined;
-    const isUrgent = priority <= URGENT_PRIORITY;
+    const { retryLimiter, entryCount } = state;
+    const value = retryValueOf(this.req, this.expectedMs, retryLimiter.countsOffered, now);
     const isConnected = state.isFollowingHub(now);
-    if (!state.retryLimiter.mayRetry(this.service, isUrgent, state.entryCount, isConnected, now)) {
-      return undefined;
-    }
-    return this.select();
+    const mayRetry = retryLimiter.mayRetry(this.service, value, entryCount, isConnected, now);
+    return mayRetry ? this.select() : undefined;
   }
 
   /** Whether targets may have ended under the request, so that it is not sent to a further one on its own account. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of a gateway process and the addresses derived from them. */
+import type { RetryBudgetLimits } from '@marigoldbank/routing/RetryWindow';
 import type { ColdBounds } from '@marigoldbank/routing/sharedRate';
 import { z } from 'zod';
 import { durationMs } from './durations.js';
@@ -93,6 +94,12 @@
         .describe(
           'Whether requests wait at entries for free slots of targets, by rank, and refusals name the time at which slots are expected.',
         ),
+      offeredRetryBudget: z
+        .boolean()
+        .default(false)
+        .describe(
+          'Whether requests that no target got, such as those beyond the rate of a team, count for the retry budget of their service.',
+        ),
     })
     .optional(),
   placement: z
@@ -118,6 +125,15 @@
   return { overshoot: overshoot ?? 1, slack: slack ?? 0 };
 }
 
+/** Limits of the retries of each service. */
+export function retryBudgetLimits({
+  bounds: { retryRatio, retrySlack, retryWindow },
+  overload,
+}: Pick<GatewaySettings, 'bounds' | 'overload'>): RetryBudgetLimits {
+  const countsOffered = overload?.offeredRetryBudget === true;
+  return { ratio: retryRatio, slack: retrySlack, windowMs: retryWindow, countsOffered };
+}
+
 /** Internal traffic runs on an isolated network; the secret only distinguishes services. */
 export const INTERNAL_SECRET = 'internal';
 
--- a/packages/routing/src/RetryLimiter.ts
+++ b/packages/routing/src/RetryLimiter.ts
@@ -1,11 +1,14 @@
 /** Limits retries to the budget of a service, which all entries share. */
 import { RetryWindow, type RetryBudgetLimits } from './RetryWindow.js';
 
-/** Used fraction at which all retries stop. It covers retries of entries that have lost their own counts by a restart. */
-const URGENT_MAX_USE = 0.9;
+/** What a retry is worth: `late` ones would most likely be answered after the objective of their request. */
+export type RetryValue = 'urgent' | 'usual' | 'late';
 
-/** Used fraction at which retries of other requests stop, so that some of the budget is left for urgent ones. */
-const NON_URGENT_MAX_USE = 0.8;
+/**
+ * Used fraction at which retries stop, so that some of the budget is left for those that are worth more. The rest covers
+ * retries of entries that have lost their own counts by a restart.
+ */
+const MAX_USE: Readonly<Record<RetryValue, number>> = { urgent: 0.9, usual: 0.8, late: 0.5 };
 
 /**
  * Used fraction of its own share of the budget at which an entry stops, whatever the fleet-wide value is. That value is
@@ -28,6 +31,11 @@
 
   public constructor(private readonly limits: RetryBudgetLimits) {}
 
+  /** Whether requests that no target got count for the budget. */
+  public get countsOffered(): boolean {
+    return this.limits.countsOffered === true;
+  }
+
   /** Sets the fleet-wide used fraction of the budget of a service. */
   public setFleetUse(service: string, used: number, now: number): void {
     this.fleetUses.set(service, { used, receivedAt: now });
@@ -46,12 +54,12 @@
    */
   public mayRetry(
     service: string,
-    isUrgent: boolean,
+    value: RetryValue,
     entryCount: number,
     isConnected: boolean,
     now: number,
   ): boolean {
-    const maxUse = isUrgent ? URGENT_MAX_USE : NON_URGENT_MAX_USE;
+    const maxUse = MAX_USE[value];
     const ownUse = this.windowOf(service).usedFraction(now, 1 / Math.max(1, entryCount), 1);
     const fleetUse = this.fleetUses.get(service);
     const hasFleetUse =
--- a/packages/routing/src/RetryWindow.ts
+++ b/packages/routing/src/RetryWindow.ts
@@ -3,6 +3,9 @@
 /** Number of time buckets that the window is divided into. */
 const BUCKETS = 20;
 
+/** Buckets between the window and the earlier one whose requests may count instead. */
+const EARLIER_BUCKETS = BUCKETS / 2;
+
 interface Bucket {
   index: number;
   requests: number;
@@ -14,6 +17,11 @@
   readonly ratio: number;
   readonly slack: number;
   readonly windowMs: number;
+  /**
+   * Whether requests that no target got count as well. The bound of the platform then also lets those of the window half its
+   * length before count, if they are more.
+   */
+  readonly countsOffered?: boolean;
 }
 
 export class RetryWindow {
@@ -41,18 +49,33 @@
     const index = this.bucketIndexAt(now);
     this.expireBuckets(index);
     // The oldest bucket is partly outside of the window. Its retries count, its requests earn nothing.
-    const requests = this.buckets
-      .filter((bucket) => bucket.index > index - BUCKETS)
-      .reduce((sum, bucket) => sum + bucket.requests, 0);
-    const retries = this.buckets.reduce((sum, bucket) => sum + bucket.retries, furtherRetries);
+    const retries = this.buckets
+      .filter((bucket) => bucket.index >= index - BUCKETS)
+      .reduce((sum, bucket) => sum + bucket.retries, furtherRetries);
+    const requests = this.earningRequests(index);
     return retries / (this.limits.ratio * requests + this.limits.slack * slackFraction);
   }
 
+  private earningRequests(index: number): number {
+    const recent = this.requestsBetween(index - BUCKETS + 1, index);
+    if (this.limits.countsOffered !== true) return recent;
+    // The newest bucket of the earlier window is partly outside of it.
+    const to = index - EARLIER_BUCKETS;
+    return Math.max(recent, this.requestsBetween(to - BUCKETS + 1, to - 1));
+  }
+
+  private requestsBetween(from: number, to: number): number {
+    return this.buckets
+      .filter((bucket) => bucket.index >= from && bucket.index <= to)
+      .reduce((sum, bucket) => sum + bucket.requests, 0);
+  }
+
   private bucketIndexAt(now: number): number {
     return Math.floor((now * BUCKETS) / this.limits.windowMs);
   }
 
   private expireBuckets(index: number): void {
-    while ((this.buckets[0]?.index ?? index) < index - BUCKETS) this.buckets.shift();
+    const kept = this.limits.countsOffered === true ? BUCKETS + EARLIER_BUCKETS : BUCKETS;
+    while ((this.buckets[0]?.index ?? index) < index - kept) this.buckets.shift();
   }
 }
