Put a price on all traffic between data centres, by bytes

Changes of the plan were replicated as document and plan, uncompressed.

- Hubs weigh the bytes of a service: an upload stays where a lookup leaves its data centre.
- Commands are compressed once, when they are proposed.
Compression of the messages was ruled out: it takes turns of a busy event loop.
- Hubs hold back outcomes at targets that the entries of the receiver do not use, for 400 ms, and counts of requests for 200 ms.
Failures and all that a share in force concerns go at once.
- Retries: a request goes to a target that most likely fails only while the retry budget lets another attempt follow.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -135,6 +135,11 @@
       'n/hashbang': 'off',
     },
   },
+  {
+    // Compression beside the event loop takes several of its turns, which are late on a busy control VM.
+    files: ['packages/gateway/src/control/command-codec.ts'],
+    rules: { 'n/no-sync': ['error', { ignores: ['deflateRawSync', 'inflateRawSync'] }] },
+  },
   {
     // node:test returns promises that the runner itself awaits.
     files: ['**/*.test.ts'],
--- a/packages/gateway/src/control/CommandSubmitter.ts
+++ b/packages/gateway/src/control/CommandSubmitter.ts
@@ -11,7 +11,7 @@
 import type { LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
 import type { IReplicatedLog, Member } from '@marigoldbank/replicated-log';
 import { isNewerVersion } from '@marigoldbank/routing/plan';
-import { commandKey, encodeCommand, readPlanVersion, type CommandInit } from './commands.js';
+import { commandKey, readPlanVersion, type CommandInit } from './commands.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 
 /** Interval at which commands without an outcome are checked and sent again where that is due. */
@@ -62,6 +62,8 @@
     'current' | 'isInEffect' | 'onDidApply' | 'onDidRestore'
   >;
   readonly logger: Logger;
+  /** How commands are stored and sent to other members. */
+  readonly encode: (command: CommandInit) => Uint8Array;
   readonly clientOf: (address: string) => Pick<Client<typeof LogService>, 'submit'>;
 }
 
@@ -144,7 +146,7 @@
     const submission: Submission = {
       key,
       command,
-      data: encodeCommand(command),
+      data: this.ctx.encode(command),
       settle: new Emitter<SubmitOutcome>(),
       waiters: 0,
       pursueUntil: 0,
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -28,6 +28,7 @@
   type GatewaySettings,
 } from '../settings.js';
 import { LOG_CHANNELS } from './channel-options.js';
+import { commandEncoder } from './command-codec.js';
 import { CommandSubmitter } from './CommandSubmitter.js';
 import { DirectoryClient } from '../sync/DirectoryClient.js';
 import { ControlApi } from './ControlApi.js';
@@ -123,7 +124,8 @@
       seeds: () => this.seedAddresses(),
       clientOf,
     });
-    const submitter = new CommandSubmitter({ clock, log, stateMachine, logger, clientOf });
+    const encode = commandEncoder(settings);
+    const submitter = new CommandSubmitter({ clock, log, stateMachine, logger, encode, clientOf });
     this.submitter = submitter;
     this.confirmation = confirmation;
     this.feed = feed;
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -89,7 +89,9 @@
   public constructor(private readonly ctx: HubContext) {
     super();
     const { settings, clock, stateMachine } = ctx;
-    this.retryBudgets = new RetryBudgets(retryBudgetLimits(settings));
+    this.retryBudgets = new RetryBudgets(
+      retryBudgetLimits(settings, () => stateMachine.current?.plan),
+    );
     this.peers = this.add(
       new HubPeers({
         ...ctx,
@@ -100,6 +102,10 @@
         snapshot: () => this.messages.forPeer(),
         ownInFlight: (target) => this.evidence.ownInFlight(target),
         refOf: (target) => this.targets.refs.refOf(target),
+        canWait: (target, dataCentre) =>
+          this.extensions.some((extension) => extension.canWait?.(target, dataCentre) === true),
+        isPriced: () =>
+          this.extensions.some((extension) => extension.isCrossingPriced?.() === true),
       }),
     );
     this.freshness = new HubFreshness({
--- a/packages/gateway/src/control/HubExtension.ts
+++ b/packages/gateway/src/control/HubExtension.ts
@@ -35,6 +35,12 @@
 export abstract class HubExtension {
   public constructor(protected readonly ctx: HubExtensionContext) {}
 
+  /** Whether traffic to other data centres has a price, so that counts are sent there less often. */
+  public isCrossingPriced?(): boolean;
+
+  /** Whether outcomes at a target can reach the hubs of another data centre later than usual. */
+  public canWait?(target: string, dataCentre: string): boolean;
+
   /** State for an entry that has connected. */
   public forEntry?(identity: EntryIdentity): UpdateFields;
 
--- a/packages/gateway/src/control/HubPeers.ts
+++ b/packages/gateway/src/control/HubPeers.ts
@@ -39,6 +39,10 @@
   readonly ownInFlight: (target: string) => number;
   /** Number of a target, undefined if it was removed. */
   readonly refOf: (target: string) => number | undefined;
+  /** Whether outcomes at a target can reach the hubs of another data centre later than usual. */
+  readonly canWait: (target: string, dataCentre: string) => boolean;
+  /** Whether traffic to another data centre has a price. */
+  readonly isPriced: () => boolean;
 }
 
 export class HubPeers implements IDisposable {
@@ -175,7 +179,7 @@
   /** Connects to a hub that is not known yet. */
   public connect(address: string, dataCentre: string): void {
     if (address === this.ownAddress || this.peers.has(address) || address === '') return;
-    this.peers.set(address, {
+    const peer: PeerHub = {
       address,
       dataCentre,
       lastMessageAt: -Infinity,
@@ -183,10 +187,21 @@
       report: undefined,
       takesTokenOrders: false,
       refs: new TargetRefs(),
-    });
+    };
+    this.peers.set(address, peer);
     const { clock, logger, pace, clientOf, snapshot, ownInFlight, refOf } = this.ctx;
-    const source = { clock, logger, pace, snapshot, ownInFlight, refOf };
-    const link = new RelayLink(address, clientOf(address), source);
+    const isElsewhere = (): boolean =>
+      peer.dataCentre !== '' && peer.dataCentre !== this.ctx.settings.dataCentre;
+    const link = new RelayLink(address, clientOf(address), {
+      clock,
+      logger,
+      pace,
+      snapshot,
+      ownInFlight,
+      refOf,
+      canWait: (target) => isElsewhere() && this.ctx.canWait(target, peer.dataCentre),
+      isPriced: () => isElsewhere() && this.ctx.isPriced(),
+    });
     this.linksByAddress.set(address, link);
     link.run().catch((err: unknown) => {
       logger.error('relay to another hub failed', { hub: address, error: String(err) });
--- a/packages/gateway/src/control/PlacementDistributor.ts
+++ b/packages/gateway/src/control/PlacementDistributor.ts
@@ -1,10 +1,13 @@
 /** Decides twice a second how many requests go to other data centres, and tells the entries of this hub. */
 import type { EntryReport, HubRelay } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
+import { CrossingPrices } from '@marigoldbank/routing/load/CrossingPrices';
 import { dataCentreLoads } from '@marigoldbank/routing/load/DataCentreLoad';
 import { PlacementPolicy } from '@marigoldbank/routing/load/PlacementPolicy';
+import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import type { ShareRow } from '@marigoldbank/routing/load/planCrossings';
 import type { IServiceLoad } from '@marigoldbank/routing/load/types';
 import { placementShare } from '../metrics.js';
+import { appliesTo, type PlanScope } from '../plan-scope.js';
 import type { EntryIdentity } from './EntryRegistry.js';
 import { HubExtension, type HubExtensionContext, type UpdateFields } from './HubExtension.js';
 import type { PeerHub } from './PeerHub.js';
@@ -33,6 +36,8 @@
 export class PlacementDistributor extends HubExtension {
   private readonly policy: PlacementPolicy;
 
+  private readonly prices: CrossingPrices;
+
   private readonly paths: PlacementPaths;
 
   /** Knows the targets; also counts demand while no other part of the hub does. */
@@ -47,23 +52,44 @@
   /** Shares by service and data centre, as entries were last told. */
   private readonly sent = new Map<string, Map<string, ShareRow>>();
 
-  private readonly startedAt: number;
+  /** Monotonic ms of the first plan that called for this part. */
+  private startedAt: number | undefined;
 
-  private nextDecisionAt: number;
+  private nextDecisionAt = -Infinity;
 
   /** Without `load`, demand and room are derived from what entries report in any case. */
   public constructor(
     ctx: HubExtensionContext,
     crossingPrice: number,
+    private readonly plans: PlanScope,
     private readonly load?: IServiceLoad,
   ) {
     super(ctx);
     this.policy = new PlacementPolicy(crossingPrice);
+    this.prices = new CrossingPrices(crossingPrice);
     this.paths = new PlacementPaths(ctx.settings.dataCentre, ctx.entries);
     this.ownLoad = new PlacementLoad(ctx);
-    this.startedAt = ctx.clock.now();
+  }
+
+  public override isCrossingPriced(): boolean {
+    return this.startedAt !== undefined;
+  }
+
+  /** Entries of a data centre use targets of another one only by the shares that are in force there. */
+  public override canWait(target: string, dataCentre: string): boolean {
+    const site = this.ownLoad.siteOfTarget(target);
+    if (site === undefined || site.dataCentre === dataCentre) return false;
+    const row = this.sent.get(site.service)?.get(dataCentre);
+    return row !== undefined && !row.has(site.dataCentre);
+  }
+
+  /** Starts with the first plan that calls for it. It goes on under later ones, as entries keep to their shares. */
+  public override planChanged(plan: RoutingPlan): void {
+    if (this.startedAt !== undefined || !appliesTo(this.plans, plan)) return;
+    const { clock, targets } = this.ctx;
+    this.startedAt = clock.now();
     this.nextDecisionAt = this.startedAt;
-    ctx.targets.onDidObserve((evidence) => this.ownLoad.observe(evidence, ctx.clock.now()));
+    targets.onDidObserve((evidence) => this.ownLoad.observe(evidence, clock.now()));
   }
 
   public override forEntry({ dataCentre }: EntryIdentity): UpdateFields {
@@ -74,8 +100,17 @@
   }
 
   public override handleReport(identity: EntryIdentity, report: EntryReport, now: number): void {
+    if (this.startedAt === undefined) return;
     const { dataCentre } = identity;
-    this.paths.noteReport(dataCentre, report, (id) => this.ownLoad.dataCentreOf(id), now);
+    this.paths.noteReport(
+      dataCentre,
+      report,
+      (id) => this.ownLoad.siteOfTarget(id)?.dataCentre,
+      now,
+    );
+    report.traffic.forEach(({ service, requests, bytes }) =>
+      this.prices.add(service, requests, bytes, now),
+    );
     if (this.load !== undefined) return;
     report.uses.forEach(({ service, requests }) => {
       if (requests === 0) return;
@@ -87,6 +122,7 @@
   }
 
   public override handleRelay(relay: HubRelay, peer: PeerHub, now: number): void {
+    if (this.startedAt === undefined) return;
     this.paths.noteRelay(relay, peer, now);
     if (this.load !== undefined) return;
     relay.demand.forEach(({ service, dataCentre, offered }) =>
@@ -95,6 +131,7 @@
   }
 
   public override tick(now: number): void {
+    if (this.startedAt === undefined) return;
     this.ownLoad.sample();
     if (this.unsent.size > 0) this.ctx.sendToHubs({ demand: [...this.unsent.values()] });
     this.unsent.clear();
@@ -118,7 +155,8 @@
       if (dataCentres.every(({ slots }) => slots === 0)) return;
       const pathOf = (from: string, to: string): ReturnType<PlacementPaths['pathOf']> =>
         this.paths.pathOf(from, to, now);
-      const table = this.policy.decide({ service, dataCentres, pathOf }, now);
+      const price = this.prices.priceOf(service, now);
+      const table = this.policy.decide({ service, dataCentres, pathOf, price }, now);
       table.forEach((row, from) => {
         if (!this.noteRow(service, from, row)) return;
         changes.set(from, [...(changes.get(from) ?? []), ...toMessages(service, row)]);
--- a/packages/gateway/src/control/PlacementLoad.ts
+++ b/packages/gateway/src/control/PlacementLoad.ts
@@ -73,9 +73,9 @@
     if (succeeded > 0) this.targets.get(id)?.site.answers.add(succeeded, now);
   }
 
-  /** Data centre of a target, undefined if it is not known. */
-  public dataCentreOf(target: string): string | undefined {
-    return this.targets.get(target)?.site.dataCentre;
+  /** Service and data centre of a target, undefined if it is not known. */
+  public siteOfTarget(target: string): Pick<Site, 'service' | 'dataCentre'> | undefined {
+    return this.targets.get(target)?.site;
   }
 
   /** Samples the slots in use. Call every 200 ms. */
--- a/packages/gateway/src/control/PlanStateMachine.ts
+++ b/packages/gateway/src/control/PlanStateMachine.ts
@@ -3,13 +3,13 @@
 import { StateMachine } from '@marigoldbank/replicated-log';
 import { isNewerVersion, type RoutingPlan } from '@marigoldbank/routing/plan';
 import {
-  commandSchema,
   stateSchema,
   type Command,
   type CommandInit,
   type CommandResult,
   type LeavingMark,
 } from './commands.js';
+import { decodeCommand } from './command-codec.js';
 import { CommittedPlan } from './CommittedPlan.js';
 import { EvacuationTable } from './EvacuationTable.js';
 
@@ -86,9 +86,9 @@
 
   public override apply(index: number, data: Uint8Array): Uint8Array {
     this.appliedIndex = index;
-    const parsed = commandSchema.safeParse(JSON.parse(Buffer.from(data).toString()));
-    // This release proposes only commands of this schema. All members that run it skip commands of a newer release.
-    const result = parsed.success ? this.execute(index, parsed.data) : 'superseded';
+    const command = decodeCommand(data);
+    // This release proposes only commands that it can read. All members that run it skip commands of a newer release.
+    const result = command === undefined ? 'superseded' : this.execute(index, command);
     this.applyEmitter.fire({ index, data });
     return Buffer.from(result);
   }
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -15,19 +15,22 @@
 import type { Pace } from '../sync/BatchPace.js';
 import { Batcher } from '../sync/Batcher.js';
 import { encodeEvidenceBatch } from '../sync/evidence-batch.js';
-import { EvidenceBuffer } from '../sync/EvidenceBuffer.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
 import { addServiceUse, type ServiceUseCounts } from '../sync/service-use.js';
 import { toTeamUse } from '../sync/team-use.js';
 import { toSuspectMessage } from '../sync/suspect-codec.js';
 import { URGENT_FLUSH_MS } from './EntrySession.js';
+import { RelayEvidence } from './RelayEvidence.js';
 
 const RECONNECT_MS = 300;
 
 /** Reports are batched for this time. It is short because the leader charges team budgets by them. */
 const FLUSH_MS = 40;
 
+/** The same for counts that are summed up over seconds, to a peer in another data centre if such traffic has a price. */
+const PRICED_FLUSH_MS = 200;
+
 /** Minimum time between two batches, also of failures and token requests, which are sent without delay otherwise. */
 const MIN_INTERVAL_MS = 20;
 
@@ -46,12 +49,16 @@
   readonly ownInFlight: (target: string) => number;
   /** Number of a target, undefined if it was removed. */
   readonly refOf: (target: string) => number | undefined;
+  /** Whether outcomes at a target can reach the peer later than usual. */
+  readonly canWait?: (target: string) => boolean;
+  /** Whether the peer is in another data centre and traffic between them has a price. */
+  readonly isPriced?: () => boolean;
 }
 
 export class RelayLink implements IDisposable {
   private queue: MessageQueue<HubRelayInit> | undefined;
 
-  private readonly evidence = new EvidenceBuffer();
+  private readonly evidence: RelayEvidence;
 
   private readonly targets = new Map<string, MessageInitShape<typeof TargetSchema>>();
 
@@ -82,6 +89,7 @@
     private readonly client: Client<typeof SyncService>,
     private readonly source: RelaySource,
   ) {
+    this.evidence = new RelayEvidence(() => source.clock.now());
     this.batcher = new Batcher(source.clock, () => this.flush(), MIN_INTERVAL_MS, source.pace);
   }
 
@@ -99,8 +107,9 @@
   }
 
   public addEvidence(id: string, succeeded: number, failed: number, suspect: number): void {
-    this.evidence.add(id, succeeded, failed, suspect);
-    this.batcher.request(failed > 0 ? URGENT_FLUSH_MS : FLUSH_MS);
+    const counts = { id, succeeded, failed, suspect };
+    const heldMs = this.evidence.add(counts, this.source.canWait?.(id) === true);
+    this.batcher.request(failed > 0 ? URGENT_FLUSH_MS : Math.max(FLUSH_MS, heldMs ?? 0));
   }
 
   public setTarget(target: MessageInitShape<typeof TargetSchema> & { readonly id: string }): void {
@@ -111,7 +120,7 @@
   public addUse({ service, ...counts }: ServiceUseCounts & { readonly service: string }): void {
     const known = this.usesByService.get(service);
     this.usesByService.set(service, known === undefined ? counts : addServiceUse(known, counts));
-    this.batcher.request(FLUSH_MS);
+    this.batcher.request(this.source.isPriced?.() === true ? PRICED_FLUSH_MS : FLUSH_MS);
   }
 
   public setLimit(limit: TargetLimitInit): void {
@@ -229,7 +238,7 @@
    * and retries are kept: they count against the retry budget even if the peer receives them late.
    */
   private dropPending(): void {
-    this.evidence.take(() => 0);
+    this.evidence.clear();
     this.targets.clear();
     this.limits.clear();
     this.suspects.clear();
--- a/packages/gateway/src/control/RetryBudgets.test.ts
+++ b/packages/gateway/src/control/RetryBudgets.test.ts
@@ -61,8 +61,9 @@
     clock.setTimeout(() => budgets.add(SERVICE, ...counts, clock.now()), lagMs);
     if (!isRejected() || attempt === MAX_SENDS) return;
     clock.setTimeout(() => {
-      if (limiter.mayRetry(SERVICE, 'urgent', entries, true, clock.now()))
-        {send(limiter, attempt + 1);}
+      if (limiter.mayRetry(SERVICE, 'urgent', entries, true, clock.now())) {
+        send(limiter, attempt + 1);
+      }
     }, REJECTED_AFTER_MS);
   };
   const publish = (): void => {
@@ -83,7 +84,7 @@
   const refuse = (perSecond: number, untilMs: number): void => {
     if (clock.now() > untilMs) return;
     sends.requests.push(clock.now());
-    if (limits.countsOffered === true) {
+    if (limits.countsOffered?.() === true) {
       random.pick(limiters)!.count(SERVICE, 1, 0, clock.now());
       clock.setTimeout(() => budgets.add(SERVICE, 1, 0, clock.now()), lagMs);
     }
@@ -101,7 +102,7 @@
  * count, those of the window before or of the one half its length before count instead where they are more.
  */
 function maxExcess({ requests, retries }: FleetSends, limits: RetryBudgetLimits): number {
-  const shifts = limits.countsOffered === true ? [0, WINDOW_MS / 2, WINDOW_MS] : [0];
+  const shifts = limits.countsOffered?.() === true ? [0, WINDOW_MS / 2, WINDOW_MS] : [0];
   const countIn = (times: readonly number[], to: number): number =>
     times.filter((at) => at > to - WINDOW_MS && at <= to).length;
   const ends = Array.from(
@@ -156,7 +157,7 @@
   describe('with refused requests counted', () => {
     const surge = {
       ...grown,
-      limits: { ...grown.limits, countsOffered: true },
+      limits: { ...grown.limits, countsOffered: () => true },
       refused: { perSecond: 800, untilMs: SHEDDING_FROM_MS + 1_600 },
     };
     [
--- a/packages/gateway/src/control/StoredCommands.ts
+++ b/packages/gateway/src/control/StoredCommands.ts
@@ -5,13 +5,13 @@
 import type { IReplicatedLog, LogEntry } from '@marigoldbank/replicated-log';
 import { isNewerVersion } from '@marigoldbank/routing/plan';
 import {
-  commandSchema,
   isEvacuationCommand,
   isLeavingCommand,
   readPlanVersion,
   type Command,
   type LeavingMark,
 } from './commands.js';
+import { decodeCommand } from './command-codec.js';
 import { CommittedPlan } from './CommittedPlan.js';
 import { EvacuationTable } from './EvacuationTable.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
@@ -35,7 +35,7 @@
 }
 
 function parse({ data }: LogEntry): Command | undefined {
-  return commandSchema.safeParse(JSON.parse(Buffer.from(data).toString())).data;
+  return decodeCommand(data);
 }
 
 /** Version of the plan that an entry sets, undefined for another entry. */
--- a/packages/gateway/src/control/hub-extensions.ts
+++ b/packages/gateway/src/control/hub-extensions.ts
@@ -10,13 +10,12 @@
   const paces = overload?.slotQueue === true ? new TargetPaceExtension(ctx) : undefined;
   const levels =
     overload?.rankedAdmission === true ? new LevelDistributor(ctx, paces?.paces) : undefined;
-  const crossingPrice = placement?.crossingPrice;
   return [
     new EvacuationDistributor(ctx),
     ...(paces === undefined ? [] : [paces]),
     ...(levels === undefined ? [] : [levels]),
-    ...(crossingPrice === undefined
+    ...(placement?.crossingPrice === undefined
       ? []
-      : [new PlacementDistributor(ctx, crossingPrice, levels?.load)]),
+      : [new PlacementDistributor(ctx, placement.crossingPrice, placement.plans, levels?.load)]),
   ];
 }
--- a/packages/gateway/src/entry/CrossTraffic.ts
+++ b/packages/gateway/src/entry/CrossTraffic.ts
@@ -2,6 +2,13 @@
 import { crossBytesTotal, crossRequestsTotal } from '../metrics.js';
 import type { UpstreamResponse } from './run-types.js';
 
+/** Announced length of an answer, or what has arrived of it. */
+export function answerBytes({ headers, body }: Pick<UpstreamResponse, 'headers' | 'body'>): number {
+  const announced = Number(headers['content-length'] ?? NaN);
+  const arrived = body.reduce((sum, part) => sum + part.length, 0);
+  return Number.isSafeInteger(announced) && announced >= 0 ? announced : arrived;
+}
+
 export class CrossTraffic {
   public constructor(private readonly dataCentre: string) {}
 
@@ -12,13 +19,9 @@
     crossBytesTotal.inc({ service, direction: 'sent' }, bytes);
   }
 
-  /** Counts an answer by its announced length, or by what has arrived of it. */
-  public countAnswer({ target, headers, body }: UpstreamResponse): void {
-    const { service, dataCentre } = target.info;
+  public countAnswer(response: UpstreamResponse): void {
+    const { service, dataCentre } = response.target.info;
     if (dataCentre === this.dataCentre) return;
-    const announced = Number(headers['content-length'] ?? NaN);
-    const arrived = body.reduce((sum, part) => sum + part.length, 0);
-    const bytes = Number.isSafeInteger(announced) && announced >= 0 ? announced : arrived;
-    crossBytesTotal.inc({ service, direction: 'received' }, bytes);
+    crossBytesTotal.inc({ service, direction: 'received' }, answerBytes(response));
   }
 }
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -84,7 +84,7 @@
     super();
     const clients = this.add(new SyncClients());
     this.state = new EntryState(
-      retryBudgetLimits(settings),
+      retryBudgetLimits(settings, () => this.state.currentRouteTable?.plan),
       undefined,
       undefined,
       coldBoundsOf(settings),
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -26,6 +26,7 @@
 import { AddressBook } from '../AddressBook.js';
 import type { RankedAdmission } from './RankedAdmission.js';
 import type { EntryCapacity } from './EntryCapacity.js';
+import type { ServiceBytes } from './ServiceBytes.js';
 import { ShutdownSchedule } from './ShutdownSchedule.js';
 
 /** Time without contact to the budget holder after which an entry limits teams to a part of its even share. */
@@ -99,6 +100,10 @@
 
   /** Shares of the requests that go to other data centres. */
   public readonly placements = new PlacementShares();
+
+  /** Bytes by service, undefined while traffic between data centres has no price. */
+  public serviceBytes: ServiceBytes | undefined;
+
   /** Waiting for slots and times to come back, undefined if the settings do not call for them. */
   public capacity: EntryCapacity | undefined;
 
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -4,15 +4,21 @@
 import { pickService } from '@marigoldbank/routing/RouteTable';
 import { FAILING_THRESHOLD, type Selection } from '@marigoldbank/routing/TargetSelector';
 import type { TargetState } from '@marigoldbank/routing/TargetTable';
-import { CrossTraffic } from './CrossTraffic.js';
+import { answerBytes, CrossTraffic } from './CrossTraffic.js';
 import { onAborted } from './abort.js';
 import { CapacityTurn } from './CapacityTurn.js';
 import { countHeldBack } from './held-back.js';
 import { stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import { noTargetError, overloadError } from './refusals.js';
-import type { Failures, RunContext, RunOutcome, RunRequest } from './run-types.js';
+import type {
+  Failures,
+  RunContext,
+  RunOutcome,
+  RunRequest,
+  UpstreamResponse,
+} from './run-types.js';
 import { NEVER, type RunEvent } from './run-events.js';
-import { retryValueOf } from './retry-value.js';
+import { mayRisk, retryValueOf } from './retry-value.js';
 import { SendAttempt, type AttemptResult } from './SendAttempt.js';
 import { watchForStall } from './stall.js';
 import { toUpstreamRequest } from './upstream-request.js';
@@ -148,7 +154,7 @@
     this.recordLossOrSuccess(attempt, result);
     const { rankedAdmission } = this.ctx.state;
     this.isOutOfRoom = rankedAdmission?.noteEnded(result, this.ctx.clock.now()) ?? false;
-    if (result.kind === 'answered') this.crossTraffic.countAnswer(result);
+    if (result.kind === 'answered') this.countAnswer(result);
     if (result.kind === 'answered' && result.status < FIRST_ERROR_STATUS) {
       this.ctx.state.durationEstimateOf(this.req.route).observe(attempt.elapsedMs);
       this.ctx.state.capacity?.slotFreed(attempt.target);
@@ -169,6 +175,16 @@
     return undefined;
   }
 
+  private countFirst(): void {
+    this.ctx.reporter.countRequest(this.service);
+    this.ctx.state.serviceBytes?.countRequest(this.service, this.req.body.length);
+  }
+
+  private countAnswer(response: UpstreamResponse): void {
+    this.crossTraffic.countAnswer(response);
+    this.ctx.state.serviceBytes?.countAnswer(this.service, answerBytes(response));
+  }
+
   private recordLossOrSuccess(attempt: SendAttempt, result: AttemptResult): void {
     const { reporter, state } = this.ctx;
     if (result.kind === 'mayHaveRun' && result.isLost) {
@@ -316,7 +332,7 @@
     const selection = state.selector.select(
       {
         service: this.service,
-        canRetry: route.isIdempotent && this.sends === 0 && route.maxTargets > 1,
+        canRetry: this.sends === 0 && mayRisk(state, route, this.service, now),
         dataCentre: this.ctx.dataCentre,
         excluded: this.triedTargets,
         expectedMs: state.durationEstimateOf(route).expectedMs,
@@ -360,7 +376,7 @@
     this.triedTargets.add(target.info.id);
     this.crossTraffic.countRequest(this.service, target.info.dataCentre, req.body.length);
     state.limits.spend(target.info.id, ctx.clock.now());
-    if (this.sends === 0) reporter.countRequest(this.service);
+    if (this.sends === 0) this.countFirst();
     else if (this.possibleArrivals > 0) reporter.countRetry(this.service);
     this.sends += 1;
     this.possibleArrivals += 1;
--- a/packages/gateway/src/entry/entry-extensions.ts
+++ b/packages/gateway/src/entry/entry-extensions.ts
@@ -24,6 +24,13 @@
     ...(settings.overload?.slotQueue === true ? [new CapacityExtension(ctx)] : []),
     ...(settings.placement?.crossingPrice === undefined
       ? []
-      : [new PlacementFollower(state.placements, settings.dataCentre)]),
+      : [
+          new PlacementFollower({
+            clock: ctx.clock,
+            state,
+            dataCentre: settings.dataCentre,
+            plans: settings.placement.plans,
+          }),
+        ]),
   ];
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,8 +1,10 @@
 /** Settings of a gateway process and the addresses derived from them. */
+import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import type { RetryBudgetLimits } from '@marigoldbank/routing/RetryWindow';
 import type { ColdBounds } from '@marigoldbank/routing/sharedRate';
 import { z } from 'zod';
 import { durationMs } from './durations.js';
+import { appliesToCurrent, planScopeSchema } from './plan-scope.js';
 
 const address = z.string().regex(/^[^:]+:\d{1,5}$/);
 const port = z.number().int().min(1).max(65_535);
@@ -94,11 +96,10 @@
         .describe(
           'Whether requests wait at entries for free slots of targets, by rank, and refusals name the time at which slots are expected.',
         ),
-      offeredRetryBudget: z
-        .boolean()
-        .default(false)
+      offeredRetryBudget: planScopeSchema
+        .default('none')
         .describe(
-          'Whether requests that no target got, such as those beyond the rate of a team, count for the retry budget of their service.',
+          'Plans under which requests that no target got, such as those beyond the rate of a team, count for the retry budget of their service: `none`, those with routes for `largeBodies`, or `all`.',
         ),
     })
     .optional(),
@@ -111,6 +112,11 @@
         .describe(
           'Price of one request to another data centre, in units of the value of an average answer. If omitted, entries compare a fixed sample of own and other targets.',
         ),
+      plans: planScopeSchema
+        .default('all')
+        .describe(
+          'Plans under which the price is used: `none`, those with routes for `largeBodies`, or `all`.',
+        ),
     })
     .optional(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
@@ -126,12 +132,13 @@
 }
 
 /** Limits of the retries of each service. */
-export function retryBudgetLimits({
-  bounds: { retryRatio, retrySlack, retryWindow },
-  overload,
-}: Pick<GatewaySettings, 'bounds' | 'overload'>): RetryBudgetLimits {
-  const countsOffered = overload?.offeredRetryBudget === true;
-  return { ratio: retryRatio, slack: retrySlack, windowMs: retryWindow, countsOffered };
+export function retryBudgetLimits(
+  { bounds, overload }: Pick<GatewaySettings, 'bounds' | 'overload'>,
+  currentPlan: () => RoutingPlan | undefined,
+): RetryBudgetLimits {
+  const { retryRatio: ratio, retrySlack: slack, retryWindow: windowMs } = bounds;
+  const scope = overload?.offeredRetryBudget ?? 'none';
+  return { ratio, slack, windowMs, countsOffered: appliesToCurrent(scope, currentPlan) };
 }
 
 /** Internal traffic runs on an isolated network; the secret only distinguishes services. */
--- a/packages/gateway/src/testing/FakeControlGroup.ts
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -19,6 +19,7 @@
   type CommandSubmitterContext,
   type ForwardedCommand,
 } from '../control/CommandSubmitter.js';
+import { encodeCommand as encode } from '../control/commands.js';
 import { ControlApi } from '../control/ControlApi.js';
 import { toConfirmResponse } from '../control/log-routes.js';
 import type { LeadershipAnswer } from '../sync/DirectoryClient.js';
@@ -324,7 +325,7 @@
     const clientOf = this.clientOf(ip);
     const datagrams = this.datagramsOf(ip);
     const confirmation = new StateConfirmation({ clock, log, logger, datagrams, clientOf });
-    const submitter = new CommandSubmitter({ clock, log, stateMachine, logger, clientOf });
+    const submitter = new CommandSubmitter({ clock, log, stateMachine, logger, encode, clientOf });
     const evacuations = makeEvacuationCalls(clock, stateMachine, submitter, this.slots);
     const api = new ControlApi({
       clock,
--- a/packages/routing/src/RetryLimiter.ts
+++ b/packages/routing/src/RetryLimiter.ts
@@ -1,14 +1,22 @@
 /** Limits retries to the budget of a service, which all entries share. */
 import { RetryWindow, type RetryBudgetLimits } from './RetryWindow.js';
 
-/** What a retry is worth: `late` ones would most likely be answered after the objective of their request. */
-export type RetryValue = 'urgent' | 'usual' | 'late';
+/**
+ * What a retry is worth: `late` ones would most likely be answered after the objective of their request, and `probe` ones follow
+ * an attempt at a target that most likely fails, which was made to learn whether it still does.
+ */
+export type RetryValue = 'urgent' | 'usual' | 'probe' | 'late';
 
 /**
  * Used fraction at which retries stop, so that some of the budget is left for those that are worth more. The rest covers
  * retries of entries that have lost their own counts by a restart.
  */
-const MAX_USE: Readonly<Record<RetryValue, number>> = { urgent: 0.9, usual: 0.8, late: 0.5 };
+const MAX_USE: Readonly<Record<RetryValue, number>> = {
+  urgent: 0.9,
+  usual: 0.8,
+  probe: 0.6,
+  late: 0.5,
+};
 
 /**
  * Used fraction of its own share of the budget at which an entry stops, whatever the fleet-wide value is. That value is
@@ -33,7 +41,7 @@
 
   /** Whether requests that no target got count for the budget. */
   public get countsOffered(): boolean {
-    return this.limits.countsOffered === true;
+    return this.limits.countsOffered?.() === true;
   }
 
   /** Sets the fleet-wide used fraction of the budget of a service. */
--- a/packages/routing/src/RetryWindow.ts
+++ b/packages/routing/src/RetryWindow.ts
@@ -21,7 +21,7 @@
    * Whether requests that no target got count as well. The bound of the platform then also lets those of the window half its
    * length before count, if they are more.
    */
-  readonly countsOffered?: boolean;
+  readonly countsOffered?: () => boolean;
 }
 
 export class RetryWindow {
@@ -58,7 +58,7 @@
 
   private earningRequests(index: number): number {
     const recent = this.requestsBetween(index - BUCKETS + 1, index);
-    if (this.limits.countsOffered !== true) return recent;
+    if (this.limits.countsOffered?.() !== true) return recent;
     // The newest bucket of the earlier window is partly outside of it.
     const to = index - EARLIER_BUCKETS;
     return Math.max(recent, this.requestsBetween(to - BUCKETS + 1, to - 1));
@@ -75,7 +75,7 @@
   }
 
   private expireBuckets(index: number): void {
-    const kept = this.limits.countsOffered === true ? BUCKETS + EARLIER_BUCKETS : BUCKETS;
+    const kept = this.limits.countsOffered?.() === true ? BUCKETS + EARLIER_BUCKETS : BUCKETS;
     while ((this.buckets[0]?.index ?? index) < index - kept) this.buckets.shift();
   }
 }
--- a/packages/routing/src/load/PlacementPolicy.ts
+++ b/packages/routing/src/load/PlacementPolicy.ts
@@ -17,6 +17,8 @@
   readonly service: string;
   readonly dataCentres: readonly DataCentreLoad[];
   readonly pathOf: (from: string, to: string) => CrossingPath;
+  /** Price of a request of this service. If omitted, that of an average request. */
+  readonly price?: number;
 }
 
 /** Shares in force by the data centre that requests leave. */
@@ -106,14 +108,14 @@
     [...this.low].filter(isOfService).forEach((key) => this.low.delete(key));
   }
 
-  private plan({ service, dataCentres, pathOf }: PlacementInput, now: number): PlacementTable {
+  private plan(input: PlacementInput, now: number): PlacementTable {
+    const { service, dataCentres, pathOf, price = this.crossingPrice } = input;
     const isUsed = (from: string, to: string): boolean => this.sharesOf(service, from).has(to);
     return planCrossings(dataCentres, {
       pathOf,
       isAllowed: (from, to) =>
         now - (this.usedAt.get(keyOf(service, to, from)) ?? -Infinity) >= REVERSAL_MS,
-      priceOf: (from, to) =>
-        Math.max(0, this.crossingPrice + (isUsed(from, to) ? -PRICE_MARGIN : PRICE_MARGIN)),
+      priceOf: (from, to) => Math.max(0, price + (isUsed(from, to) ? -PRICE_MARGIN : PRICE_MARGIN)),
       leavingUtilisationOf: (from, to) => (isUsed(from, to) ? STOP_UTILISATION : START_UTILISATION),
     });
   }
