--- a/packages/routing/src/load/testing/AdmissionSim.ts
+++ b/packages/routing/src/load/testing/AdmissionSim.ts
@@ -3,6 +3,7 @@
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { levelRetryMs } from '../level-retry.js';
 import { SERVICE, type SimAdmission } from './SimAdmission.js';
+import type { SimRouting } from './SimRouting.js';
 import { SimTargets, type SimResult } from './SimTargets.js';
 
 const MAX_SENDS = 3;
@@ -35,6 +36,8 @@
   readonly isQueueing?: boolean;
   /** Without it all requests are admitted. */
   readonly admission: (sim: AdmissionSim) => SimAdmission | undefined;
+  /** Without it entries choose among all targets, and send rejected requests again without a budget. */
+  readonly routing?: (sim: AdmissionSim) => SimRouting;
 }
 
 /** No growth. */
@@ -72,6 +75,8 @@
 
   private readonly admission: SimAdmission | undefined;
 
+  private readonly routing: SimRouting | undefined;
+
   private view: readonly number[] = [];
 
   private readonly open: number[];
@@ -84,6 +89,7 @@
     this.open = Array.from({ length: options.entries }, () => 0);
     this.waiting = this.open.map(() => []);
     this.admission = options.admission(this);
+    this.routing = options.routing?.(this);
     this.refreshView();
     options.kinds.forEach((kind) =>
       options.teams.forEach((share, team) => this.scheduleArrival(kind, team, share)),
@@ -96,6 +102,7 @@
 
   public loseHub(): void {
     this.admission?.loseHub?.();
+    this.routing?.loseHub?.();
   }
 
   /** Records the callers that come from now on, until `stopRecording`. */
@@ -138,7 +145,8 @@
   private request(request: Request): void {
     const { kind, team } = request;
     const now = this.clock.now();
-    const entry = this.random.int(this.options.entries);
+    const entry = this.routing?.pickEntry() ?? this.random.int(this.options.entries);
+    this.routing?.noteOffered(entry, now);
     const asked = { service: SERVICE, rank: kind.rank, team };
     const waitMs = this.admission?.decide(entry, asked, now);
     if (waitMs !== undefined) {
@@ -171,13 +179,15 @@
   }
 
   private attempt(request: Request, entry: number, dueAt: number, sends: number): void {
-    const target = this.pickTarget();
+    const target = this.pickTarget(entry);
+    this.routing?.noteSend({ entry, target, isRetry: sends > 1 }, this.clock.now());
     const done = (result: SimResult): void => {
       const now = this.clock.now();
       const load = (this.targets.inFlightAt(target) * this.targets.count) / this.targets.slots;
       const attempt = { isRejected: result === 'rejected', load };
       const isOutOfRoom = this.admission?.noteEnded?.(entry, attempt, now) ?? false;
-      if (result === 'rejected' && sends < MAX_SENDS) {
+      const mayRetry = this.routing?.mayRetry(entry, request.kind.rank, now) ?? true;
+      if (result === 'rejected' && sends < MAX_SENDS && mayRetry) {
         this.attempt(request, entry, dueAt, sends + 1);
         return;
       }
@@ -199,10 +209,10 @@
   }
 
   /** The least loaded of some targets, by what the entries last heard. With one entry, it knows all targets. */
-  private pickTarget(): number {
+  private pickTarget(entry: number): number {
     const isExact = this.options.entries === 1;
     const view = isExact ? this.targets.inFlights() : this.view;
-    const all = view.map((_, i) => i);
+    const all = this.routing?.targetsOf(entry, this.random) ?? view.map((_, i) => i);
     const sample = isExact ? all : this.random.sample(all, SAMPLED_TARGETS);
     return sample.reduce((best, i) => (view[i]! < view[best]! ? i : best));
   }
