--- a/packages/gateway/src/control/PlacementDistributor.ts
+++ b/packages/gateway/src/control/PlacementDistributor.ts
@@ -6,7 +6,7 @@
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import type { ShareRow } from '@marigoldbank/routing/load/planCrossings';
 import type { IServiceLoad } from '@marigoldbank/routing/load/types';
-import { placementShare } from '../metrics.js';
+import { crossingPriceOf, placementShare } from '../metrics.js';
 import { appliesTo, type PlanScope } from '../plan-scope.js';
 import type { EntryIdentity } from './EntryRegistry.js';
 import { HubExtension, type HubExtensionContext, type UpdateFields } from './HubExtension.js';
@@ -156,6 +156,7 @@
       const pathOf = (from: string, to: string): ReturnType<PlacementPaths['pathOf']> =>
         this.paths.pathOf(from, to, now);
       const price = this.prices.priceOf(service, now);
+      crossingPriceOf.set({ service }, price);
       const table = this.policy.decide({ service, dataCentres, pathOf, price }, now);
       table.forEach((row, from) => {
         if (!this.noteRow(service, from, row)) return;
--- a/packages/gateway/src/control/RelayEvidence.ts
+++ b/packages/gateway/src/control/RelayEvidence.ts
@@ -2,6 +2,7 @@
  * Outcomes and load on the way to another hub. What that hub needs at once is sent with the next batch. The rest is merged for
  * a longer time: its entries do not use these targets as long as requests stay in their data centre.
  */
+import { heldBackOutcomesTotal } from '../metrics.js';
 import { EvidenceBuffer, type Evidence } from '../sync/EvidenceBuffer.js';
 
 /** Outcomes that can wait are sent this long after the first one. */
@@ -28,6 +29,7 @@
     }
     if (this.held.isEmpty) this.heldUntil = this.now() + HELD_MS;
     this.held.add(id, succeeded, failed, suspect);
+    heldBackOutcomesTotal.inc();
     return Math.max(0, this.heldUntil - this.now());
   }
 
--- a/packages/gateway/src/control/RetryBudgets.ts
+++ b/packages/gateway/src/control/RetryBudgets.ts
@@ -1,5 +1,6 @@
 /** Retry budgets of all services, as counted by one hub. */
 import { RetryWindow, type RetryBudgetLimits } from '@marigoldbank/routing/RetryWindow';
+import { retryBudgetUsed } from '../metrics.js';
 
 /** A smaller change of a budget's usage is not sent to entries before `RESEND_MS`. */
 const MIN_CHANGE_PERMILLE = 40;
@@ -40,6 +41,7 @@
       const isSteady = Math.abs(usedPermille - budget.sentPermille) < MIN_CHANGE_PERMILLE;
       if (isSteady && now - budget.sentAt < RESEND_MS) return [];
       Object.assign(budget, { sentPermille: usedPermille, sentAt: now });
+      retryBudgetUsed.set({ service }, usedPermille / PERMILLE);
       return [{ service, usedPermille }];
     });
   }
--- a/packages/gateway/src/control/command-codec.ts
+++ b/packages/gateway/src/control/command-codec.ts
@@ -5,6 +5,7 @@
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { z } from 'zod';
+import { commandBytesTotal } from '../metrics.js';
 import { appliesTo } from '../plan-scope.js';
 import type { GatewaySettings } from '../settings.js';
 import { commandSchema, encodeCommand, type Command, type CommandInit } from './commands.js';
@@ -44,10 +45,12 @@
 }: Pick<GatewaySettings, 'placement'>): (command: CommandInit) => Uint8Array {
   if (placement?.crossingPrice === undefined) return encodeCommand;
   const { plans } = placement;
-  return (command) =>
-    command.kind === 'putPlan' && appliesTo(plans, command.plan)
-      ? encodeCompactCommand(command)
-      : encodeCommand(command);
+  return (command) => {
+    const isCompact = command.kind === 'putPlan' && appliesTo(plans, command.plan);
+    const data = isCompact ? encodeCompactCommand(command) : encodeCommand(command);
+    commandBytesTotal.inc({ form: isCompact ? 'compact' : 'plain' }, data.length);
+    return data;
+  };
 }
 
 /** Reads both forms. Undefined for a command of a newer release. Throws if the bytes are no command of any release. */
--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -4,21 +4,15 @@
 import { pickService } from '@marigoldbank/routing/RouteTable';
 import { FAILING_THRESHOLD, type Selection } from '@marigoldbank/routing/TargetSelector';
 import type { TargetState } from '@marigoldbank/routing/TargetTable';
-import { answerBytes, CrossTraffic } from './CrossTraffic.js';
 import { onAborted } from './abort.js';
 import { CapacityTurn } from './CapacityTurn.js';
 import { countHeldBack } from './held-back.js';
 import { stoppingError, type ErrorResponse } from './ErrorResponse.js';
 import { noTargetError, overloadError } from './refusals.js';
-import type {
-  Failures,
-  RunContext,
-  RunOutcome,
-  RunRequest,
-  UpstreamResponse,
-} from './run-types.js';
+import type { Failures, RunContext, RunOutcome, RunRequest } from './run-types.js';
 import { NEVER, type RunEvent } from './run-events.js';
-import { mayRisk, retryValueOf } from './retry-value.js';
+import { RequestTraffic } from './RequestTraffic.js';
+import { isRetryAllowed, mayRisk } from './retry-decisions.js';
 import { SendAttempt, type AttemptResult } from './SendAttempt.js';
 import { watchForStall } from './stall.js';
 import { toUpstreamRequest } from './upstream-request.js';
@@ -53,7 +47,7 @@
 
   private readonly service: string;
 
-  private readonly crossTraffic: CrossTraffic;
+  private readonly traffic: RequestTraffic;
 
   /** Undefined if requests do not wait for slots. */
   private readonly turn: CapacityTurn | undefined;
@@ -80,7 +74,7 @@
     private readonly req: RunRequest,
   ) {
     this.service = req.service ?? pickService(req.route, ctx.state.random.float());
-    this.crossTraffic = new CrossTraffic(ctx.dataCentre);
+    this.traffic = new RequestTraffic(ctx.dataCentre, ctx.state.serviceBytes);
     this.turn = CapacityTurn.create(ctx, req, {
       select: (among) => (this.mayPassOn() ? this.select(among) : undefined),
       send: (selection) => this.send(selection),
@@ -154,7 +148,7 @@
     this.recordLossOrSuccess(attempt, result);
     const { rankedAdmission } = this.ctx.state;
     this.isOutOfRoom = rankedAdmission?.noteEnded(result, this.ctx.clock.now()) ?? false;
-    if (result.kind === 'answered') this.countAnswer(result);
+    if (result.kind === 'answered') this.traffic.countAnswer(result);
     if (result.kind === 'answered' && result.status < FIRST_ERROR_STATUS) {
       this.ctx.state.durationEstimateOf(this.req.route).observe(attempt.elapsedMs);
       this.ctx.state.capacity?.slotFreed(attempt.target);
@@ -175,16 +169,6 @@
     return undefined;
   }
 
-  private countFirst(): void {
-    this.ctx.reporter.countRequest(this.service);
-    this.ctx.state.serviceBytes?.countRequest(this.service, this.req.body.length);
-  }
-
-  private countAnswer(response: UpstreamResponse): void {
-    this.crossTraffic.countAnswer(response);
-    this.ctx.state.serviceBytes?.countAnswer(this.service, answerBytes(response));
-  }
-
   private recordLossOrSuccess(attempt: SendAttempt, result: AttemptResult): void {
     const { reporter, state } = this.ctx;
     if (result.kind === 'mayHaveRun' && result.isLost) {
@@ -357,11 +341,14 @@
     if (this.dueAt - now < MIN_SEND_MS) return undefined;
     if (this.possibleArrivals === 0) return this.select();
     if (this.isSuspected()) return undefined;
-    const { retryLimiter, entryCount } = state;
-    const value = retryValueOf(this.req, this.expectedMs, retryLimiter.countsOffered, now);
-    const isConnected = state.isFollowingHub(now);
-    const mayRetry = retryLimiter.mayRetry(this.service, value, entryCount, isConnected, now);
-    return mayRetry ? this.select() : undefined;
+    return isRetryAllowed(
+      state,
+      this.req,
+      { service: this.service, expectedMs: this.expectedMs },
+      now,
+    )
+      ? this.select()
+      : undefined;
   }
 
   /** Whether targets may have ended under the request, so that it is not sent to a further one on its own account. */
@@ -374,9 +361,9 @@
     const { ctx, req } = this;
     const { state, reporter } = ctx;
     this.triedTargets.add(target.info.id);
-    this.crossTraffic.countRequest(this.service, target.info.dataCentre, req.body.length);
+    this.traffic.countRequest(target, req.body.length, this.sends === 0);
     state.limits.spend(target.info.id, ctx.clock.now());
-    if (this.sends === 0) this.countFirst();
+    if (this.sends === 0) reporter.countRequest(this.service);
     else if (this.possibleArrivals > 0) reporter.countRetry(this.service);
     this.sends += 1;
     this.possibleArrivals += 1;
--- a/packages/gateway/src/entry/retry-value.ts
+++ b/packages/gateway/src/entry/retry-decisions.ts
@@ -1,18 +1,29 @@
-/** What a further attempt of a request is worth, which decides how much of the retry budget it may use. */
+/** Decides by the retry budget of a service on further attempts, and on first ones that rely on them. */
 import type { RetryValue } from '@marigoldbank/routing/RetryLimiter';
 import type { Route } from '@marigoldbank/routing/plan';
+import { retriesRefusedTotal } from '../metrics.js';
 import type { EntryState } from './EntryState.js';
 import type { RunRequest } from './run-types.js';
 
 /** Requests with a priority up to this number may use the part of the retry budget that is kept for urgent ones. */
 const URGENT_PRIORITY = 1;
 
+type RetryState = Pick<EntryState, 'retryLimiter' | 'entryCount' | 'isFollowingHub'>;
+
+type RetriedRequest = Pick<RunRequest, 'priority' | 'route' | 'receivedAt'>;
+
+interface Attempt {
+  readonly service: string;
+  /** Expected duration of the request at a target. */
+  readonly expectedMs: number;
+}
+
 /**
- * `expectedMs` is the duration of the request at a target. An answer after the objective is worth a fraction of one in time, so
- * that while targets reject, a scarce budget goes to requests that can still meet theirs.
+ * An answer after the objective is worth a fraction of one in time, so that while targets reject, a scarce budget goes to requests
+ * that can still meet theirs.
  */
-export function retryValueOf(
-  { priority, route, receivedAt }: Pick<RunRequest, 'priority' | 'route' | 'receivedAt'>,
+function valueOf(
+  { priority, route, receivedAt }: RetriedRequest,
   expectedMs: number,
   prefersTimely: boolean,
   now: number,
@@ -22,13 +33,33 @@
   return priority <= URGENT_PRIORITY ? 'urgent' : 'usual';
 }
 
+/** Whether a request may be sent to another target. */
+export function isRetryAllowed(
+  state: RetryState,
+  req: RetriedRequest,
+  { service, expectedMs }: Attempt,
+  now: number,
+): boolean {
+  const { retryLimiter, entryCount } = state;
+  const value = valueOf(req, expectedMs, retryLimiter.countsOffered, now);
+  const isAllowed = retryLimiter.mayRetry(
+    service,
+    value,
+    entryCount,
+    state.isFollowingHub(now),
+    now,
+  );
+  if (!isAllowed) retriesRefusedTotal.inc({ service, value });
+  return isAllowed;
+}
+
 /**
  * Whether the first attempt of a request may go to a target that most likely fails, since another one can follow it. Without this
  * look at the budget, requests that may be repeated are lost at such targets while no retry is left: a fifth of the
  * lookups of an archive whose targets reset connections.
  */
 export function mayRisk(
-  state: Pick<EntryState, 'retryLimiter' | 'entryCount' | 'isFollowingHub'>,
+  state: RetryState,
   { isIdempotent, maxTargets }: Pick<Route, 'isIdempotent' | 'maxTargets'>,
   service: string,
   now: number,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -230,6 +230,40 @@
   registers: [registry],
 });
 
+export const retriesRefusedTotal = new Counter({
+  name: 'marigoldbank_retries_refused_total',
+  help: 'Further attempts that the retry budget did not allow, by service and what they were worth: urgent, usual, late',
+  labelNames: ['service', 'value'] as const,
+  registers: [registry],
+});
+
+export const retryBudgetUsed = new Gauge({
+  name: 'marigoldbank_retry_budget_used',
+  help: 'Used part of the retry budget of a service, as known to this hub',
+  labelNames: ['service'] as const,
+  registers: [registry],
+});
+
+export const crossingPriceOf = new Gauge({
+  name: 'marigoldbank_crossing_price',
+  help: 'Price of a request of a service to another data centre by its bytes, in units of the value of an answer',
+  labelNames: ['service'] as const,
+  registers: [registry],
+});
+
+export const heldBackOutcomesTotal = new Counter({
+  name: 'marigoldbank_held_back_outcomes_total',
+  help: 'Changes of outcomes or load that were merged before they were sent to another data centre',
+  registers: [registry],
+});
+
+export const commandBytesTotal = new Counter({
+  name: 'marigoldbank_command_bytes_total',
+  help: 'Bytes of commands that this member has encoded for the log, by form: plain, compact',
+  labelNames: ['form'] as const,
+  registers: [registry],
+});
+
 export const placementShare = new Gauge({
   name: 'marigoldbank_placement_share',
   help: 'Share of the requests of a data centre that goes to another one, by service',
