Send what a hub holds back when another message took its place

A batch that was requested for earlier took the place of the one in which held outcomes were due. Without a further outcome the peer then counted the last requests in flight at a target forever. Found by reading; the test of RelayLink failed before.

--- a/packages/gateway/src/control/RelayEvidence.test.ts
+++ b/packages/gateway/src/control/RelayEvidence.test.ts
@@ -17,19 +17,19 @@
   it('holds back what can wait, for 400 ms from the first outcome on', () => {
     const fixture = makeEvidence();
     const { evidence } = fixture;
-    expect(evidence.add(outcome('t1'), true)).toEqual(400);
+    expect([evidence.add(outcome('t1'), true), evidence.heldForMs]).toEqual([true, 400]);
     fixture.at = 300;
-    expect(evidence.add(outcome('t1'), true)).toEqual(100);
+    expect([evidence.add(outcome('t1'), true), evidence.heldForMs]).toEqual([true, 100]);
     expect(evidence.take(() => 0)).toEqual([]);
     fixture.at = 400;
     expect(evidence.take(() => 7)).toEqual([{ ...outcome('t1', 2), inFlight: 7 }]);
-    expect(evidence.add(outcome('t1'), true)).toEqual(400);
+    expect(evidence.heldForMs).toEqual(undefined);
   });
 
   // Guards against entries elsewhere that go on sending to a target that fails.
   it('never holds back failures', () => {
     const { evidence } = makeEvidence();
-    expect(evidence.add(outcome('t1', 0, 1), true)).toEqual(undefined);
+    expect(evidence.add(outcome('t1', 0, 1), true)).toEqual(false);
     expect(evidence.take(() => 0)).toEqual([{ ...outcome('t1', 0, 1), inFlight: 0 }]);
   });
 
--- a/packages/gateway/src/control/RelayEvidence.ts
+++ b/packages/gateway/src/control/RelayEvidence.ts
@@ -18,19 +18,21 @@
   /** Times are monotonic ms. */
   public constructor(private readonly now: () => number) {}
 
-  /** Adds outcomes. Returns the time until those that wait are due, undefined if these do not wait. */
+  /** Time until the outcomes that wait are due, undefined if there are none. */
+  public get heldForMs(): number | undefined {
+    return this.held.isEmpty ? undefined : Math.max(0, this.heldUntil - this.now());
+  }
+
+  /** Adds outcomes. Returns whether they wait. */
   public add(
     { id, succeeded, failed, suspect }: Pick<Evidence, 'id' | 'succeeded' | 'failed' | 'suspect'>,
     canWait: boolean,
-  ): number | undefined {
-    if (!canWait || failed > 0) {
-      this.prompt.add(id, succeeded, failed, suspect);
-      return undefined;
-    }
-    if (this.held.isEmpty) this.heldUntil = this.now() + HELD_MS;
-    this.held.add(id, succeeded, failed, suspect);
-    heldBackOutcomesTotal.inc();
-    return Math.max(0, this.heldUntil - this.now());
+  ): boolean {
+    const isHeld = canWait && failed === 0;
+    if (isHeld && this.held.isEmpty) this.heldUntil = this.now() + HELD_MS;
+    (isHeld ? this.held : this.prompt).add(id, succeeded, failed, suspect);
+    if (isHeld) heldBackOutcomesTotal.inc();
+    return isHeld;
   }
 
   /** Takes what is to be sent now. */
--- a/packages/gateway/src/control/RelayLink.test.ts
+++ b/packages/gateway/src/control/RelayLink.test.ts
@@ -29,7 +29,7 @@
 }
 
 /** A link to a peer whose connection can be cut. */
-function makeLink(): Fixture {
+function makeLink(canWait = false): Fixture {
   const clock = new VirtualClock();
   const received: HubRelayInit[] = [];
   let isReachable = false;
@@ -55,6 +55,7 @@
     snapshot: () => ({}),
     ownInFlight: () => 2,
     refOf: (target) => REFS.get(target),
+    canWait: () => canWait,
   });
   return {
     clock,
@@ -96,6 +97,23 @@
     link.dispose();
   });
 
+  // Guards against load that a peer counts forever, since another message took the place of the one that was due.
+  it('sends what is held back after other messages, without any further outcome', async () => {
+    const { clock, link, received, connect } = makeLink(true);
+    connect();
+    link.run().catch(() => undefined);
+    await settle();
+    link.addEvidence('t1', 1, 0, 0);
+    link.addUse({ service: 'orders', requests: 1, repeats: 0 });
+    await advance(clock, 100);
+    const batches = (): number =>
+      received.filter(({ evidenceBatch }) => (evidenceBatch?.length ?? 0) > 0).length;
+    expect(batches()).toEqual(0);
+    await advance(clock, 400);
+    expect(batches()).toEqual(1);
+    link.dispose();
+  });
+
   // Ids of targets in each item took three quarters of what the hubs of a large fleet sent each other.
   it('names a target once in a stream, and again in the next one', async () => {
     const { clock, link, received, connect, cut } = makeLink();
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -108,8 +108,9 @@
 
   public addEvidence(id: string, succeeded: number, failed: number, suspect: number): void {
     const counts = { id, succeeded, failed, suspect };
-    const heldMs = this.evidence.add(counts, this.source.canWait?.(id) === true);
-    this.batcher.request(failed > 0 ? URGENT_FLUSH_MS : Math.max(FLUSH_MS, heldMs ?? 0));
+    const isHeld = this.evidence.add(counts, this.source.canWait?.(id) === true);
+    if (isHeld) this.requestHeld();
+    else this.batcher.request(failed > 0 ? URGENT_FLUSH_MS : FLUSH_MS);
   }
 
   public setTarget(target: MessageInitShape<typeof TargetSchema> & { readonly id: string }): void {
@@ -216,6 +217,13 @@
     this.suspects.clear();
     this.usesByService.clear();
     this.usedByTeam.clear();
+    // Another message may have taken the place of the one that was due.
+    this.requestHeld();
+  }
+
+  private requestHeld(): void {
+    const { heldForMs } = this.evidence;
+    if (heldForMs !== undefined) this.batcher.request(Math.max(FLUSH_MS, heldForMs));
   }
 
   /** Evidence as numbers, which take a quarter of the bytes of messages with the ids of the targets. */
