--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -78,6 +78,9 @@
 /** A target that is still cold takes twice as long. */
 const COLD_SLOWDOWN = 2;
 
+/** A target with a longer wait, in expected durations, is compared with those of other data centres. */
+const MAX_LOCAL_WAIT = 0.5;
+
 /** Cost of a target that counts as unreachable from this entry. */
 const UNREACHABLE_COST = 2;
 
@@ -214,6 +217,8 @@
         isAdmitted(target) ? expectedCost(target, req, now, this.crossingCost) : Infinity,
       isFailing: ({ belief, unreachableUntil }: TargetState) =>
         now < unreachableUntil || belief.failingProbability(now) >= FAILING_THRESHOLD,
+      isFull: (target: TargetState) =>
+        expectedWaitMs(target, expectedMs, now, req.paces) > MAX_LOCAL_WAIT * expectedMs,
     };
     const best = this.policy.choose(candidates, ctx) ?? this.anyTarget.choose(candidates, ctx);
     if (best === undefined) return undefined;
