--- a/packages/gateway/src/control/TeamBudgets.ts
+++ b/packages/gateway/src/control/TeamBudgets.ts
@@ -37,8 +37,6 @@
     /** Entries that may be serving: connected ones, and those lost a short time ago. */
     readonly expected: number;
   };
-  /** Requests that each team may have beyond its burst. */
-  readonly tolerance: () => number;
   readonly sendToEntries: (modes: readonly TeamMode[]) => void;
   readonly sendToHubs: (modes: readonly TeamMode[]) => void;
 }
@@ -164,7 +162,6 @@
       rateFraction: this.share,
       isPart: this.role === 'substitute',
       wasTight: (team) => this.leaderModes.get(team),
-      tolerance: this.ctx.tolerance(),
     });
   }
 
--- a/packages/gateway/src/control/createTeamBudgets.ts
+++ b/packages/gateway/src/control/createTeamBudgets.ts
@@ -1,5 +1,4 @@
 /** Connects the budgets of teams to the entries and the other hubs. */
-import { teamToleranceOf } from '../settings.js';
 import { OWN_HUB, type EntryRegistry } from './EntryRegistry.js';
 import type { EntrySession } from './EntrySession.js';
 import type { HubContext } from './HubContext.js';
@@ -13,12 +12,11 @@
 }
 
 export function createTeamBudgets(
-  { logger, log, settings, stateMachine }: HubContext,
+  { logger, log }: Pick<HubContext, 'logger' | 'log'>,
   { entries, peers, sessions }: BudgetParts,
 ): TeamBudgets {
   return new TeamBudgets({
     logger,
-    tolerance: teamToleranceOf(settings, () => stateMachine.current?.plan),
     isLeader: () => log.isLeader,
     leaderLastMessageAt: () => peers.leader?.lastMessageAt ?? -Infinity,
     entries: (now) => ({
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -20,13 +20,6 @@
     ),
   retrySlack: z.number().min(0),
   retryWindow: durationMs,
-  teamSlack: z
-    .number()
-    .min(0)
-    .optional()
-    .describe(
-      'Requests that a team may have in some seconds beyond its rate and burst, over all entries.',
-    ),
   coldOvershoot: z
     .number()
     .min(1)
@@ -103,11 +96,6 @@
         .describe(
           'Whether requests wait at entries for free slots of targets, by rank, and refusals name the time at which slots are expected.',
         ),
-      teamTolerance: planScopeSchema
-        .default('none')
-        .describe(
-          'Plans under which half of `bounds.teamSlack` is added to the burst of each team, so that teams with small bursts rarely wait for tokens: `none`, those with routes for `largeBodies`, or `all`.',
-        ),
       offeredRetryBudget: planScopeSchema
         .default('none')
         .describe(
@@ -143,21 +131,6 @@
   return { overshoot: overshoot ?? 1, slack: slack ?? 0 };
 }
 
-/**
- * Part of the slack of teams that the holder of the budgets may use. The rest is for what it cannot count in time: reports under
- * way, entries without a holder, and a holder that is replaced twice.
- */
-const SLACK_FOR_TOLERANCE = 0.5;
-
-/** Requests that each team may have beyond its burst, 0 if the settings or the current plan call for none. */
-export function teamToleranceOf(
-  { bounds, overload }: Pick<GatewaySettings, 'bounds' | 'overload'>,
-  currentPlan: () => RoutingPlan | undefined,
-): () => number {
-  const applies = appliesToCurrent(overload?.teamTolerance ?? 'none', currentPlan);
-  return () => (applies() ? SLACK_FOR_TOLERANCE * (bounds.teamSlack ?? 0) : 0);
-}
-
 /** Limits of the retries of each service. */
 export function retryBudgetLimits(
   { bounds, overload }: Pick<GatewaySettings, 'bounds' | 'overload'>,
--- a/packages/gateway/src/testing/CallerLoad.ts
+++ b/packages/gateway/src/testing/CallerLoad.ts
@@ -69,12 +69,7 @@
       seed,
       hubs: ['dc-1', 'dc-1', 'dc-1'],
       entries: Array.from({ length: entries }, () => 'dc-1'),
-      overload: {
-        rankedAdmission: false,
-        slotQueue: isRanked,
-        offeredRetryBudget: 'none',
-        teamTolerance: 'none',
-      },
+      overload: { rankedAdmission: false, slotQueue: isRanked, offeredRetryBudget: 'none' },
     });
     this.upstream = new SlottedTargets({
       clock: this.fleet.clock,
--- a/packages/routing/src/TeamBuckets.ts
+++ b/packages/routing/src/TeamBuckets.ts
@@ -58,11 +58,6 @@
   readonly isPart?: boolean;
   /** Whether a team was low on tokens according to the previous holder; undefined if unknown. */
   readonly wasTight: (team: string) => boolean | undefined;
-  /**
-   * Requests that each team may have beyond its burst. A team with a small burst is low on tokens after two or three requests
-   * in a row, and each further one waits for the holder.
-   */
-  readonly tolerance?: number;
 }
 
 const DEFAULT_OPTIONS: BucketOptions = { rateFraction: 1, wasTight: () => undefined };
@@ -72,9 +67,6 @@
 
   private readonly tightModes = new Map<string, boolean>();
 
-  /** Bursts of the teams with a bucket, without the tolerance. */
-  private readonly bursts = new Map<string, number>();
-
   /** Parts of rates that are too small for buckets. */
   private readonly shares = new Map<string, DemandShare>();
 
@@ -90,8 +82,7 @@
     limited.forEach((team) => {
       const { name } = team;
       const rate = team.ratePerSecond * options.rateFraction;
-      const burst = (team.burst + (options.tolerance ?? 0)) * options.rateFraction;
-      this.bursts.set(name, team.burst * options.rateFraction);
+      const burst = team.burst * options.rateFraction;
       if (options.isPart === true && burst < MIN_BUCKET_TOKENS) {
         this.buckets.delete(name);
         this.configureShare(name, rate, options.wasTight(name) === false, now);
@@ -113,7 +104,6 @@
   /** Removes all buckets, so that a holder that was replaced and takes over again starts like a new one. */
   public clear(): void {
     this.buckets.clear();
-    this.bursts.clear();
     this.shares.clear();
     this.tightModes.clear();
   }
@@ -151,8 +141,7 @@
     const changed = [...this.buckets].flatMap(([team, bucket]) => {
       const wasTight = this.tightModes.get(team) === true;
       const isTight =
-        bucket.available(now) <
-        (wasTight ? RELAXED_FILL_FRACTION : TIGHT_FILL_FRACTION) * (this.bursts.get(team) ?? 0);
+        bucket.fillFraction(now) < (wasTight ? RELAXED_FILL_FRACTION : TIGHT_FILL_FRACTION);
       return isTight === wasTight ? [] : [{ team, isTight }];
     });
     changed.forEach(({ team, isTight }) => this.tightModes.set(team, isTight));
@@ -180,7 +169,6 @@
 
   private remove(name: string): void {
     this.buckets.delete(name);
-    this.bursts.delete(name);
     this.shares.delete(name);
     this.tightModes.delete(name);
   }
--- a/packages/routing/src/TokenBucket.ts
+++ b/packages/routing/src/TokenBucket.ts
@@ -56,10 +56,10 @@
     return Math.max(0, Math.ceil(((1 - this.level) / this.ratePerSecond) * MS_PER_SECOND));
   }
 
-  /** Tokens that are available; below 0 if more were charged. */
-  public available(now: number): number {
+  /** Level as a fraction of the burst. */
+  public fillFraction(now: number): number {
     this.refill(now);
-    return this.level;
+    return this.level / this.burst;
   }
 
   private refill(now: number): void {
