Allow probes while a retry is allowed, and stay at home with queues

Requests for which the budget allows no probe counted as ones without a retry: they went to the targets that succeeded last, which got queues. Now they avoid failing targets only.

--- a/packages/gateway/src/entry/RequestRun.ts
+++ b/packages/gateway/src/entry/RequestRun.ts
@@ -12,7 +12,7 @@
 import type { Failures, RunContext, RunOutcome, RunRequest } from './run-types.js';
 import { NEVER, type RunEvent } from './run-events.js';
 import { RequestTraffic } from './RequestTraffic.js';
-import { isRetryAllowed, mayRisk } from './retry-decisions.js';
+import { isRetryAllowed, mayProbe } from './retry-decisions.js';
 import { SendAttempt, type AttemptResult } from './SendAttempt.js';
 import { watchForStall } from './stall.js';
 import { toUpstreamRequest } from './upstream-request.js';
@@ -316,7 +316,8 @@
     const selection = state.selector.select(
       {
         service: this.service,
-        canRetry: this.sends === 0 && mayRisk(state, route, this.service, now),
+        canRetry: route.isIdempotent && this.sends === 0 && route.maxTargets > 1,
+        mayProbe: mayProbe(state, this.service, now),
         dataCentre: this.ctx.dataCentre,
         excluded: this.triedTargets,
         expectedMs: state.durationEstimateOf(route).expectedMs,
--- a/packages/gateway/src/entry/retry-decisions.ts
+++ b/packages/gateway/src/entry/retry-decisions.ts
@@ -1,6 +1,5 @@
 /** Decides by the retry budget of a service on further attempts, and on first ones that rely on them. */
 import type { RetryValue } from '@marigoldbank/routing/RetryLimiter';
-import type { Route } from '@marigoldbank/routing/plan';
 import { retriesRefusedTotal } from '../metrics.js';
 import type { EntryState } from './EntryState.js';
 import type { RunRequest } from './run-types.js';
@@ -54,17 +53,11 @@
 }
 
 /**
- * Whether the first attempt of a request may go to a target that most likely fails, since another one can follow it. Without this
- * look at the budget, requests that may be repeated are lost at such targets while no retry is left: a fifth of the
- * lookups of an archive whose targets reset connections.
+ * Whether requests that may be repeated may go to targets that most likely fail, since a second attempt can follow. Without this
+ * look at the budget they are lost there while no retry is left: a fifth of the lookups of an archive whose targets reset
+ * connections.
  */
-export function mayRisk(
-  state: RetryState,
-  { isIdempotent, maxTargets }: Pick<Route, 'isIdempotent' | 'maxTargets'>,
-  service: string,
-  now: number,
-): boolean {
-  if (!isIdempotent || maxTargets <= 1) return false;
+export function mayProbe(state: RetryState, service: string, now: number): boolean {
   const { retryLimiter, entryCount } = state;
   if (!retryLimiter.countsOffered) return true;
   return retryLimiter.mayRetry(service, 'probe', entryCount, state.isFollowingHub(now), now);
--- a/packages/routing/src/RetryLimiter.ts
+++ b/packages/routing/src/RetryLimiter.ts
@@ -14,7 +14,7 @@
 const MAX_USE: Readonly<Record<RetryValue, number>> = {
   urgent: 0.9,
   usual: 0.8,
-  probe: 0.3,
+  probe: 0.8,
   late: 0.5,
 };
 
--- a/packages/routing/src/TargetSelector.test.ts
+++ b/packages/routing/src/TargetSelector.test.ts
@@ -54,6 +54,22 @@
     expect(chooseOften(selector, req, 2_100).has('t1')).toEqual(false);
   });
 
+  // Load: a third of the targets of lookups resets connections, and the retry budget is used up. Guards against lookups that are
+  // lost at failing targets, and against all of them going to the target that succeeded last.
+  it('avoids failing targets without a second attempt, and spreads requests over the others', () => {
+    const ids = Array.from({ length: 9 }, (_, i) => `t${i}`);
+    const { table, selector } = makeSelector(ids);
+    ids.slice(0, 3).forEach((id) => table.observe(id, 'failed', 100));
+    ids.slice(3).forEach((id, i) => table.observe(id, 'succeeded', 100 + i));
+    const req = makeRequest({ canRetry: true });
+    const hasFailing = (targets: Set<string>): boolean =>
+      ids.slice(0, 3).some((id) => targets.has(id));
+    expect(hasFailing(chooseOften(selector, req, 2_000))).toEqual(true);
+    const chosen = chooseOften(selector, { ...req, mayProbe: false }, 2_000);
+    expect(hasFailing(chosen)).toEqual(false);
+    expect(chosen.size).toBeGreaterThanOrEqual(5);
+  });
+
   it('does not probe a failing target when too little time is left for a retry', () => {
     const { table, selector } = makeSelector(['t1', 't2']);
     table.observe('t1', 'failed', 0);
--- a/packages/routing/src/TargetSelector.ts
+++ b/packages/routing/src/TargetSelector.ts
@@ -17,6 +17,8 @@
   readonly service: string;
   /** Whether the request may be sent to another target after a failure. */
   readonly canRetry: boolean;
+  /** Whether a second attempt can follow one at a target that most likely fails. If omitted, it can if `canRetry`. */
+  readonly mayProbe?: boolean;
   /** Data centre of the entry. */
   readonly dataCentre: string;
   /** Ids of targets that were already tried. */
@@ -78,9 +80,6 @@
 /** A target that is still cold takes twice as long. */
 const COLD_SLOWDOWN = 2;
 
-/** A target with a longer wait, in expected durations, is compared with those of other data centres. */
-const MAX_LOCAL_WAIT = 0.5;
-
 /** Cost of a target that counts as unreachable from this entry. */
 const UNREACHABLE_COST = 2;
 
@@ -162,8 +161,10 @@
     UTILISATION_COST * Math.min(1, (inFlight * slowdown) / usableSlots(target, paces, now)) +
     WAIT_COST * (waitMs / req.expectedMs) +
     paceCost(target, paces, now);
-  const failureCost = failingProbability * (req.canRetry ? RETRIED_FAILURE_COST : FAILURE_COST);
-  const value = req.canRetry ? informationValue(target, failingProbability, req, now) : 0;
+  const isRetried =
+    req.canRetry && (req.mayProbe !== false || failingProbability < FAILING_THRESHOLD);
+  const failureCost = failingProbability * (isRetried ? RETRIED_FAILURE_COST : FAILURE_COST);
+  const value = isRetried ? informationValue(target, failingProbability, req, now) : 0;
   const unreachableCost = now < target.unreachableUntil ? UNREACHABLE_COST : 0;
   const connectionValue =
     req.hasIdleConnection?.(info.address) === true ? IDLE_CONNECTION_VALUE : 0;
@@ -217,8 +218,6 @@
         isAdmitted(target) ? expectedCost(target, req, now, this.crossingCost) : Infinity,
       isFailing: ({ belief, unreachableUntil }: TargetState) =>
         now < unreachableUntil || belief.failingProbability(now) >= FAILING_THRESHOLD,
-      isFull: (target: TargetState) =>
-        expectedWaitMs(target, expectedMs, now, req.paces) > MAX_LOCAL_WAIT * expectedMs,
     };
     const best = this.policy.choose(candidates, ctx) ?? this.anyTarget.choose(candidates, ctx);
     if (best === undefined) return undefined;
--- a/packages/routing/src/choice/ChoicePolicy.ts
+++ b/packages/routing/src/choice/ChoicePolicy.ts
@@ -26,8 +26,6 @@
   readonly costOf: (target: TargetState) => number;
   /** Whether a request to the target most likely fails. */
   readonly isFailing: (target: TargetState) => boolean;
-  /** Whether a request to the target most likely waits for a slot. */
-  readonly isFull: (target: TargetState) => boolean;
 }
 
 export abstract class ChoicePolicy {
--- a/packages/routing/src/choice/PlacedSample.ts
+++ b/packages/routing/src/choice/PlacedSample.ts
@@ -1,6 +1,6 @@
 /**
  * Compares a few random targets of one data centre, which is drawn by the shares that hubs decide on. Others are compared only
- * if the own ones most likely fail, have no free slot or are too few, and while no hub has decided.
+ * if the own ones most likely fail or are too few, and while no hub has decided.
  */
 import type { Random } from '@marigoldbank/base/random';
 import type { PlacementShares } from '../load/PlacementShares.js';
@@ -36,11 +36,11 @@
     if (this.shares.sharesOf(service) === undefined) return this.ofAll.choose(targets, ctx);
     const drawn = this.shares.draw(service, this.random.float());
     const remote = drawn === undefined ? undefined : this.chooseIn(drawn, targets, ctx);
-    if (remote !== undefined && PlacedSample.isUseful(remote, ctx)) return remote;
+    if (remote !== undefined && !PlacedSample.isLikelyLost(remote, ctx)) return remote;
     const own = targets.filter(({ info }) => info.dataCentre === ctx.dataCentre);
     const local =
       own.length < MIN_OWN_TARGETS ? undefined : this.chooseIn(ctx.dataCentre, own, ctx);
-    if (local !== undefined && PlacedSample.isUseful(local, ctx)) return local;
+    if (local !== undefined && !PlacedSample.isLikelyLost(local, ctx)) return local;
     return this.ofAll.choose(targets, ctx);
   }
 
@@ -54,12 +54,8 @@
     return this.cheapest([...this.random.sample(there, SAMPLE_SIZE), ...connected], ctx);
   }
 
-  /**
-   * Shares follow the demand by a second or two, and a data centre has no free slot for some requests long before its room is used
-   * up. Such a request is compared with targets elsewhere, at their price. A failing target with a cost below 0 gets a probe
-   * that is due, which is worth its failure.
-   */
-  private static isUseful({ target, cost }: ScoredTarget, ctx: ChoiceContext): boolean {
-    return (cost <= 0 || !ctx.isFailing(target)) && !ctx.isFull(target);
+  /** A failing target with a cost below 0 gets a probe that is due, which is worth its failure. */
+  private static isLikelyLost({ target, cost }: ScoredTarget, ctx: ChoiceContext): boolean {
+    return cost > 0 && ctx.isFailing(target);
   }
 }
--- a/packages/routing/src/load/PreviousSelector.ts
+++ b/packages/routing/src/load/PreviousSelector.ts
@@ -125,7 +125,6 @@
       dataCentre,
       expectedMs,
       isFailing: () => false,
-      isFull: () => false,
       isConnected: ({ info }: TargetState) => req.hasIdleConnection?.(info.address) === true,
       costOf: (target: TargetState) =>
         isAdmitted(target) ? expectedCost(target, req, now) : Infinity,
