Keep teams to their limits, and within them, around a lost budget holder

Entries without a holder took a team that was low on tokens for one at three times its rate, and refused 0.47 of the requests of teams at 0.625 of their rates (24 entries, virtual time). A team that had tokens left and then sent five times its rate got 1.7 times its limit. And an entry without a holder kept its uses for the next one, which charged all of them at once to buckets that had not refilled meanwhile.

Ruled out: a flag for teams beyond their rates, for which entries would take the others as within; teams whose surge starts in the outage got up to 2.9 times their limits then. Uses drained at the entry's share of the rate leave about a request at each entry.

Shares below one request (hundreds of entries) are decided as before.

--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -244,6 +244,7 @@
       this.retryBudgets.add(use.service, earningRequests(use), use.repeats, now);
       this.peers.links.forEach((link) => link.addUse(use));
     });
+    this.teamBudgets.addHistories(report.teamHistories, now);
     this.tokenRequests.chargeUses(report.teams, now);
     this.tokenRequests.answerEntry(identity.vm, report.tokens, now);
   }
--- a/packages/gateway/src/control/RelayHandler.ts
+++ b/packages/gateway/src/control/RelayHandler.ts
@@ -55,6 +55,7 @@
       retryBudgets.add(use.service, earningRequests(use), use.repeats, now),
     );
     relay.teams.forEach((use) => teamBudgets.charge(use.team, usedOf(use), now));
+    if (teamBudgets.isGranting) teamBudgets.addHistories(relay.teamHistories, now);
     tokenRequests.answerHub(peer, relay.tokens, now);
     tokenRequests.deliverAnswers(relay.answers);
     tokenRequests.answerOrders(peer, relay.tokenOrders, now);
--- a/packages/gateway/src/control/RelayLink.ts
+++ b/packages/gateway/src/control/RelayLink.ts
@@ -12,12 +12,14 @@
   TargetSchema,
 } from '@marigoldbank/protocol/gen/marigoldbank/v1/sync_pb';
 import type { SuspectStatement } from '@marigoldbank/routing/PoisonTable';
+import type { TeamHistory } from '@marigoldbank/routing/TeamHistories';
 import type { Pace } from '../sync/BatchPace.js';
 import { Batcher } from '../sync/Batcher.js';
 import { encodeEvidenceBatch } from '../sync/evidence-batch.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
 import { addServiceUse, type ServiceUseCounts } from '../sync/service-use.js';
+import { toTeamHistoryMessage } from '../sync/team-history.js';
 import { toTeamUse } from '../sync/team-use.js';
 import { toSuspectMessage } from '../sync/suspect-codec.js';
 import { URGENT_FLUSH_MS } from './EntrySession.js';
@@ -70,6 +72,8 @@
 
   private readonly usedByTeam = new Map<string, number>();
 
+  private readonly teamHistories: TeamHistory[] = [];
+
   private readonly tokens: MessageInitShape<typeof RelayedTokenSchema>[] = [];
 
   private readonly tokenAnswers: MessageInitShape<typeof RelayedTokenAnswerSchema>[] = [];
@@ -163,6 +167,11 @@
     this.batcher.request(FLUSH_MS);
   }
 
+  public addTeamHistories(histories: readonly TeamHistory[]): void {
+    this.teamHistories.push(...histories);
+    this.batcher.request(FLUSH_MS);
+  }
+
   public dispose(): void {
     this.abort.abort();
     this.batcher.dispose();
@@ -207,6 +216,7 @@
       ...this.takeEvidence(),
       uses: [...this.usesByService].map(([service, counted]) => ({ service, ...counted })),
       teams: [...this.usedByTeam].map(([team, used]) => toTeamUse(team, used)),
+      teamHistories: this.teamHistories.splice(0).map(toTeamHistoryMessage),
       tokens: this.tokens.splice(0),
       answers: this.tokenAnswers.splice(0),
       limits: [...this.limits.values()],
--- a/packages/gateway/src/control/TargetPaceExtension.test.ts
+++ b/packages/gateway/src/control/TargetPaceExtension.test.ts
@@ -20,7 +20,12 @@
     seed: 1,
     hubs: ['dc-1', 'dc-1', 'dc-1'],
     entries: Array.from({ length: 6 }, () => 'dc-1'),
-    overload: { rankedAdmission: false, slotQueue: isRanked, offeredRetryBudget: 'none' },
+    overload: {
+      rankedAdmission: false,
+      slotQueue: isRanked,
+      offeredRetryBudget: 'none',
+      teamTolerance: 'none',
+    },
   });
   announce(fleet, 1, 1);
   fleet.commit(makePlan());
--- a/packages/gateway/src/control/TeamBudgets.test.ts
+++ b/packages/gateway/src/control/TeamBudgets.test.ts
@@ -7,6 +7,7 @@
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
 import { makeTeam } from '@marigoldbank/routing/fixtures';
 import { expect } from 'earl';
+import type { TeamTolerance } from '@marigoldbank/routing/teamTolerance';
 import { TeamBudgets } from './TeamBudgets.js';
 
 const TICK_MS = 200;
@@ -31,6 +32,12 @@
   readonly since: number;
 }
 
+interface SimulatedTeam {
+  /** Requests a second, and the burst. */
+  readonly rate: number;
+  readonly tolerance?: TeamTolerance;
+}
+
 interface SimulationResult {
   readonly granted: readonly number[];
   readonly refused: readonly number[];
@@ -41,6 +48,7 @@
   requestsPerS: number,
   endMs: number,
   stateAt: (now: number) => ClusterState,
+  { rate, tolerance }: SimulatedTeam = { rate: RATE },
 ): SimulationResult {
   const clock = { now: 0 };
   const isCut = (hub: number): boolean => stateAt(clock.now).cutOff.includes(hub);
@@ -65,6 +73,13 @@
           connected: HUBS * ENTRIES_PER_HUB - missing(),
           expected: HUBS * ENTRIES_PER_HUB,
         }),
+        tolerance: () => tolerance,
+        sendToLeader: (histories) => {
+          const { leader } = stateAt(clock.now);
+          if (leader !== undefined && !isCut(hub)) {
+            hubs[leader]!.addHistories(histories, clock.now);
+          }
+        },
         sendToEntries: () => undefined,
         sendToHubs: (modes) =>
           hubs.forEach((other, i) => {
@@ -72,7 +87,7 @@
           }),
       }),
   );
-  hubs.forEach((hub) => hub.setTeams([makeTeam({ ratePerSecond: RATE, burst: RATE })], 0));
+  hubs.forEach((hub) => hub.setTeams([makeTeam({ ratePerSecond: rate, burst: rate })], 0));
   const granted: number[] = [];
   const refused: number[] = [];
   const stepMs = 1_000 / requestsPerS;
@@ -103,6 +118,7 @@
 }
 
 const LIMIT = (RATE * (WINDOW_MS / 1_000) + RATE) * (1 + OVERSHOOT) + SLACK;
+const TOLERANCE: TeamTolerance = { overshoot: OVERSHOOT, slack: SLACK, windowMs: WINDOW_MS };
 const STABLE: ClusterState = { leader: 0, cutOff: [], since: 0 };
 
 describe('TeamBudgets', () => {
@@ -139,6 +155,38 @@
     });
   });
 
+  // Guards against a tolerance that adds up over holders which replace each other within one window.
+  const toleranceScenarios: typeof scenarios = [
+    ...scenarios,
+    [
+      'when the leader changes twice within a window',
+      (now) => {
+        if (now < 4_000) return STABLE;
+        if (now < 5_500) return { leader: now < 4_300 ? undefined : 1, cutOff: [], since: 4_000 };
+        return { leader: now < 5_800 ? undefined : 2, cutOff: [], since: 5_500 };
+      },
+    ],
+  ];
+  [3, 12, RATE].forEach((rate) =>
+    toleranceScenarios.forEach(([title, stateAt]) => {
+      it(`keeps a team with a tolerance within its limit ${title}, ${rate} requests/s`, () => {
+        const team = { rate, tolerance: TOLERANCE };
+        const { granted } = simulate((rate / 1.6) * 8, 14_000, stateAt, team);
+        const limit = (rate * (WINDOW_MS / 1_000) + rate) * (1 + OVERSHOOT) + SLACK;
+        expect(mostInWindow(granted)).toBeLessThanOrEqual(limit);
+      });
+    }),
+  );
+
+  // Load: a team within its rate as all control VMs start. Guards against refusals since a new holder knows no uses.
+  [3, 12, RATE].forEach((rate) => {
+    it(`refuses a team within its rate nothing after a start, ${rate} requests/s`, () => {
+      const team = { rate, tolerance: TOLERANCE };
+      const { refused } = simulate(rate / 1.6, 10_000, () => STABLE, team);
+      expect(refused).toEqual([]);
+    });
+  });
+
   it('refuses at most one request in ten of a team within its rate while there is no leader', () => {
     const { granted, refused } = simulate(RATE / 1.6, 14_000, (now) =>
       now < 4_000 ? STABLE : { leader: undefined, cutOff: [], since: 4_000 },
--- a/packages/gateway/src/control/TeamBudgets.ts
+++ b/packages/gateway/src/control/TeamBudgets.ts
@@ -13,6 +13,8 @@
   type TokenGrant,
   type TokenOrder,
 } from '@marigoldbank/routing/TeamBuckets';
+import type { TeamHistory } from '@marigoldbank/routing/TeamHistories';
+import type { TeamTolerance } from '@marigoldbank/routing/teamTolerance';
 
 /** A leader without a message for this long counts as lost; hubs send a message every 400 ms. */
 const LEADER_TIMEOUT_MS = 1_200;
@@ -37,6 +39,9 @@
     /** Entries that may be serving: connected ones, and those lost a short time ago. */
     readonly expected: number;
   };
+  /** What teams may have beyond their rates; undefined for nothing. */
+  readonly tolerance?: () => TeamTolerance | undefined;
+  readonly sendToLeader?: (histories: readonly TeamHistory[]) => void;
   readonly sendToEntries: (modes: readonly TeamMode[]) => void;
   readonly sendToHubs: (modes: readonly TeamMode[]) => void;
 }
@@ -96,6 +101,13 @@
     if (this.isGranting) this.buckets.charge(team, admitted, now);
   }
 
+  /** Adds what entries admitted before they knew of this holder, or forwards it to the leader. */
+  public addHistories(histories: readonly TeamHistory[], now: number): void {
+    if (histories.length === 0) return;
+    if (this.isGranting) histories.forEach((history) => this.buckets.addHistory(history, now));
+    else this.ctx.sendToLeader?.(histories);
+  }
+
   /** Notifies entries and hubs of teams that have become short of tokens or have enough again. */
   public publishModeChanges(now: number): void {
     if (!this.isGranting) return;
@@ -140,9 +152,11 @@
     const isSameRole = this.role === before;
     if (isSameRole && share === this.share) return;
     this.share = share;
+    const granted = isSameRole ? [] : this.buckets.recentHistories(now);
     if (!isSameRole) this.buckets.clear();
     this.configure(now);
     if (isSameRole) return;
+    this.addHistories(granted, now);
     ctx.logger.info('role in lending team budgets', { role: this.role, before });
     if (this.isGranting) this.publish(this.buckets.modes());
     else ctx.sendToEntries(this.modesForEntry());
@@ -162,6 +176,7 @@
       rateFraction: this.share,
       isPart: this.role === 'substitute',
       wasTight: (team) => this.leaderModes.get(team),
+      tolerance: this.ctx.tolerance?.(),
     });
   }
 
--- a/packages/gateway/src/control/createTeamBudgets.ts
+++ b/packages/gateway/src/control/createTeamBudgets.ts
@@ -1,4 +1,5 @@
 /** Connects the budgets of teams to the entries and the other hubs. */
+import { teamToleranceOf } from '../settings.js';
 import { OWN_HUB, type EntryRegistry } from './EntryRegistry.js';
 import type { EntrySession } from './EntrySession.js';
 import type { HubContext } from './HubContext.js';
@@ -12,7 +13,7 @@
 }
 
 export function createTeamBudgets(
-  { logger, log }: Pick<HubContext, 'logger' | 'log'>,
+  { logger, log, settings, stateMachine }: HubContext,
   { entries, peers, sessions }: BudgetParts,
 ): TeamBudgets {
   return new TeamBudgets({
@@ -24,6 +25,10 @@
       connected: entries.size,
       expected: entries.expectedSize(now),
     }),
+    tolerance: teamToleranceOf(settings, () => stateMachine.current?.plan),
+    sendToLeader: (histories) => {
+      if (peers.leader !== undefined) peers.linkTo(peers.leader)?.addTeamHistories(histories);
+    },
     sendToEntries: (modes) =>
       modes.forEach(({ team, isTight }) =>
         sessions.forEach((session) => session.setTeamMode(team, isTight)),
--- a/packages/gateway/src/control/ranked-admission.test.ts
+++ b/packages/gateway/src/control/ranked-admission.test.ts
@@ -40,7 +40,12 @@
 const OFF = makeSettings('10.0.0.1', 'dc-1');
 const ON: GatewaySettings = {
   ...OFF,
-  overload: { rankedAdmission: true, slotQueue: true, offeredRetryBudget: 'none' },
+  overload: {
+    rankedAdmission: true,
+    slotQueue: true,
+    offeredRetryBudget: 'none',
+    teamTolerance: 'none',
+  },
 };
 
 function makeState(seed: number): EntryState {
--- a/packages/gateway/src/entry/EntryProcess.ts
+++ b/packages/gateway/src/entry/EntryProcess.ts
@@ -18,6 +18,7 @@
   ipOf,
   metricsAddress,
   retryBudgetLimits,
+  teamToleranceOf,
   syncAddress,
   type GatewaySettings,
 } from '../settings.js';
@@ -87,8 +88,11 @@
       retryBudgetLimits(settings, () => this.state.currentRouteTable?.plan),
       undefined,
       undefined,
-      coldBoundsOf(settings),
-      settings.placement?.crossingPrice,
+      {
+        coldBounds: coldBoundsOf(settings),
+        crossingPrice: settings.placement?.crossingPrice,
+        teamTolerance: teamToleranceOf(settings, () => this.state.currentRouteTable?.plan),
+      },
     );
     this.reporter = this.add(new HubReporter(clock, this.state, logger));
     const extensions = createEntryExtensions({ clock, logger, settings, state: this.state });
--- a/packages/gateway/src/entry/EntryState.ts
+++ b/packages/gateway/src/entry/EntryState.ts
@@ -18,6 +18,7 @@
 import type { RetryBudgetLimits } from '@marigoldbank/routing/RetryWindow';
 import { RouteTable } from '@marigoldbank/routing/RouteTable';
 import type { ColdBounds } from '@marigoldbank/routing/sharedRate';
+import type { TeamTolerance } from '@marigoldbank/routing/teamTolerance';
 import { TargetLimits } from '@marigoldbank/routing/TargetLimits';
 import { TargetTable } from '@marigoldbank/routing/TargetTable';
 import { TargetNotices } from '@marigoldbank/routing/TargetNotices';
@@ -68,6 +69,14 @@
 /** Smaller differences between the two clocks are corrections of the time of day. */
 const MIN_SUSPENSION_MS = 500;
 
+export interface EntryStateOptions {
+  readonly coldBounds?: ColdBounds | undefined;
+  /** Price of a request to another data centre. Without one, shares of placement are not used. */
+  readonly crossingPrice?: number | undefined;
+  /** What teams may get beyond their rates without a budget holder; undefined for nothing. */
+  readonly teamTolerance?: (() => TeamTolerance | undefined) | undefined;
+}
+
 export class EntryState {
   public readonly targets = new TargetTable();
 
@@ -135,9 +144,7 @@
     bounds: RetryBudgetLimits,
     public readonly random = new Random(Math.floor(Math.random() * MAX_SEED)),
     private readonly timeOfDay: () => number = Date.now,
-    coldBounds?: ColdBounds,
-    /** Price of a request to another data centre. Without one, shares of placement are not used. */
-    crossingPrice?: number,
+    { coldBounds, crossingPrice, teamTolerance }: EntryStateOptions = {},
   ) {
     this.limits = new TargetLimits(random, () => this.entryCount, {
       bounds: coldBounds,
@@ -155,7 +162,7 @@
       crossingPrice,
     );
     this.retryLimiter = new RetryLimiter(bounds);
-    this.teamLimiter = new TeamRateLimiter(random);
+    this.teamLimiter = new TeamRateLimiter(random, teamTolerance);
   }
 
   /** Lookup tables of the plan in effect, undefined before the first one. */
--- a/packages/gateway/src/entry/TeamAdmission.ts
+++ b/packages/gateway/src/entry/TeamAdmission.ts
@@ -31,9 +31,12 @@
       const decidedBy = hasHolder ? 'holder' : 'entry';
       return TeamAdmission.overQuota(team, decision.retryAfterMs, decidedBy);
     }
-    if (decision.kind === 'admitted') return this.admit(team, decision.afterMs);
+    if (decision.kind === 'admitted') return this.admit(team, decision.afterMs, hasHolder);
     const token = await reporter.requestToken(team.name, maxWaitMs);
-    if (token.kind === 'granted') return undefined;
+    if (token.kind === 'granted') {
+      state.teamLimiter.countAdmitted(team.name, 1, clock.now());
+      return undefined;
+    }
     if (token.kind === 'refused') {
       state.teamLimiter.recordRefusal(team.name, token.retryAfterMs, clock.now());
       return TeamAdmission.overQuota(team, token.retryAfterMs, 'holder');
@@ -42,7 +45,7 @@
     const local = state.teamLimiter.decideLocally(team, state.entryCount, leftMs, clock.now());
     return local.kind === 'refused'
       ? TeamAdmission.overQuota(team, local.retryAfterMs, 'entry')
-      : this.admit(team, local.afterMs);
+      : this.admit(team, local.afterMs, true);
   }
 
   /**
@@ -53,12 +56,17 @@
     if (team.ratePerSecond === 0) return;
     const { state, clock, reporter } = this.ctx;
     const now = clock.now();
-    if (!state.hasBudgetHolder(now)) state.teamLimiter.returnLocally(team.name, now);
-    reporter.returnToken(team.name);
+    const hasHolder = state.hasBudgetHolder(now);
+    if (!hasHolder) state.teamLimiter.returnLocally(team.name, now);
+    state.teamLimiter.countAdmitted(team.name, -1, now);
+    if (hasHolder || !state.teamLimiter.hasTolerance) reporter.returnToken(team.name);
   }
 
-  private async admit(team: Team, afterMs: number): Promise<undefined> {
-    this.ctx.reporter.countTeamRequest(team.name);
+  private async admit(team: Team, afterMs: number, hasHolder: boolean): Promise<undefined> {
+    const { state, reporter, clock } = this.ctx;
+    state.teamLimiter.countAdmitted(team.name, 1, clock.now());
+    // Without a holder the next one gets the history instead: its buckets would not refill for the time of these requests.
+    if (hasHolder || !state.teamLimiter.hasTolerance) reporter.countTeamRequest(team.name);
     if (afterMs > 0) await delay(this.ctx.clock, afterMs);
   }
 
--- /dev/null
+++ b/packages/gateway/src/entry/TeamHistoryReporter.test.ts
@@ -0,0 +1,81 @@
+import { describe, it } from 'node:test';
+import { VirtualClock } from '@marigoldbank/base/virtual-clock';
+import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import { makeTeam } from '@marigoldbank/routing/fixtures';
+import { expect } from 'earl';
+import { EntryState } from './EntryState.js';
+import { HubReporter, type EntryReportInit } from './HubReporter.js';
+import { TeamAdmission } from './TeamAdmission.js';
+import { TeamHistoryReporter } from './TeamHistoryReporter.js';
+
+const TEAM = makeTeam({ name: 'north', ratePerSecond: 60, burst: 60 });
+const ENTRIES = 4;
+
+interface Fixture {
+  readonly clock: VirtualClock;
+  readonly admission: TeamAdmission;
+  readonly reports: EntryReportInit[];
+  /** Sets how long ago the hub heard the holder. */
+  readonly hearHolder: (budgetAgeMs: number) => void;
+}
+
+function makeEntry(hasTolerance: boolean): Fixture {
+  const clock = new VirtualClock();
+  const bounds = { ratio: 0.2, slack: 60, windowMs: 10_000 };
+  const tolerance = { overshoot: 0.1, slack: 20, windowMs: 5_000 };
+  const state = new EntryState(bounds, undefined, () => clock.now(), {
+    teamTolerance: () => (hasTolerance ? tolerance : undefined),
+  });
+  const reporter = new HubReporter(clock, state, new NullLogger());
+  const histories = new TeamHistoryReporter({ clock, state });
+  if (hasTolerance) reporter.addExtension(histories);
+  const reports: EntryReportInit[] = [];
+  reporter.attach((report) => reports.push(report));
+  return {
+    clock,
+    admission: new TeamAdmission({ clock, state, reporter }),
+    reports,
+    hearHolder: (budgetAgeMs) => {
+      const status = { confirmedAgeMs: 0, budgetAgeMs, entries: ENTRIES, planVersion: 0 };
+      const flags = { isLeaderless: false, isCutOff: false, isStarting: false };
+      state.setStatus({ ...status, ...flags, trueAt: clock.now() }, clock.now());
+      reporter.flush();
+    },
+  };
+}
+
+describe('TeamHistoryReporter', () => {
+  // Guards against a holder that charges the requests of an outage to buckets that have not refilled in it.
+  it('reports requests without a holder as history, once, and not as uses', async () => {
+    const { clock, admission, reports, hearHolder } = makeEntry(true);
+    await admission.charge(TEAM, 0);
+    await admission.charge(TEAM, 0);
+    clock.advance(1_000);
+    hearHolder(0);
+    hearHolder(0);
+    const reported = reports.flatMap(({ teamHistories }) => teamHistories ?? []);
+    expect(reported).toEqual([{ team: 'north', admitted: [0, 0, 2] }]);
+    expect(reports.flatMap(({ teams }) => teams ?? [])).toEqual([]);
+  });
+
+  it('reports again after another outage', async () => {
+    const { clock, admission, reports, hearHolder } = makeEntry(true);
+    hearHolder(0);
+    clock.advance(3_000);
+    hearHolder(60_000);
+    await admission.charge(TEAM, 0);
+    hearHolder(0);
+    const reported = reports.flatMap(({ teamHistories }) => teamHistories ?? []);
+    expect(reported).toEqual([{ team: 'north', admitted: [1] }]);
+  });
+
+  it('leaves requests without a holder to the uses if teams have no tolerance', async () => {
+    const { admission, reports, hearHolder } = makeEntry(false);
+    await admission.charge(TEAM, 0);
+    hearHolder(0);
+    expect(reports.flatMap(({ teams }) => teams ?? [])).toEqual([
+      { team: 'north', admitted: 1, returned: 0 },
+    ]);
+    expect(reports.flatMap(({ teamHistories }) => teamHistories ?? [])).toEqual([]);
+  });
+});
--- a/packages/gateway/src/entry/entry-extensions.ts
+++ b/packages/gateway/src/entry/entry-extensions.ts
@@ -8,6 +8,7 @@
 import { EvacuationUpdates } from './EvacuationUpdates.js';
 import { RankedAdmission } from './RankedAdmission.js';
 import { PlacementFollower } from './PlacementFollower.js';
+import { TeamHistoryReporter } from './TeamHistoryReporter.js';
 
 export interface EntryExtensionContext {
   readonly clock: Clock;
@@ -22,6 +23,9 @@
     new EvacuationUpdates(ctx),
     ...(settings.overload?.rankedAdmission === true ? [new RankedAdmission(ctx)] : []),
     ...(settings.overload?.slotQueue === true ? [new CapacityExtension(ctx)] : []),
+    ...((settings.overload?.teamTolerance ?? 'none') === 'none'
+      ? []
+      : [new TeamHistoryReporter(ctx)]),
     ...(settings.placement?.crossingPrice === undefined
       ? []
       : [
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of a gateway process and the addresses derived from them. */
 import type { RoutingPlan } from '@marigoldbank/routing/plan';
 import type { RetryBudgetLimits } from '@marigoldbank/routing/RetryWindow';
+import type { TeamTolerance } from '@marigoldbank/routing/teamTolerance';
 import type { ColdBounds } from '@marigoldbank/routing/sharedRate';
 import { z } from 'zod';
 import { durationMs } from './durations.js';
@@ -20,6 +21,15 @@
     ),
   retrySlack: z.number().min(0),
   retryWindow: durationMs,
+  teamOvershoot: z
+    .number()
+    .min(0)
+    .optional()
+    .describe(
+      'A team may have `teamOvershoot` x (rate x `teamWindow` + burst) + `teamSlack` requests in any `teamWindow` beyond its rate and burst, over all entries.',
+    ),
+  teamSlack: z.number().min(0).optional(),
+  teamWindow: durationMs.optional(),
   coldOvershoot: z
     .number()
     .min(1)
@@ -96,6 +106,11 @@
         .describe(
           'Whether requests wait at entries for free slots of targets, by rank, and refusals name the time at which slots are expected.',
         ),
+      teamTolerance: planScopeSchema
+        .default('none')
+        .describe(
+          'Plans under which a part of what `bounds.teamOvershoot` and `bounds.teamSlack` allow is used while the requests that a team has had are not known: `none`, those with routes for `largeBodies`, or `all`.',
+        ),
       offeredRetryBudget: planScopeSchema
         .default('none')
         .describe(
@@ -131,6 +146,17 @@
   return { overshoot: overshoot ?? 1, slack: slack ?? 0 };
 }
 
+/** What teams may get beyond their rates while their use is not known; undefined if the settings or the plan call for nothing. */
+export function teamToleranceOf(
+  { bounds, overload }: Pick<GatewaySettings, 'bounds' | 'overload'>,
+  currentPlan: () => RoutingPlan | undefined,
+): () => TeamTolerance | undefined {
+  const { teamOvershoot: overshoot = 0, teamSlack: slack = 0, teamWindow: windowMs } = bounds;
+  const tolerance = windowMs === undefined ? undefined : { overshoot, slack, windowMs };
+  const applies = appliesToCurrent(overload?.teamTolerance ?? 'none', currentPlan);
+  return () => (applies() ? tolerance : undefined);
+}
+
 /** Limits of the retries of each service. */
 export function retryBudgetLimits(
   { bounds, overload }: Pick<GatewaySettings, 'bounds' | 'overload'>,
--- a/packages/gateway/src/testing/CallerLoad.ts
+++ b/packages/gateway/src/testing/CallerLoad.ts
@@ -69,7 +69,12 @@
       seed,
       hubs: ['dc-1', 'dc-1', 'dc-1'],
       entries: Array.from({ length: entries }, () => 'dc-1'),
-      overload: { rankedAdmission: false, slotQueue: isRanked, offeredRetryBudget: 'none' },
+      overload: {
+        rankedAdmission: false,
+        slotQueue: isRanked,
+        offeredRetryBudget: 'none',
+        teamTolerance: 'none',
+      },
     });
     this.upstream = new SlottedTargets({
       clock: this.fleet.clock,
--- a/packages/gateway/src/testing/fake-fleet-parts.ts
+++ b/packages/gateway/src/testing/fake-fleet-parts.ts
@@ -121,7 +121,9 @@
   const logger = new NullLogger();
   const settings = makeSettings(LEADER_IP, dataCentre, options);
   const bounds = { ratio: 0.2, slack: 188, windowMs: 10_000 };
-  const state = new EntryState(bounds, random, () => clock.now(), undefined, options.crossingPrice);
+  const state = new EntryState(bounds, random, () => clock.now(), {
+    crossingPrice: options.crossingPrice,
+  });
   const isAccepting = (): Promise<boolean> => Promise.resolve(false);
   const reporter = new HubReporter(clock, state, logger, { isAccepting });
   const extensions = createEntryExtensions({ clock, logger, settings, state });
--- a/packages/routing/src/TeamBuckets.ts
+++ b/packages/routing/src/TeamBuckets.ts
@@ -5,6 +5,8 @@
 import { Random } from '@marigoldbank/base/random';
 import { DemandShare, usualDemandOf } from './DemandShare.js';
 import type { Team } from './plan.js';
+import { TeamHistories, type TeamHistory } from './TeamHistories.js';
+import { startTokensOf, type TeamTolerance } from './teamTolerance.js';
 import { TokenBucket } from './TokenBucket.js';
 
 export type TokenDecision =
@@ -58,6 +60,8 @@
   readonly isPart?: boolean;
   /** Whether a team was low on tokens according to the previous holder; undefined if unknown. */
   readonly wasTight: (team: string) => boolean | undefined;
+  /** What teams may have beyond their rates, a part of which new buckets are filled with; undefined for nothing. */
+  readonly tolerance?: TeamTolerance | undefined;
 }
 
 const DEFAULT_OPTIONS: BucketOptions = { rateFraction: 1, wasTight: () => undefined };
@@ -70,6 +74,9 @@
   /** Parts of rates that are too small for buckets. */
   private readonly shares = new Map<string, DemandShare>();
 
+  /** Undefined without a tolerance, and before the first plan. */
+  private histories: TeamHistories | undefined;
+
   public constructor(private readonly random = new Random(1)) {}
 
   /** Applies the teams of a plan. Keeps the levels of known teams, capped at their new burst. */
@@ -79,6 +86,7 @@
     [...this.buckets.keys(), ...this.shares.keys()]
       .filter((name) => !names.has(name))
       .forEach((name) => this.remove(name));
+    this.configureHistories(limited, now, options);
     limited.forEach((team) => {
       const { name } = team;
       const rate = team.ratePerSecond * options.rateFraction;
@@ -95,7 +103,12 @@
         return;
       }
       const isRelaxed = options.wasTight(name) === false;
-      const level = burst * (isRelaxed ? INITIAL_RELAXED_FILL_FRACTION : INITIAL_FILL_FRACTION);
+      const filled = burst * (isRelaxed ? INITIAL_RELAXED_FILL_FRACTION : INITIAL_FILL_FRACTION);
+      const tolerated =
+        options.tolerance === undefined
+          ? 0
+          : startTokensOf(team, options.tolerance) * options.rateFraction;
+      const level = Math.min(burst, Math.max(filled, tolerated));
       this.buckets.set(name, new TokenBucket(rate, burst, level, now));
       this.tightModes.set(name, true);
     });
@@ -106,16 +119,54 @@
     this.buckets.clear();
     this.shares.clear();
     this.tightModes.clear();
+    this.histories = undefined;
+  }
+
+  /** Adds what entries admitted before they knew of this holder. Nothing is added if it has granted for long. */
+  public addHistory(history: TeamHistory, now: number): void {
+    if (this.histories?.isCurrent(now) === true) this.histories.addHistory(history, now);
+  }
+
+  /** What this holder and those before it granted lately, if it has started a short time ago. */
+  public recentHistories(now: number): TeamHistory[] {
+    return this.histories?.isCurrent(now) === true ? this.histories.all(now) : [];
   }
 
   /** Deducts tokens for requests that entries have already admitted. Adds tokens if `used` is below 0. */
   public charge(team: string, used: number, now: number): void {
     this.buckets.get(team)?.charge(used, now);
     this.shares.get(team)?.charge(used, now);
+    this.histories?.add(team, used, now);
   }
 
   /** Takes one token, or says when the next one is available. */
   public take(team: string, now: number): TokenDecision {
+    const { histories } = this;
+    if (histories !== undefined && histories.room(team, now) < 1) {
+      return { kind: 'refused', retryAfterMs: histories.waitMs(team, now) };
+    }
+    const decision = this.takeToken(team, now);
+    if (decision.kind === 'granted') histories?.add(team, 1, now);
+    return decision;
+  }
+
+  /** Takes tokens that another hub orders. `retryAfterMs` is the time until the next one if not all waiting requests get one. */
+  public takeOrder({ team, count, ahead }: TokenOrder, now: number): TokenGrant {
+    const bucket = this.buckets.get(team);
+    if (bucket === undefined) return { team, granted: count + ahead, retryAfterMs: 0 };
+    const room = this.histories?.room(team, now) ?? Infinity;
+    const granted = bucket.takeUpTo(
+      Math.min(count, room),
+      Math.min(ahead, Math.max(0, room - count)),
+      now,
+    );
+    this.histories?.add(team, granted, now);
+    if (granted >= count) return { team, granted, retryAfterMs: 0 };
+    const waitMs = granted < room ? bucket.waitMs(now) : this.histories?.waitMs(team, now);
+    return { team, granted, retryAfterMs: Math.max(1, waitMs ?? 1) };
+  }
+
+  private takeToken(team: string, now: number): TokenDecision {
     const share = this.shares.get(team);
     if (share !== undefined) {
       return share.admits(now)
@@ -127,21 +178,13 @@
     return { kind: 'refused', retryAfterMs: bucket.waitMs(now) };
   }
 
-  /** Takes tokens that another hub orders. `retryAfterMs` is the time until the next one if not all waiting requests get one. */
-  public takeOrder({ team, count, ahead }: TokenOrder, now: number): TokenGrant {
-    const bucket = this.buckets.get(team);
-    if (bucket === undefined) return { team, granted: count + ahead, retryAfterMs: 0 };
-    const granted = bucket.takeUpTo(count, ahead, now);
-    const retryAfterMs = granted < count ? Math.max(1, bucket.waitMs(now)) : 0;
-    return { team, granted, retryAfterMs };
-  }
-
   /** Returns the teams whose mode has changed since the last call. */
   public takeModeChanges(now: number): TeamMode[] {
     const changed = [...this.buckets].flatMap(([team, bucket]) => {
       const wasTight = this.tightModes.get(team) === true;
-      const isTight =
+      const isLow =
         bucket.fillFraction(now) < (wasTight ? RELAXED_FILL_FRACTION : TIGHT_FILL_FRACTION);
+      const isTight = isLow || this.histories?.isTight(team, now) === true;
       return isTight === wasTight ? [] : [{ team, isTight }];
     });
     changed.forEach(({ team, isTight }) => this.tightModes.set(team, isTight));
@@ -153,6 +196,19 @@
     return [...this.tightModes].map(([team, isTight]) => ({ team, isTight }));
   }
 
+  private configureHistories(
+    teams: readonly Team[],
+    now: number,
+    { rateFraction, tolerance }: BucketOptions,
+  ): void {
+    if (tolerance === undefined) {
+      this.histories = undefined;
+      return;
+    }
+    this.histories ??= new TeamHistories(tolerance, now);
+    this.histories.configure(teams, rateFraction);
+  }
+
   private configureShare(name: string, rate: number, isRelaxed: boolean, now: number): void {
     const options = {
       perSecond: rate,
--- a/packages/routing/src/TeamRateLimiter.ts
+++ b/packages/routing/src/TeamRateLimiter.ts
@@ -2,8 +2,11 @@
 import { Random } from '@marigoldbank/base/random';
 import { DemandShare, usualDemandOf } from './DemandShare.js';
 import type { Team } from './plan.js';
-import { TokenBucket } from './TokenBucket.js';
+import { SlidingCount } from './SlidingCount.js';
 import { ISOLATED_RATE_FRACTION } from './TeamBuckets.js';
+import type { TeamHistory } from './TeamHistories.js';
+import { isolatedLimitOf, type TeamTolerance } from './teamTolerance.js';
+import { TokenBucket } from './TokenBucket.js';
 
 export type TeamDecision =
   /** Admitted after `afterMs`, which is usually 0. The use is reported to the budget holder afterwards. */
@@ -26,6 +29,16 @@
   readonly initialLevel: number;
 }
 
+/** Requests of a team that this entry admitted lately. */
+interface AdmittedHistory {
+  readonly count: SlidingCount;
+  /** In [0, 1): the fractions of the even shares add up over the entries when each adds this before it rounds down. */
+  readonly rounding: number;
+}
+
+/** Time to come back after a refusal by the history: other entries or the holder may admit the request sooner. */
+const MAX_HISTORY_RETRY_MS = 1_000;
+
 /** An entry whose even share of the burst is smaller admits with a probability instead of from a bucket. */
 const MIN_BUCKET_TOKENS = 1;
 
@@ -59,7 +72,13 @@
 
   private readonly localShares = new Map<string, DemandShare>();
 
-  public constructor(private readonly random = new Random(1)) {}
+  private readonly histories = new Map<string, AdmittedHistory>();
+
+  /** `tolerance` is what teams may have beyond their rates, over all entries; undefined for nothing. */
+  public constructor(
+    private readonly random = new Random(1),
+    private readonly tolerance: () => TeamTolerance | undefined = () => undefined,
+  ) {}
 
   /** Sets whether a team is low on tokens, so that each of its requests needs one from the budget holder. */
   public setTight(team: string, isTight: boolean): void {
@@ -72,6 +91,28 @@
     this.refusedUntil.set(team, now + Math.min(retryAfterMs, MAX_LOCAL_REFUSAL_MS));
   }
 
+  /** Whether teams may have more than their rates in some windows, so that histories are kept. */
+  public get hasTolerance(): boolean {
+    return this.tolerance() !== undefined;
+  }
+
+  /** Counts a request that was admitted, by this entry or with a token; below 0 for one that was not run. */
+  public countAdmitted(team: string, admitted: number, now: number): void {
+    const tolerance = this.tolerance();
+    if (tolerance === undefined) {
+      this.histories.clear();
+      return;
+    }
+    this.historyOf(team, tolerance).count.add(admitted, now);
+  }
+
+  /** What was admitted lately, for a new budget holder. */
+  public recentHistories(now: number): TeamHistory[] {
+    return [...this.histories]
+      .filter(([, { count }]) => count.total(now) > 0)
+      .map(([team, { count }]) => ({ team, admitted: count.recent(now) }));
+  }
+
   /**
    * Decides on one request that can wait up to `maxWaitMs`. `hasHolder` says whether the budget holder is reachable,
    * and `entryCount` entries share the rate.
@@ -99,6 +140,11 @@
     maxWaitMs: number,
     now: number,
   ): Exclude<TeamDecision, { kind: 'ask' }> {
+    const tolerance = this.tolerance();
+    if (tolerance !== undefined) {
+      const evenLimit = isolatedLimitOf(team, tolerance) / Math.max(1, entryCount);
+      if (evenLimit >= 1) return this.decideByHistory(team, evenLimit, tolerance, now);
+    }
     const { rate, initialLevel } = this.isolatedLimits(team, entryCount);
     const evenBurst = team.burst / Math.max(1, entryCount);
     if (evenBurst < MIN_BUCKET_TOKENS) return this.decideByShare(team, entryCount, now);
@@ -120,6 +166,30 @@
     this.localShares.get(team)?.charge(-1, now);
   }
 
+  /**
+   * Admits up to the even share of what all entries may admit in any window, whoever admitted the earlier requests. So the
+   * limit of the team holds without knowledge of other entries, also for a team that sends many times its usual.
+   */
+  private decideByHistory(
+    team: Team,
+    evenLimit: number,
+    tolerance: TeamTolerance,
+    now: number,
+  ): Exclude<TeamDecision, { kind: 'ask' }> {
+    const { count, rounding } = this.historyOf(team.name, tolerance);
+    if (count.total(now) + 1 <= Math.floor(evenLimit + rounding)) return ADMITTED;
+    const retryAfterMs = Math.min(MAX_HISTORY_RETRY_MS, count.untilFewer(now));
+    return { kind: 'refused', retryAfterMs };
+  }
+
+  private historyOf(team: string, { windowMs }: TeamTolerance): AdmittedHistory {
+    const known = this.histories.get(team);
+    if (known !== undefined) return known;
+    const history = { count: new SlidingCount(windowMs), rounding: this.random.float() };
+    this.histories.set(team, history);
+    return history;
+  }
+
   private decideByShare(
     team: Team,
     entryCount: number,
