Answer status and audit at log processes

Operators could see evacuations in metrics only, and nobody could tell which order came first when two operators had changed something. A log process now lists its state and the last 500 orders that it applied, with those that came too late to have an effect. Both are read from memory, so they are answered without a leader as well.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -38,11 +38,13 @@
 import { HubDirectory } from './HubDirectory.js';
 import { LogFeed } from './LogFeed.js';
 import { MeteredTransport } from './MeteredTransport.js';
+import { OrderHistory } from './OrderHistory.js';
 import { registerLogService, type LogServiceParts } from './log-routes.js';
 import { CommitHistory } from './CommitHistory.js';
 import { PlanStateMachine } from './PlanStateMachine.js';
 import { SlotTable } from './SlotTable.js';
 import { StateConfirmation } from './StateConfirmation.js';
+import { statusHandler, type StatusContext } from './statusHandler.js';
 import { VoterManager } from './VoterManager.js';
 import { waitForFirstLeader } from './waitForFirstLeader.js';
 
@@ -107,6 +109,7 @@
     const { settings, clock, logger, protocol } = this;
     const control = requireAddress(settings.listen.control, 'control');
     const stateMachine = new PlanStateMachine();
+    const orderHistory = new OrderHistory(stateMachine);
     const log = await this.openLog(stateMachine);
     const clientOf = (
       address: string,
@@ -149,7 +152,9 @@
       dataCentres: settings.dataCentres,
     });
     const history = new CommitHistory({ clock, stateMachine, confirmation, log, logger });
-    await this.serveLog(log, {
+    const isLeader = (): boolean => log.status().role === 'leader';
+    const status = { vm: settings.vm, isLeader, stateMachine, history: orderHistory };
+    await this.serveLog(log, status, {
       log,
       feed,
       directory,
@@ -257,7 +262,11 @@
     }
   }
 
-  private async serveLog(log: ReplicatedLog, parts: LogServiceParts): Promise<void> {
+  private async serveLog(
+    log: ReplicatedLog,
+    status: StatusContext,
+    parts: LogServiceParts,
+  ): Promise<void> {
     const server = new InternalServer({
       address: consensusAddress(this.settings, this.settings.ip),
       secretOf: () => INTERNAL_SECRET,
@@ -265,7 +274,7 @@
         registerConsensus(router, log);
         registerLogService(router, parts);
       },
-      fallback: metricsHandler(),
+      fallback: statusHandler(status, metricsHandler()),
     });
     await server.listen();
     this.server = server;
--- a/packages/gateway/src/control/LogFeed.ts
+++ b/packages/gateway/src/control/LogFeed.ts
@@ -147,10 +147,10 @@
     };
   }
 
-  private addCommand(command: AppliedCommand): void {
-    if (this.completeAfter === Infinity) this.completeAfter = command.index - 1;
-    this.commands.push(command);
-    this.commandBytes += command.data.length;
+  private addCommand({ index, data }: AppliedCommand): void {
+    if (this.completeAfter === Infinity) this.completeAfter = index - 1;
+    this.commands.push({ index, data });
+    this.commandBytes += data.length;
     while (this.commandBytes > MAX_COMMAND_BYTES) this.dropOldestCommand();
     this.batcher.request(NEWS_DELAY_MS);
   }
--- a/packages/gateway/src/control/PlanStateMachine.ts
+++ b/packages/gateway/src/control/PlanStateMachine.ts
@@ -20,6 +20,9 @@
 export interface AppliedCommand {
   readonly index: number;
   readonly data: Uint8Array;
+  /** Undefined if this release cannot read it. */
+  readonly command?: Command | undefined;
+  readonly result?: CommandResult;
 }
 
 export class PlanStateMachine extends StateMachine {
@@ -89,7 +92,7 @@
     const command = decodeCommand(data);
     // This release proposes only commands that it can read. All members that run it skip commands of a newer release.
     const result = command === undefined ? 'superseded' : this.execute(index, command);
-    this.applyEmitter.fire({ index, data });
+    this.applyEmitter.fire({ index, data, command, result });
     return Buffer.from(result);
   }
 
