--- a/packages/gateway/src/entry/TeamHistoryReporter.ts
+++ b/packages/gateway/src/entry/TeamHistoryReporter.ts
@@ -26,7 +26,7 @@
     return { teamHistories: state.teamLimiter.recentHistories(now).map(toTeamHistoryMessage) };
   }
 
-  /** Reports are more frequent than a holder takes to be missed. */
+  /** Called with each update and report, which come more often than a holder can be lost and found. */
   private follow(now: number): void {
     const hasHolder = this.ctx.state.hasBudgetHolder(now);
     if (hasHolder && !this.hadHolder) this.isDue = true;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -109,7 +109,7 @@
       teamTolerance: planScopeSchema
         .default('none')
         .describe(
-          'Plans under which a part of what `bounds.teamOvershoot` and `bounds.teamSlack` allow is used while the requests that a team has had are not known: `none`, those with routes for `largeBodies`, or `all`.',
+          'Plans under which a part of what `bounds.teamOvershoot` and `bounds.teamSlack` allow is used while the requests that a team has had are not known: `none`, those with routes for `largeBodies`, or `all`. Without `bounds.teamWindow` nothing is used.',
         ),
       offeredRetryBudget: planScopeSchema
         .default('none')
--- a/packages/routing/src/SlidingCount.ts
+++ b/packages/routing/src/SlidingCount.ts
@@ -32,8 +32,9 @@
   /** Counts by interval, newest first. */
   public recent(now: number): number[] {
     const current = this.intervalAt(now);
-    const newest = current - Math.min(...this.counts.keys(), current);
-    return Array.from({ length: newest + 1 }, (_, age) => this.counts.get(current - age) ?? 0);
+    this.forget(current);
+    const oldestAge = current - Math.min(...this.counts.keys(), current);
+    return Array.from({ length: oldestAge + 1 }, (_, age) => this.counts.get(current - age) ?? 0);
   }
 
   /** Adds counts by interval, newest first. */
--- a/packages/routing/src/teamTolerance.ts
+++ b/packages/routing/src/teamTolerance.ts
@@ -13,7 +13,7 @@
   readonly windowMs: number;
 }
 
-/** Part of the tolerance that a holder may start with. It may be replaced within a window, beside entries without a holder. */
+/** Part of the tolerance that a holder may start with: there may be several starts within a window, beside entries without a holder. */
 const START_FRACTION = 0.25;
 
 /** Part of the limit that entries without a holder use together. The rest is for a holder that starts meanwhile. */
