--- a/packages/gateway/src/entry/TeamAdmission.ts
+++ b/packages/gateway/src/entry/TeamAdmission.ts
@@ -1,6 +1,7 @@
 /** Charges requests to the rate limits of their teams. */
 import { delay, type Clock } from '@marigoldbank/base/clock';
 import type { Team } from '@marigoldbank/routing/plan';
+import { teamRefusalsTotal } from '../metrics.js';
 import type { ErrorResponse } from './ErrorResponse.js';
 import type { EntryState } from './EntryState.js';
 import type { HubReporter } from './HubReporter.js';
@@ -75,6 +76,7 @@
     retryAfterMs: number,
     decidedBy: 'holder' | 'entry',
   ): ErrorResponse {
+    teamRefusalsTotal.inc({ decided_by: decidedBy });
     return {
       kind: 'overQuota',
       verdict: 'notRun',
--- a/packages/gateway/src/entry/TeamHistoryReporter.ts
+++ b/packages/gateway/src/entry/TeamHistoryReporter.ts
@@ -1,5 +1,6 @@
 /** Reports what this entry admitted for each team lately as soon as it has a holder of the budgets again. */
 import type { Clock } from '@marigoldbank/base/clock';
+import { teamHistoriesTotal } from '../metrics.js';
 import { toTeamHistoryMessage } from '../sync/team-history.js';
 import { EntryExtension, type ReportFields } from './EntryExtension.js';
 import type { EntryState } from './EntryState.js';
@@ -23,7 +24,9 @@
     this.follow(now);
     if (!this.isDue) return {};
     this.isDue = false;
-    return { teamHistories: state.teamLimiter.recentHistories(now).map(toTeamHistoryMessage) };
+    const teamHistories = state.teamLimiter.recentHistories(now).map(toTeamHistoryMessage);
+    teamHistoriesTotal.inc(teamHistories.length);
+    return { teamHistories };
   }
 
   /** Called with each update and report, which come more often than a holder can be lost and found. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -237,6 +237,19 @@
   registers: [registry],
 });
 
+export const teamRefusalsTotal = new Counter({
+  name: 'marigoldbank_team_refusals_total',
+  help: 'Requests refused for the rate of their team, by who decided: holder, or entry while it reached none',
+  labelNames: ['decided_by'] as const,
+  registers: [registry],
+});
+
+export const teamHistoriesTotal = new Counter({
+  name: 'marigoldbank_team_histories_total',
+  help: 'Histories of a team that an entry reported after a time without a budget holder',
+  registers: [registry],
+});
+
 export const retryBudgetUsed = new Gauge({
   name: 'marigoldbank_retry_budget_used',
   help: 'Used part of the retry budget of a service, as known to this hub',
