Show bytes of the log, repeated entries and whole plans sent to entries

Nothing told a leader that sends large entries again from one with many changes: `calls to other log processes` had counts only. It now has the bytes of entries, those that were sent again, and the slowest call, with counters and a histogram. A start logs what the log holds and how long reading it took, a refused read the age of the confirmation, and a hub each whole plan that it sends. No logic is changed.

--- a/packages/gateway/src/control/ControlApi.ts
+++ b/packages/gateway/src/control/ControlApi.ts
@@ -310,7 +310,12 @@
     const { leader } = log.status();
     if (!isConfirmed) {
       const { tookMs } = trace;
-      this.ctx.logger.info('a read was not confirmed', { tookMs, leader: leader?.vm ?? '' });
+      const confirmedAgeMs = Math.round(this.ctx.confirmation.confirmedAgeMs());
+      this.ctx.logger.info('a read was not confirmed', {
+        tookMs,
+        leader: leader?.vm ?? '',
+        confirmedAgeMs: Number.isFinite(confirmedAgeMs) ? confirmedAgeMs : -1,
+      });
       return this.redirect(this.isSelf(leader) ? undefined : leader, requestTarget);
     }
     const committed = stateMachine.current;
--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -19,7 +19,7 @@
 } from '@marigoldbank/replicated-log';
 import type { ProtocolAdapter } from '../ProtocolAdapter.js';
 import type { GatewayProcess } from '../GatewayProcess.js';
-import { metricsHandler } from '../metrics.js';
+import { logBytes, metricsHandler } from '../metrics.js';
 import {
   consensusAddress,
   INTERNAL_SECRET,
@@ -232,7 +232,18 @@
         clock: this.clock,
         tuning: TUNING,
       });
+    const startedAt = this.clock.now();
     const log = await this.openWithSpace(open);
+    const tookMs = Math.round(this.clock.now() - startedAt);
+    this.logger.info('the log is open', { ...log.size(), tookMs });
+    const countBytes = (): void => {
+      const { entryBytes, snapshotBytes } = log.size();
+      logBytes.set({ part: 'entries' }, entryBytes);
+      logBytes.set({ part: 'snapshot' }, snapshotBytes);
+    };
+    stateMachine.onDidApply(countBytes);
+    stateMachine.onDidRestore(countBytes);
+    countBytes();
     log.onDidChangeSpace((hasSpace) => {
       if (hasSpace) this.logger.info('the data folder has space again');
       else {
--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -12,6 +12,7 @@
 import { isNewerVersion } from '@marigoldbank/routing/plan';
 import type { SuspectStatement } from '@marigoldbank/routing/PoisonTable';
 import type { AdvertisedEntry } from '../AddressBook.js';
+import { sentPlanBytesTotal, sentPlansTotal } from '../metrics.js';
 import { Batcher } from '../sync/Batcher.js';
 import type { TargetLimitInit } from '../sync/limit-codec.js';
 import { MessageQueue } from '../sync/MessageQueue.js';
@@ -265,10 +266,14 @@
     const from = this.sentPlan?.plan.version === 0 ? undefined : this.sentPlan;
     this.sentPlan = current;
     this.planSentAt = now;
+    const changes = this.source.encodeChanges(from, current);
+    const form = from === undefined ? 'whole' : 'changes';
+    sentPlansTotal.inc({ form });
+    sentPlanBytesTotal.inc({ form }, changes.length);
     return {
       fromVersion: toVersionField(from?.plan.version),
       version: BigInt(current.plan.version),
-      changes: this.source.encodeChanges(from, current),
+      changes,
     };
   }
 }
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -274,17 +274,23 @@
   private openSession(identity: EntryIdentity, report: EntryReport): EntrySession {
     const { sentAtMs, entryCount, planVersion } = report;
     const { clock, stateMachine } = this.ctx;
+    const heldVersion = toVersion(planVersion);
     this.sessions.get(identity.vm)?.dispose();
     const source = {
       clock,
       currentPlan: () => (this.freshness.maySendPlan ? stateMachine.current : undefined),
       advertised: () => this.advertised.current,
-      encodeChanges: (from: CommittedPlan | undefined, to: CommittedPlan) =>
-        this.encoder.encode(from, to),
+      encodeChanges: (from: CommittedPlan | undefined, to: CommittedPlan) => {
+        const changes = this.encoder.encode(from, to);
+        if (from === undefined) {
+          const context = { entry: identity.vm, held: heldVersion ?? -1, bytes: changes.length };
+          this.ctx.logger.info('a whole plan is sent', context);
+        }
+        return changes;
+      },
     };
     this.entries.noteReportedCount(entryCount, clock.now());
     this.lastEntryRef += 1;
-    const heldVersion = toVersion(planVersion);
     const session = new EntrySession(identity, this.lastEntryRef, source, heldVersion);
     this.sessions.set(identity.vm, session);
     session.noteReport(clock.now(), sentAtMs);
--- a/packages/gateway/src/control/MeteredTransport.test.ts
+++ b/packages/gateway/src/control/MeteredTransport.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { delay } from '@marigoldbank/base/clock';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { Logger, type LogContext, type LogLevel } from '@marigoldbank/daemon/telemetry/Logger';
 import type {
@@ -27,6 +28,13 @@
   }
 }
 
+function makeAppend(lastIndex: number, bytes: number): AppendEntriesRequest {
+  const data = new Uint8Array(bytes);
+  const entries =
+    bytes === 0 ? [] : [{ index: lastIndex, term: 1, kind: 'command' as const, data }];
+  return { term: 1, entries } as unknown as AppendEntriesRequest;
+}
+
 describe('MeteredTransport', () => {
   // Calls of a leader to members that are cut off could not be told from those of one with much to do.
   it('logs how many calls were sent, failed and are open', async () => {
@@ -35,7 +43,7 @@
     const answers = [Promise.resolve(), Promise.reject(new Error('reset')), new Promise(() => {})];
     const inner = { appendEntries: () => answers.shift() } as unknown as ConsensusTransport;
     const transport = new MeteredTransport(inner, logger, clock);
-    const req = {} as AppendEntriesRequest;
+    const req = makeAppend(1, 0);
     await transport.appendEntries(MEMBER, req);
     await expect(transport.appendEntries(MEMBER, req)).toBeRejectedWith('reset');
     transport.appendEntries(MEMBER, req).catch(() => undefined);
@@ -45,4 +53,27 @@
       logger.lines.map(({ message, sent, failed, open }) => [message, sent, failed, open]),
     ).toEqual([['calls to other log processes', 3, 1, 1]]);
   });
+
+  // A leader that sends large entries again before they are answered could not be told from one with many changes.
+  it('logs the bytes of entries, those that are sent again, and the slowest call', async () => {
+    const clock = new VirtualClock();
+    const logger = new LineLogger();
+    const appendEntries = (): Promise<void> => delay(clock, 300);
+    const inner = { appendEntries } as unknown as ConsensusTransport;
+    const transport = new MeteredTransport(inner, logger, clock);
+    [makeAppend(1, 1_000), makeAppend(1, 1_000), makeAppend(2, 10), makeAppend(2, 0)].forEach(
+      (req) => {
+        transport.appendEntries(MEMBER, req).catch(() => undefined);
+      },
+    );
+    await clock.advanceAsync(5_000);
+    transport.dispose();
+    expect(
+      logger.lines.map(({ appendBytes, repeatedBytes, slowestMs }) => [
+        appendBytes,
+        repeatedBytes,
+        slowestMs,
+      ]),
+    ).toEqual([[2_010, 1_000, 300]]);
+  });
 });
--- a/packages/gateway/src/control/MeteredTransport.ts
+++ b/packages/gateway/src/control/MeteredTransport.ts
@@ -12,7 +12,12 @@
   type RequestVoteRequest,
   type RequestVoteResponse,
 } from '@marigoldbank/replicated-log';
-import { consensusCallsTotal, openConsensusCalls } from '../metrics.js';
+import {
+  appendBytesTotal,
+  consensusCallSeconds,
+  consensusCallsTotal,
+  openConsensusCalls,
+} from '../metrics.js';
 
 type CallKind = 'vote' | 'append' | 'snapshot';
 
@@ -20,12 +25,18 @@
 
 const US_PER_MS = 1_000;
 
+const MS_PER_SECOND = 1_000;
+
+/** Counts since the last log line. */
+const NO_CALLS = { sent: 0, failed: 0, appendBytes: 0, repeatedBytes: 0, slowestMs: 0 };
+
 export class MeteredTransport extends ConsensusTransport implements IDisposable {
   private readonly store = new DisposableStore();
 
-  private sent = 0;
+  private calls = { ...NO_CALLS };
 
-  private failed = 0;
+  /** The last entry sent to each member, by its address. */
+  private readonly sentTo = new Map<string, { readonly term: number; readonly index: number }>();
 
   private readonly open = new Map<string, number>();
 
@@ -34,7 +45,7 @@
   public constructor(
     private readonly inner: ConsensusTransport,
     private readonly logger: Logger,
-    clock: Clock,
+    private readonly clock: Clock,
   ) {
     super();
     this.store.add(setPeriodic(clock, () => this.logCalls(), LOG_INTERVAL_MS));
@@ -52,6 +63,7 @@
     to: Member,
     req: AppendEntriesRequest,
   ): Promise<AppendEntriesResponse> {
+    this.countEntries(to, req);
     return this.count('append', to, this.inner.appendEntries(to, req));
   }
 
@@ -62,18 +74,36 @@
     return this.count('snapshot', to, this.inner.installSnapshot(to, req));
   }
 
+  /** Entries that are sent once more cost as much as new ones. */
+  private countEntries({ vm, address }: Member, req: AppendEntriesRequest): void {
+    const { term, entries } = req;
+    const last = entries.at(-1);
+    if (last === undefined) return;
+    const sent = this.sentTo.get(address);
+    const isRepeated = sent !== undefined && sent.term === term && sent.index >= last.index;
+    if (!isRepeated) this.sentTo.set(address, { term, index: last.index });
+    const bytes = entries.reduce((sum, { data }) => sum + data.length, 0);
+    this.calls.appendBytes += bytes;
+    if (isRepeated) this.calls.repeatedBytes += bytes;
+    appendBytesTotal.inc({ member: vm, sending: isRepeated ? 'repeated' : 'first' }, bytes);
+  }
+
   private async count<T>(kind: CallKind, { vm }: Member, call: Promise<T>): Promise<T> {
-    this.sent += 1;
+    const startedAt = this.clock.now();
+    this.calls.sent += 1;
     this.addOpen(vm, 1);
     try {
       const res = await call;
       consensusCallsTotal.inc({ kind, member: vm, outcome: 'answered' });
       return res;
     } catch (err) {
-      this.failed += 1;
+      this.calls.failed += 1;
       consensusCallsTotal.inc({ kind, member: vm, outcome: 'failed' });
       throw err;
     } finally {
+      const tookMs = this.clock.now() - startedAt;
+      this.calls.slowestMs = Math.max(this.calls.slowestMs, Math.round(tookMs));
+      consensusCallSeconds.observe({ kind }, tookMs / MS_PER_SECOND);
       this.addOpen(vm, -1);
     }
   }
@@ -89,14 +119,11 @@
     const { user, system } = process.cpuUsage(this.cpu);
     this.cpu = process.cpuUsage();
     const open = [...this.open.values()].reduce((sum, count) => sum + count, 0);
-    const { sent, failed } = this;
     this.logger.info('calls to other log processes', {
-      sent,
-      failed,
+      ...this.calls,
       open,
       cpuMs: Math.round((user + system) / US_PER_MS),
     });
-    this.sent = 0;
-    this.failed = 0;
+    this.calls = { ...NO_CALLS };
   }
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -209,6 +209,42 @@
   registers: [registry],
 });
 
+export const consensusCallSeconds = new Histogram({
+  name: 'marigoldbank_consensus_call_duration_seconds',
+  help: 'Time from a message to another member of the replicated log to its answer or failure, by kind',
+  labelNames: ['kind'] as const,
+  buckets: DURATION_BUCKETS_S,
+  registers: [registry],
+});
+
+export const appendBytesTotal = new Counter({
+  name: 'marigoldbank_append_bytes_total',
+  help: 'Bytes of entries sent to other members of the replicated log, by member and sending: first, repeated',
+  labelNames: ['member', 'sending'] as const,
+  registers: [registry],
+});
+
+export const logBytes = new Gauge({
+  name: 'marigoldbank_log_bytes',
+  help: 'Bytes of the replicated log that this member keeps, by part: entries, snapshot',
+  labelNames: ['part'] as const,
+  registers: [registry],
+});
+
+export const sentPlansTotal = new Counter({
+  name: 'marigoldbank_sent_plans_total',
+  help: 'Plans that this hub has sent to entries, by form: whole, changes',
+  labelNames: ['form'] as const,
+  registers: [registry],
+});
+
+export const sentPlanBytesTotal = new Counter({
+  name: 'marigoldbank_sent_plan_bytes_total',
+  help: 'Bytes of plans that this hub has sent to entries, before compression, by form: whole, changes',
+  labelNames: ['form'] as const,
+  registers: [registry],
+});
+
 export const crossRequestsTotal = new Counter({
   name: 'marigoldbank_cross_requests_total',
   help: 'Requests sent to targets of other data centres, by service',
--- a/packages/replicated-log/src/MemoryLog.ts
+++ b/packages/replicated-log/src/MemoryLog.ts
@@ -53,6 +53,11 @@
     return this.base.index + this.entries.length;
   }
 
+  /** Bytes of data in the retained entries. */
+  public get entryBytes(): number {
+    return this.entries.reduce((sum, { data }) => sum + data.length, 0);
+  }
+
   public get lastTerm(): number {
     return this.termAt(this.lastIndex) ?? 0;
   }
--- a/packages/replicated-log/src/ReplicatedLog.ts
+++ b/packages/replicated-log/src/ReplicatedLog.ts
@@ -26,6 +26,7 @@
   InstallSnapshotRequest,
   InstallSnapshotResponse,
   IReplicatedLog,
+  LogSize,
   LogStatus,
   Member,
   MembershipOutcome,
@@ -193,6 +194,13 @@
     return { self, role, term, commitIndex, lastIndex, leader, membership, progress };
   }
 
+  /** What this member keeps. */
+  public size(): LogSize {
+    const { snapshot, firstIndex, lastIndex, entryBytes } = this.ctx.state.log;
+    const entries = lastIndex - firstIndex + 1;
+    return { entries, entryBytes, snapshotBytes: snapshot?.data.length ?? 0 };
+  }
+
   public storedAfter(index: number): StoredLog {
     const { log } = this.ctx.state;
     const { lastTerm, lastIndex } = log;
--- a/packages/replicated-log/src/types.ts
+++ b/packages/replicated-log/src/types.ts
@@ -112,6 +112,15 @@
   readonly progress: readonly MemberProgress[];
 }
 
+/** Size of the log that a member keeps in memory and on its disk. */
+export interface LogSize {
+  readonly entries: number;
+  /** Bytes of data in the entries. */
+  readonly entryBytes: number;
+  /** Bytes of state in the latest snapshot. */
+  readonly snapshotBytes: number;
+}
+
 /** A state of the log that was the newest one at some time. */
 export interface ConfirmedState {
   /** Nothing after this index was committed by `at`. */
