--- a/packages/gateway/src/control/CommandSubmitter.test.ts
+++ b/packages/gateway/src/control/CommandSubmitter.test.ts
@@ -1,7 +1,8 @@
 import { describe, it } from 'node:test';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { expect } from 'earl';
-import { FakeControlGroup, type FakeControlVm } from '../testing/FakeControlGroup.js';
+import type { FakeControlVm } from '../testing/fake-control-parts.js';
+import { FakeControlGroup } from '../testing/FakeControlGroup.js';
 import { makeEmptyPlan } from '../testing/fixtures.js';
 import { commandKey, encodeCommand, type CommandInit } from './commands.js';
 import type { ForwardedCommand, SubmitOutcome } from './CommandSubmitter.js';
--- a/packages/gateway/src/control/ControlApi.test.ts
+++ b/packages/gateway/src/control/ControlApi.test.ts
@@ -1,7 +1,8 @@
 import { describe, it } from 'node:test';
 import { NO_FAULTS } from '@marigoldbank/replicated-log/testing';
 import { expect } from 'earl';
-import { FakeControlGroup, type FakeControlVm } from '../testing/FakeControlGroup.js';
+import type { FakeControlVm } from '../testing/fake-control-parts.js';
+import { FakeControlGroup } from '../testing/FakeControlGroup.js';
 import { OperatorClient, type OperatorCallResult } from '../testing/OperatorClient.js';
 import { GET_TARGET, PUT_TARGET } from '../testing/VersionAdapter.js';
 
--- a/packages/gateway/src/control/acknowledged-plans.test.ts
+++ b/packages/gateway/src/control/acknowledged-plans.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { GROWN_COSTS } from '../testing/fake-control-parts.js';
-import type { FakeControlVm } from '../testing/FakeControlGroup.js';
+import type { FakeControlVm } from '../testing/fake-control-parts.js';
 import { PlanHistory } from '../testing/PlanHistory.js';
 import { startOperatorRun } from '../testing/startOperatorRun.js';
 
--- a/packages/gateway/src/control/change-acknowledgement.test.ts
+++ b/packages/gateway/src/control/change-acknowledgement.test.ts
@@ -1,7 +1,8 @@
 /** Acknowledgements of changes, and reads, at stable control VMs in virtual time, with operators as the platform has them. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { FakeControlGroup, FakeControlVm } from '../testing/FakeControlGroup.js';
+import type { FakeControlVm } from '../testing/fake-control-parts.js';
+import type { FakeControlGroup } from '../testing/FakeControlGroup.js';
 import type { OperatorCallResult } from '../testing/OperatorClient.js';
 import { startOperatorRun } from '../testing/startOperatorRun.js';
 
--- a/packages/gateway/src/testing/FakeControlGroup.ts
+++ b/packages/gateway/src/testing/FakeControlGroup.ts
@@ -4,7 +4,7 @@
 import { Random } from '@marigoldbank/base/random';
 import { VirtualClock } from '@marigoldbank/base/virtual-clock';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
-import { openReplicatedLog, type ReplicatedLog } from '@marigoldbank/replicated-log';
+import { openReplicatedLog } from '@marigoldbank/replicated-log';
 import {
   FakeNetwork,
   FakeProcessor,
@@ -34,9 +34,12 @@
   internalAddresses,
   logAddress,
   makeEvacuationCalls,
+  type FakeControlVm,
+  type FakeHost,
   type StartCosts,
 } from './fake-control-parts.js';
 import type { ControlReply } from './OperatorClient.js';
+import { FREE_BYTES, MessageBytes, type ByteCosts } from './MessageBytes.js';
 import { TimedTransport, withTimeout } from './TimedTransport.js';
 import { VersionAdapter } from './VersionAdapter.js';
 
@@ -61,28 +64,6 @@
   readonly timeoutMs: number;
 }
 
-export interface FakeControlVm {
-  readonly ip: string;
-  /** Address at which operators reach the VM. */
-  readonly address: string;
-  readonly clock: ProcessClock;
-  readonly disk: MemoryDisk;
-  readonly storage: MemoryLogStorage;
-  readonly log: ReplicatedLog;
-  readonly stateMachine: PlanStateMachine;
-  readonly confirmation: StateConfirmation;
-  readonly submitter: CommandSubmitter;
-  readonly api: ControlApi;
-}
-
-/** The clock on which a process runs and the processor that it shares. */
-interface FakeHost {
-  readonly ip: string;
-  readonly clock: ProcessClock;
-  readonly disk: MemoryDisk;
-  readonly syncMs: number | undefined;
-}
-
 export class FakeControlGroup {
   public readonly clock = new VirtualClock();
 
@@ -100,11 +81,12 @@
     this.network = new FakeNetwork(this.clock, this.random);
   }
 
-  /** Starts a group and waits until each VM knows a leader that answers. */
+  /** Starts a group and waits until each VM knows a leader that answers. Bytes cost no processor time by default. */
   public static async start(
     count: number,
     seed: number,
     voters = count,
+    costs: ByteCosts = FREE_BYTES,
   ): Promise<FakeControlGroup> {
     const group = new FakeControlGroup(seed);
     const all = Array.from({ length: count }, (_, i) => `10.0.0.${i + 1}`);
@@ -114,6 +96,7 @@
       clock: new ProcessClock(group.clock),
       disk: new MemoryDisk(ip),
       syncMs: undefined,
+      bytes: new MessageBytes(group.clock, costs),
     }));
     group.vms = await group.settle(Promise.all(hosts.map((host) => group.createVm(host, ips))));
     await group.advance(3_000);
@@ -286,6 +269,7 @@
       clock: new ProcessClock(processor.timers(costs.timerMs)),
       disk,
       syncMs: costs.syncMs,
+      bytes: new MessageBytes(clock, FREE_BYTES),
     };
     const vm = await this.createVm(host, ips);
     this.vms.push(vm);
@@ -303,7 +287,7 @@
 
   private async createVm(host: FakeHost, ips: readonly string[]): Promise<FakeControlVm> {
     const { network, random } = this;
-    const { ip, clock, disk, syncMs } = host;
+    const { ip, clock, disk, syncMs, bytes } = host;
     const storage = new MemoryLogStorage(disk, clock, random.fork(), syncMs);
     const stateMachine = new PlanStateMachine();
     const logger = new NullLogger();
@@ -312,7 +296,10 @@
       vm: ip,
       address: logAddress(ip),
       storage,
-      transport: new TimedTransport(clock, new FakeTransport(network, logAddress(ip))),
+      transport: new TimedTransport(
+        clock,
+        bytes.transport(new FakeTransport(network, logAddress(ip))),
+      ),
       stateMachine,
       bootstrap: ips.includes(ip)
         ? ips.map((vm) => ({ vm, address: logAddress(vm), incarnation: '' }))
@@ -321,7 +308,9 @@
       random: random.fork(),
       tuning: TUNING,
     });
-    [address, ...internalAddresses(ip)].forEach((attached) => network.attach(attached, log));
+    const handler = bytes.handler(log);
+    [address, ...internalAddresses(ip)].forEach((attached) => network.attach(attached, handler));
+    stateMachine.onDidApply(({ data }) => bytes.apply(data.length));
     const clientOf = this.clientOf(ip);
     const datagrams = this.datagramsOf(ip);
     const confirmation = new StateConfirmation({ clock, log, logger, datagrams, clientOf });
@@ -339,7 +328,7 @@
       logger,
       controlPort: CONTROL_PORT,
     });
-    return { ip, address, clock, disk, storage, log, stateMachine, confirmation, submitter, api };
+    return { ...host, address, storage, log, stateMachine, confirmation, submitter, api };
   }
 
   /** Sends a message over the internal addresses of two VMs. */
--- /dev/null
+++ b/packages/gateway/src/testing/MessageBytes.ts
@@ -0,0 +1,74 @@
+/** Processor time that a log process spends on the bytes of the log entries that it sends, receives and applies. */
+import type { Clock } from '@marigoldbank/base/clock';
+import type { ConsensusTransport } from '@marigoldbank/replicated-log';
+import { FakeProcessor, type MessageHandler } from '@marigoldbank/replicated-log/testing';
+import { CostlyTransport, entryBytesOf } from './CostlyTransport.js';
+
+const BYTES_PER_MB = 1_000_000;
+
+export interface ByteCosts {
+  /** Share of a core that the log process has. */
+  readonly share: number;
+  /** Milliseconds of a whole core for each megabyte of entries. */
+  readonly sendMs: number;
+  readonly receiveMs: number;
+  readonly applyMs: number;
+}
+
+export const FREE_BYTES: ByteCosts = { share: 1, sendMs: 0, receiveMs: 0, applyMs: 0 };
+
+export class MessageBytes {
+  private readonly processor: FakeProcessor;
+
+  private sent = 0;
+
+  public constructor(
+    clock: Clock,
+    private readonly costs: ByteCosts,
+  ) {
+    this.processor = new FakeProcessor(clock, () => costs.share);
+  }
+
+  /** Bytes of entries that were sent to other members. */
+  public get sentBytes(): number {
+    return this.sent;
+  }
+
+  public transport(inner: ConsensusTransport): ConsensusTransport {
+    return new CostlyTransport(
+      inner,
+      (bytes) => this.spend(bytes, this.costs.sendMs),
+      (bytes) => {
+        this.sent += bytes;
+      },
+    );
+  }
+
+  /** The messages to a log, handled once the process has read them. */
+  public handler(log: MessageHandler): MessageHandler {
+    return {
+      handleRequestVote: (req) => log.handleRequestVote(req),
+      handleAppendEntries: async (req) => {
+        await this.spend(entryBytesOf(req), this.costs.receiveMs);
+        return log.handleAppendEntries(req);
+      },
+      handleInstallSnapshot: async (req) => {
+        await this.spend(req.chunk.length, this.costs.receiveMs);
+        return log.handleInstallSnapshot(req);
+      },
+    };
+  }
+
+  /** Occupies the process with an entry that it has applied. */
+  public apply(bytes: number): void {
+    this.spend(bytes, this.costs.applyMs).catch(() => undefined);
+  }
+
+  /** All work of the process goes through one queue, so that heartbeats wait behind large entries. */
+  private spend(bytes: number, msPerMb: number): Promise<void> {
+    if (msPerMb === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.processor.run((bytes / BYTES_PER_MB) * msPerMb, resolve);
+    });
+  }
+}
--- a/packages/gateway/src/testing/VersionAdapter.ts
+++ b/packages/gateway/src/testing/VersionAdapter.ts
@@ -1,4 +1,5 @@
-/** A protocol whose configurations consist of their version. */
+/** A protocol whose configurations consist of their version, and of the routes as JSON in a second line if there are any. */
+import type { Route } from '@marigoldbank/routing/plan';
 import type { Announcement } from '../announcement.js';
 import { ProtocolAdapter, type ControlCall, type ParsedPlan } from '../ProtocolAdapter.js';
 import { HEADER_NAMES, makeEmptyPlan } from './fixtures.js';
@@ -47,7 +48,9 @@
   }
 
   public override parsePlan(document: string): ParsedPlan {
-    return { kind: 'valid', plan: makeEmptyPlan(Number(document)) };
+    const [version, routes = '[]'] = document.split('\n');
+    const plan = { ...makeEmptyPlan(Number(version)), routes: JSON.parse(routes) as Route[] };
+    return { kind: 'valid', plan };
   }
 
   public override parseAddressLookup(): undefined {
--- a/packages/gateway/src/testing/fake-control-parts.ts
+++ b/packages/gateway/src/testing/fake-control-parts.ts
@@ -1,12 +1,21 @@
 /** Costs, internal addresses and parts of fake control VMs. */
 import { randomUUID } from 'node:crypto';
 import type { Clock } from '@marigoldbank/base/clock';
+import type { ReplicatedLog } from '@marigoldbank/replicated-log';
+import type {
+  MemoryDisk,
+  MemoryLogStorage,
+  ProcessClock,
+} from '@marigoldbank/replicated-log/testing';
 import { NullLogger } from '@marigoldbank/daemon/telemetry/NullLogger';
+import type { ControlApi } from '../control/ControlApi.js';
 import type { CommandSubmitter } from '../control/CommandSubmitter.js';
 import { EvacuationCalls } from '../control/EvacuationCalls.js';
 import { EvacuationOrders } from '../control/EvacuationOrders.js';
 import type { PlanStateMachine } from '../control/PlanStateMachine.js';
 import type { SlotTable } from '../control/SlotTable.js';
+import type { StateConfirmation } from '../control/StateConfirmation.js';
+import type { MessageBytes } from './MessageBytes.js';
 
 const DATA_CENTRES = ['dc-1', 'dc-2', 'dc-3'];
 
@@ -43,6 +52,26 @@
   syncMs: 4,
 };
 
+/** The clock on which a process runs, its disk, and what the bytes of its messages cost. */
+export interface FakeHost {
+  readonly ip: string;
+  readonly clock: ProcessClock;
+  readonly disk: MemoryDisk;
+  readonly syncMs: number | undefined;
+  readonly bytes: MessageBytes;
+}
+
+export interface FakeControlVm extends FakeHost {
+  /** Address at which operators reach the VM. */
+  readonly address: string;
+  readonly storage: MemoryLogStorage;
+  readonly log: ReplicatedLog;
+  readonly stateMachine: PlanStateMachine;
+  readonly confirmation: StateConfirmation;
+  readonly submitter: CommandSubmitter;
+  readonly api: ControlApi;
+}
+
 export function logAddress(ip: string): string {
   return `${ip}:7600`;
 }
