Give large log entries time in proportion to their size

Callers saw: changes of large plans acknowledged after seconds, and reads without an answer.

Each copy is compressed, sent and read like the first one and delays the answer that is waited for.

Change: both limits grow by 1 s for each 256 kB. Small entries are sent again as early as before.

Ruled out: a longer limit for all entries, which would delay small ones after a silent connection.

--- a/packages/daemon/src/transport/ConnectConsensusTransport.ts
+++ b/packages/daemon/src/transport/ConnectConsensusTransport.ts
@@ -2,6 +2,8 @@
 import { ConsensusService } from '@marigoldbank/protocol/gen/marigoldbank/v1/consensus_pb';
 import {
   ConsensusTransport,
+  entryBytes,
+  transferMs,
   type AppendEntriesRequest,
   type AppendEntriesResponse,
   type InstallSnapshotRequest,
@@ -27,10 +29,19 @@
 export const VOTE_TIMEOUT_MS = 2_000;
 
 /** Entries are sent again well before that. An answer that comes late still shows that the follower is there. */
-export const APPEND_TIMEOUT_MS = 1_000;
+const APPEND_TIMEOUT_MS = 1_000;
 
 /** Longer than other calls, since the receiver syncs a snapshot chunk before it acknowledges it. */
-export const SNAPSHOT_TIMEOUT_MS = 2_000;
+const SNAPSHOT_TIMEOUT_MS = 2_000;
+
+/** A member needs the longer the larger a request is, and an answer that is given up has to be asked for again. */
+export function appendTimeoutMs({ entries }: AppendEntriesRequest): number {
+  return APPEND_TIMEOUT_MS + transferMs(entryBytes(entries));
+}
+
+export function snapshotTimeoutMs({ chunk }: InstallSnapshotRequest): number {
+  return SNAPSHOT_TIMEOUT_MS + transferMs(chunk.length);
+}
 
 export class ConnectConsensusTransport extends ConsensusTransport {
   public constructor(private readonly channels: Channels) {
@@ -51,7 +62,7 @@
     req: AppendEntriesRequest,
   ): Promise<AppendEntriesResponse> {
     const client = this.channels.client(ConsensusService, to.address);
-    const options = { timeoutMs: APPEND_TIMEOUT_MS };
+    const options = { timeoutMs: appendTimeoutMs(req) };
     return toAppendEntriesResponse(await client.appendEntries(fromAppendEntries(req), options));
   }
 
@@ -60,7 +71,7 @@
     req: InstallSnapshotRequest,
   ): Promise<InstallSnapshotResponse> {
     const client = this.channels.client(ConsensusService, to.address);
-    const options = { timeoutMs: SNAPSHOT_TIMEOUT_MS };
+    const options = { timeoutMs: snapshotTimeoutMs(req) };
     const res = await client.installSnapshot(fromInstallSnapshot(req), options);
     return toInstallSnapshotResponse(res);
   }
--- a/packages/gateway/src/control/MeteredTransport.ts
+++ b/packages/gateway/src/control/MeteredTransport.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import {
   ConsensusTransport,
+  entryBytes,
   type AppendEntriesRequest,
   type AppendEntriesResponse,
   type InstallSnapshotRequest,
@@ -82,7 +83,7 @@
     const sent = this.sentTo.get(address);
     const isRepeated = sent !== undefined && sent.term === term && sent.index >= last.index;
     if (!isRepeated) this.sentTo.set(address, { term, index: last.index });
-    const bytes = entries.reduce((sum, { data }) => sum + data.length, 0);
+    const bytes = entryBytes(entries);
     this.calls.appendBytes += bytes;
     if (isRepeated) this.calls.repeatedBytes += bytes;
     appendBytesTotal.inc({ member: vm, sending: isRepeated ? 'repeated' : 'first' }, bytes);
--- a/packages/gateway/src/testing/CostlyTransport.ts
+++ b/packages/gateway/src/testing/CostlyTransport.ts
@@ -1,6 +1,7 @@
 /** Transport of consensus messages whose bytes take processor time to send. */
 import {
   ConsensusTransport,
+  entryBytes,
   type AppendEntriesRequest,
   type AppendEntriesResponse,
   type InstallSnapshotRequest,
@@ -10,11 +11,6 @@
   type RequestVoteResponse,
 } from '@marigoldbank/replicated-log';
 
-/** Bytes of data in the entries of a request. */
-export function entryBytesOf({ entries }: AppendEntriesRequest): number {
-  return entries.reduce((sum, { data }) => sum + data.length, 0);
-}
-
 export class CostlyTransport extends ConsensusTransport {
   public constructor(
     private readonly inner: ConsensusTransport,
@@ -32,7 +28,7 @@
     to: Member,
     req: AppendEntriesRequest,
   ): Promise<AppendEntriesResponse> {
-    const bytes = entryBytesOf(req);
+    const bytes = entryBytes(req.entries);
     this.onSend(bytes);
     await this.spend(bytes);
     return this.inner.appendEntries(to, req);
--- a/packages/gateway/src/testing/MessageBytes.ts
+++ b/packages/gateway/src/testing/MessageBytes.ts
@@ -1,9 +1,9 @@
 /** Processor time that a log process spends on the bytes of the log entries that it sends, receives and applies. */
 import type { Clock } from '@marigoldbank/base/clock';
-import type { ConsensusTransport } from '@marigoldbank/replicated-log';
+import { entryBytes, type ConsensusTransport } from '@marigoldbank/replicated-log';
 import { FakeProcessor, type MessageHandler } from '@marigoldbank/replicated-log/testing';
 import type { Command } from '../control/commands.js';
-import { CostlyTransport, entryBytesOf } from './CostlyTransport.js';
+import { CostlyTransport } from './CostlyTransport.js';
 
 const BYTES_PER_MB = 1_000_000;
 
@@ -51,7 +51,7 @@
     return {
       handleRequestVote: (req) => log.handleRequestVote(req),
       handleAppendEntries: async (req) => {
-        await this.spend(entryBytesOf(req), this.costs.receiveMs);
+        await this.spend(entryBytes(req.entries), this.costs.receiveMs);
         return log.handleAppendEntries(req);
       },
       handleInstallSnapshot: async (req) => {
--- a/packages/gateway/src/testing/TimedTransport.ts
+++ b/packages/gateway/src/testing/TimedTransport.ts
@@ -1,8 +1,8 @@
 /** Transport of consensus messages with the time limits of the real one. */
 import type { Clock } from '@marigoldbank/base/clock';
 import {
-  APPEND_TIMEOUT_MS,
-  SNAPSHOT_TIMEOUT_MS,
+  appendTimeoutMs,
+  snapshotTimeoutMs,
   VOTE_TIMEOUT_MS,
 } from '@marigoldbank/daemon/transport/ConnectConsensusTransport';
 import {
@@ -40,13 +40,13 @@
     to: Member,
     req: AppendEntriesRequest,
   ): Promise<AppendEntriesResponse> {
-    return withTimeout(this.clock, this.inner.appendEntries(to, req), APPEND_TIMEOUT_MS);
+    return withTimeout(this.clock, this.inner.appendEntries(to, req), appendTimeoutMs(req));
   }
 
   public override installSnapshot(
     to: Member,
     req: InstallSnapshotRequest,
   ): Promise<InstallSnapshotResponse> {
-    return withTimeout(this.clock, this.inner.installSnapshot(to, req), SNAPSHOT_TIMEOUT_MS);
+    return withTimeout(this.clock, this.inner.installSnapshot(to, req), snapshotTimeoutMs(req));
   }
 }
--- a/packages/replicated-log/src/MemoryLog.ts
+++ b/packages/replicated-log/src/MemoryLog.ts
@@ -2,6 +2,7 @@
 import { entriesMatchingSnapshot } from './entriesMatchingSnapshot.js';
 import type { Snapshot } from './LogStorage.js';
 import { decodeMembership, EMPTY_MEMBERSHIP } from './membership.js';
+import { entryBytes } from './transferTime.js';
 import type { LogEntry, Membership } from './types.js';
 
 interface MembershipAt {
@@ -55,7 +56,7 @@
 
   /** Bytes of data in the retained entries. */
   public get entryBytes(): number {
-    return this.entries.reduce((sum, { data }) => sum + data.length, 0);
+    return entryBytes(this.entries);
   }
 
   public get lastTerm(): number {
--- a/packages/replicated-log/src/Replicator.ts
+++ b/packages/replicated-log/src/Replicator.ts
@@ -1,6 +1,7 @@
 /** Replicates the leader's log to one member. */
 import type { ConsensusContext } from './context.js';
 import type { Snapshot } from './LogStorage.js';
+import { entryBytes, transferMs } from './transferTime.js';
 import type {
   AppendEntriesRequest,
   AppendEntriesResponse,
@@ -33,7 +34,7 @@
   /** Whether the member has not yet confirmed that its log matches up to the entry before `nextIndex`. */
   private isProbing = true;
 
-  private outstanding: { readonly sentAt: number } | undefined;
+  private outstanding: { readonly sentAt: number; readonly bytes: number } | undefined;
 
   private transfer: SnapshotTransfer | undefined;
 
@@ -102,7 +103,8 @@
   private isWaiting(): boolean {
     const { clock, tuning } = this.ctx;
     if (this.outstanding === undefined) return false;
-    return clock.now() - this.outstanding.sentAt < tuning.resendAfterMs;
+    const { sentAt, bytes } = this.outstanding;
+    return clock.now() - sentAt < tuning.resendAfterMs + transferMs(bytes);
   }
 
   private sendEntries(
@@ -111,7 +113,7 @@
     isOutstanding: boolean,
   ): void {
     const { state, transport, clock } = this.ctx;
-    const sent = { sentAt: clock.now() };
+    const sent = { sentAt: clock.now(), bytes: entryBytes(entries) };
     const sequence = this.listener.nextSequence();
     const req: AppendEntriesRequest = {
       leader: state.self,
@@ -159,7 +161,7 @@
     const { snapshot, offset } = transfer;
     const end = Math.min(snapshot.data.length, offset + tuning.snapshotChunkBytes);
     const isLast = end === snapshot.data.length;
-    const sent = { sentAt: clock.now() };
+    const sent = { sentAt: clock.now(), bytes: end - offset };
     const sequence = this.listener.nextSequence();
     this.outstanding = sent;
     transport
--- a/packages/replicated-log/src/api.ts
+++ b/packages/replicated-log/src/api.ts
@@ -10,6 +10,7 @@
 export { FullDiskError } from './FullDiskError.js';
 export { StorageError, type StorageProblem } from './StorageError.js';
 export { StoppedError } from './StoppedError.js';
+export { entryBytes, transferMs } from './transferTime.js';
 export type { Tuning } from './context.js';
 export type { ReplicatedLog, ReplicatedLogOptions } from './ReplicatedLog.js';
 
--- a/packages/replicated-log/src/constants.ts
+++ b/packages/replicated-log/src/constants.ts
@@ -16,7 +16,7 @@
 export const FIRST_ELECTION_TIMEOUT_MIN_MS = 100;
 export const FIRST_ELECTION_TIMEOUT_MAX_MS = 300;
 
-/** After this time without an answer a request counts as lost and its entries are sent again. */
+/** After this time, and that of the transfer, a request without an answer counts as lost and its entries are sent again. */
 export const RESEND_AFTER_MS = 150;
 
 /** Period at which founders exchange their incarnations while a group is bootstrapped. */
