Send entries of the log in batches of 128 kB

Callers saw: reads without an answer while large changes come one after the other.

Cause: a leader sent up to a megabyte of entries to each member at the same moment. Its heartbeats waited behind them, followers started elections, and each new leader sent the same entries again.

Evidence: `large-plans.test.ts`, 25 changes of 3,272 routes (150 kB each, compressed): at 20 control VMs neither a read nor the changes were answered within 20 s, at 10 the read took more than 4 s. An entry that is larger is sent alone, as before.

--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -58,6 +58,8 @@
   firstElectionTimeoutMinMs: 120,
   firstElectionTimeoutMaxMs: 400,
   resendAfterMs: 250,
+  // Heartbeats wait behind the entries that are sent to all members at the same moment.
+  maxBytesPerAppend: 131_072,
   snapshotEveryEntries: 400,
   retainedEntries: 100,
 };
