--- a/packages/gateway/src/control/ControlProcess.ts
+++ b/packages/gateway/src/control/ControlProcess.ts
@@ -61,7 +61,10 @@
   // Heartbeats wait behind the entries that are sent to all members at the same moment.
   maxBytesPerAppend: 131_072,
   snapshotEveryEntries: 400,
+  // A start reads and applies what was logged since the snapshot, and small disks hold a few of the largest plans only.
+  snapshotEveryBytes: 4_194_304,
   retainedEntries: 100,
+  retainedBytes: 4_194_304,
 };
 
 const MAX_SEED = 0x7fffffff;
--- a/packages/replicated-log/src/Applier.ts
+++ b/packages/replicated-log/src/Applier.ts
@@ -17,7 +17,9 @@
 /** Limits of the log kept in memory and on disk. */
 export interface SnapshotPolicy {
   readonly snapshotEveryEntries: number;
+  readonly snapshotEveryBytes: number;
   readonly retainedEntries: number;
+  readonly retainedBytes: number;
 }
 
 export class Applier {
@@ -28,6 +30,9 @@
 
   private snapshotIndex = 0;
 
+  /** Bytes of data applied since the snapshot. */
+  private appliedBytes = 0;
+
   private hasFailed = false;
 
   public constructor(
@@ -71,18 +76,21 @@
   private restore(snapshot: Snapshot): void {
     this.stateMachine.restore(snapshot.data);
     this.snapshotIndex = snapshot.index;
+    this.appliedBytes = 0;
     this.state.commitIndex = snapshot.index;
   }
 
   private applyEntry(entry: LogEntry): void {
+    this.appliedBytes += entry.data.length;
     const result =
       entry.kind === 'command' ? this.stateMachine.apply(entry.index, entry.data) : EMPTY_RESULT;
     this.appliedEmitter.fire({ entry, result });
   }
 
   private takeSnapshotIfDue(): void {
+    if (!this.isSnapshotDue()) return;
     const { commitIndex, log } = this.state;
-    if (commitIndex - this.snapshotIndex < this.policy.snapshotEveryEntries) return;
+    const { retainedEntries, retainedBytes } = this.policy;
     const snapshot: Snapshot = {
       index: commitIndex,
       term: log.termAt(commitIndex)!,
@@ -90,7 +98,18 @@
       data: this.stateMachine.snapshot(),
     };
     this.snapshotIndex = commitIndex;
-    log.compact(snapshot, commitIndex - this.policy.retainedEntries);
+    this.appliedBytes = 0;
+    const dropTo = commitIndex - retainedEntries;
+    log.compact(snapshot, Math.max(dropTo, log.indexBefore(commitIndex, retainedBytes)));
     this.writer.markSnapshot();
   }
+
+  /** By entries, or by bytes once they exceed those of the snapshot before: a large state is not written for each change. */
+  private isSnapshotDue(): boolean {
+    const { snapshotEveryEntries, snapshotEveryBytes } = this.policy;
+    const { commitIndex, log } = this.state;
+    if (commitIndex - this.snapshotIndex >= snapshotEveryEntries) return true;
+    const snapshotBytes = log.snapshot?.data.length ?? 0;
+    return this.appliedBytes >= Math.max(snapshotEveryBytes, snapshotBytes);
+  }
 }
--- a/packages/replicated-log/src/MemoryLog.ts
+++ b/packages/replicated-log/src/MemoryLog.ts
@@ -123,6 +123,17 @@
     return before;
   }
 
+  /** Index after which the entries up to `to` have at most `maxBytes` of data together. */
+  public indexBefore(to: number, maxBytes: number): number {
+    let index = Math.min(to, this.lastIndex);
+    let bytes = this.entryAt(index)?.data.length ?? 0;
+    while (index >= this.firstIndex && bytes <= maxBytes) {
+      index -= 1;
+      bytes += this.entryAt(index)?.data.length ?? 0;
+    }
+    return index;
+  }
+
   public append(entry: LogEntry): void {
     if (entry.index !== this.lastIndex + 1) {
       throw new RangeError(`expected entry ${this.lastIndex + 1}, got ${entry.index}`);
--- a/packages/replicated-log/src/constants.ts
+++ b/packages/replicated-log/src/constants.ts
@@ -37,5 +37,11 @@
 /** A snapshot is taken after this many applied entries. */
 export const SNAPSHOT_EVERY_ENTRIES = 10_000;
 
+/** The same in bytes of applied data, if the snapshot before has fewer. */
+export const SNAPSHOT_EVERY_BYTES = 67_108_864;
+
 /** Entries kept before a snapshot, so that a follower slightly behind needs no snapshot. */
 export const RETAINED_ENTRIES = 1_000;
+
+/** Most bytes of data in these entries. */
+export const RETAINED_BYTES = 67_108_864;
--- a/packages/replicated-log/src/context.ts
+++ b/packages/replicated-log/src/context.ts
@@ -12,8 +12,10 @@
   MAX_BYTES_PER_APPEND,
   MAX_ENTRIES_PER_APPEND,
   RESEND_AFTER_MS,
+  RETAINED_BYTES,
   RETAINED_ENTRIES,
   SNAPSHOT_CHUNK_BYTES,
+  SNAPSHOT_EVERY_BYTES,
   SNAPSHOT_EVERY_ENTRIES,
 } from './constants.js';
 import type { Applier } from './Applier.js';
@@ -37,7 +39,9 @@
   readonly maxBytesPerAppend: number;
   readonly snapshotChunkBytes: number;
   readonly snapshotEveryEntries: number;
+  readonly snapshotEveryBytes: number;
   readonly retainedEntries: number;
+  readonly retainedBytes: number;
 }
 
 export const DEFAULT_TUNING: Tuning = {
@@ -53,7 +57,9 @@
   maxBytesPerAppend: MAX_BYTES_PER_APPEND,
   snapshotChunkBytes: SNAPSHOT_CHUNK_BYTES,
   snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+  snapshotEveryBytes: SNAPSHOT_EVERY_BYTES,
   retainedEntries: RETAINED_ENTRIES,
+  retainedBytes: RETAINED_BYTES,
 };
 
 /** Dependencies of every part of a member. */
--- a/packages/replicated-log/src/simulation/SimulatedGroup.ts
+++ b/packages/replicated-log/src/simulation/SimulatedGroup.ts
@@ -12,6 +12,8 @@
 const SIMULATION_TUNING = {
   snapshotEveryEntries: 40,
   retainedEntries: 10,
+  snapshotEveryBytes: 200,
+  retainedBytes: 40,
   snapshotChunkBytes: 256,
   maxEntriesPerAppend: 8,
 } as const;
