Send entries that change hubs only what has changed in the plan

Callers saw nothing by themselves; it is work of hubs on the VMs whose log processes were late.

Cause: a hub sent a whole plan to each entry that connected with any other version than the newest one, also if it had sent that version to others a moment before. With 1,636 routes that is 466 kB, encoded, compressed and read again.

`Hub.test.ts` on the code before: an entry with version 1 gets version 3 whole.

Change: hubs keep the newest plans as the base of changes, as log processes do. Both keep at most 16, of 4 MiB of documents together: sixteen plans of 10,000 routes would not fit into a process of a control VM.

Open: a hub that has just started knows the newest plan only, so that entries with an earlier one get it whole.

--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -14,15 +14,12 @@
 import type { IReplicatedLog, Member } from '@marigoldbank/replicated-log';
 import type { HeldState } from '../sync/HeldState.js';
 import { toVersionField } from '../sync/plan-version.js';
-import type { CommittedPlan } from './CommittedPlan.js';
 import { PlanEncoder } from './PlanEncoder.js';
+import { RecentPlans } from './RecentPlans.js';
 import { StoredCommands } from './StoredCommands.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
 import type { StateConfirmation } from './StateConfirmation.js';
 
-/** Plans that are kept, also as the base of changes. An entry that holds an older one gets a complete plan. */
-const MAX_PLANS = 16;
-
 /** Targets that leave end within seconds. An entry that was without any control VM for longer gets them from its next hub. */
 const LEAVING_MS = 60_000;
 
@@ -75,7 +72,7 @@
 >;
 
 export class CommitHistory {
-  private plans: readonly CommittedPlan[];
+  private readonly plans: RecentPlans;
 
   private leaving: readonly Leaving[] = [];
 
@@ -90,11 +87,7 @@
 
   public constructor(private readonly ctx: CommitHistoryContext) {
     this.stored = new StoredCommands(ctx.log, ctx.stateMachine);
-    const { current } = ctx.stateMachine;
-    this.plans = current === undefined ? [] : [current];
-    ctx.stateMachine.onDidChangePlan((plan) => {
-      this.plans = [...this.plans, plan].slice(-MAX_PLANS);
-    });
+    this.plans = new RecentPlans(ctx.stateMachine);
     ctx.stateMachine.onDidMarkLeaving((id) => this.addLeaving(id));
     ctx.stateMachine.onDidApply(({ index }) => this.setIndex(index));
   }
@@ -134,7 +127,7 @@
     });
     if (plan === undefined) return undefined;
     const { version } = plan.plan;
-    const base = this.planOf(held.planVersion) ?? this.stored.planOf(held.planVersion);
+    const base = this.plans.planOf(held.planVersion) ?? this.stored.planOf(held.planVersion);
     const changes =
       version > held.planVersion && base !== undefined
         ? this.storedEncoder.encode(base, plan)
@@ -150,11 +143,11 @@
   }
 
   private committedFor(held: HeldState, ageMs: number): CommittedStateInit | undefined {
-    const current = this.plans.at(-1);
+    const {current} = this.plans;
     if (current === undefined) return undefined;
     const { version } = current.plan;
     const isNewer = version > held.planVersion;
-    const base = this.planOf(held.planVersion);
+    const base = this.plans.planOf(held.planVersion);
     const changes = isNewer && base !== undefined ? this.encoder.encode(base, current) : undefined;
     const doesFit = (changes?.length ?? 0) <= MAX_DATAGRAM_CHANGES;
     const isLeftOut = isNewer && (changes === undefined || !doesFit);
@@ -187,10 +180,10 @@
     heldVersion: number | undefined,
     isStored = false,
   ): MessageInitShape<typeof PlanUpdateSchema> | undefined {
-    const current = isStored ? this.stored.read().plan : this.plans.at(-1);
+    const current = isStored ? this.stored.read().plan : this.plans.current;
     if (current === undefined) return undefined;
     const storedBase = isStored ? this.stored.planOf(heldVersion) : undefined;
-    const base = this.planOf(heldVersion) ?? storedBase;
+    const base = this.plans.planOf(heldVersion) ?? storedBase;
     const encoder = isStored ? this.storedEncoder : this.encoder;
     return {
       fromVersion: toVersionField(base?.plan.version),
@@ -199,10 +192,6 @@
     };
   }
 
-  private planOf(version: number | undefined): CommittedPlan | undefined {
-    return this.plans.find(({ plan }) => plan.version === version);
-  }
-
   private addLeaving(id: string): void {
     const { clock, stateMachine } = this.ctx;
     const mark = stateMachine.leavingMark(id, 0);
--- a/packages/gateway/src/control/EntrySession.ts
+++ b/packages/gateway/src/control/EntrySession.ts
@@ -95,7 +95,10 @@
     private readonly source: SessionSource,
     /** Version of the plan that the entry held when it connected, undefined for none. */
     private readonly initialVersion?: number,
+    /** That plan, if the hub has had it. */
+    initialPlan?: CommittedPlan,
   ) {
+    this.sentPlan = initialPlan;
     this.reportedAt = source.clock.now();
     this.batcher = new Batcher(source.clock, () => this.flush());
   }
--- a/packages/gateway/src/control/Hub.ts
+++ b/packages/gateway/src/control/Hub.ts
@@ -27,7 +27,7 @@
 import { HubTargets } from './HubTargets.js';
 import { isAlive, type PeerHub } from './PeerHub.js';
 import { LimitDistributor } from './LimitDistributor.js';
-import { PlanEncoder } from './PlanEncoder.js';
+import { PlanUpdates } from './PlanUpdates.js';
 import { StreamAdmission } from './StreamAdmission.js';
 import { SuspectDistributor } from './SuspectDistributor.js';
 import { createTeamBudgets } from './createTeamBudgets.js';
@@ -64,7 +64,7 @@
 
   private readonly suspects: SuspectDistributor;
 
-  private readonly encoder = new PlanEncoder();
+  private readonly plans: PlanUpdates;
 
   private readonly retryBudgets: RetryBudgets;
 
@@ -133,6 +133,7 @@
       sessionOf: (vm) => this.sessions.get(vm),
     });
     this.add(stateMachine.onDidChangePlan(() => this.planChanged()));
+    this.plans = new PlanUpdates(stateMachine, ctx.logger);
     this.targets = new HubTargets(ctx);
     const feed = this.add(
       new EvidenceFeed({
@@ -280,18 +281,13 @@
       clock,
       currentPlan: () => (this.freshness.maySendPlan ? stateMachine.current : undefined),
       advertised: () => this.advertised.current,
-      encodeChanges: (from: CommittedPlan | undefined, to: CommittedPlan) => {
-        const changes = this.encoder.encode(from, to);
-        if (from === undefined) {
-          const context = { entry: identity.vm, held: heldVersion ?? -1, bytes: changes.length };
-          this.ctx.logger.info('a whole plan is sent', context);
-        }
-        return changes;
-      },
+      encodeChanges: (from: CommittedPlan | undefined, to: CommittedPlan) =>
+        this.plans.encode(from, to, identity.vm, heldVersion),
     };
     this.entries.noteReportedCount(entryCount, clock.now());
     this.lastEntryRef += 1;
-    const session = new EntrySession(identity, this.lastEntryRef, source, heldVersion);
+    const heldPlan = this.plans.planOf(heldVersion);
+    const session = new EntrySession(identity, this.lastEntryRef, source, heldVersion, heldPlan);
     this.sessions.set(identity.vm, session);
     session.noteReport(clock.now(), sentAtMs);
     session.sendStatus(this.messages.status(clock.now()), {
