Give calls between log processes time limits in whole milliseconds

The receiver refuses a call whose `Connect-Timeout-Ms` is no integer, so that every append with entries failed. All tests of replication use a fake transport.

--- a/packages/replicated-log/src/transferTime.ts
+++ b/packages/replicated-log/src/transferTime.ts
@@ -3,9 +3,9 @@
 /** Slowest transfer that is waited for. A request that is sent again before it could be answered delays its own answer. */
 const SLOWEST_BYTES_PER_MS = 256;
 
-/** Milliseconds in which a number of bytes is sent, received and stored by members that have little processor time. */
+/** Whole milliseconds in which a number of bytes is sent, received and stored by members that have little processor time. */
 export function transferMs(bytes: number): number {
-  return bytes / SLOWEST_BYTES_PER_MS;
+  return Math.ceil(bytes / SLOWEST_BYTES_PER_MS);
 }
 
 /** Bytes of data in entries. */
