Give large commands more time on their way to the leader

Callers saw: changes of large plans answered 504 and repeated.

Cause: of the same class as for entries of the log. A member forwarded a command again after 1 s and gave up the answer after 2 s, whatever its size, while the leader was still reading the first copy.

Change: both limits grow with the size, as those of entries.

--- a/packages/gateway/src/control/CommandSubmitter.test.ts
+++ b/packages/gateway/src/control/CommandSubmitter.test.ts
@@ -1,4 +1,6 @@
+import { randomBytes } from 'node:crypto';
 import { describe, it } from 'node:test';
+import { delay } from '@marigoldbank/base/clock';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { expect } from 'earl';
 import type { FakeControlVm } from '../testing/fake-control-parts.js';
@@ -161,6 +163,25 @@
     expect(await group.settle(outcomes)).toEqual(commands.map(() => 'pending'));
   });
 
+  // Members sent changes of some hundred kB to a busy leader again each second, and gave up its answers after two.
+  it('sends a large command once while the leader may still receive it', async () => {
+    const group = await FakeControlGroup.start(VMS, 11);
+    const [follower] = group.followers;
+    const { leader } = group;
+    const received: string[] = [];
+    Object.assign(leader.submitter, {
+      accept: async (commands: readonly ForwardedCommand[]) => {
+        received.push(...commands.map(({ key }) => key));
+        await delay(group.clock, 3_500);
+        return true;
+      },
+    });
+    const document = randomBytes(1_000_000).toString('base64');
+    const command = { ...plan(1), document };
+    expect(await group.settle(follower!.submitter.submit(command, 4_000))).toEqual('committed');
+    expect(received).toEqual([commandKey(command)]);
+  });
+
   it('says so if the leader takes no commands from other members', async () => {
     const group = await FakeControlGroup.start(VMS, 8);
     Object.assign(group.leader.submitter, {
--- a/packages/gateway/src/control/CommandSubmitter.ts
+++ b/packages/gateway/src/control/CommandSubmitter.ts
@@ -9,7 +9,7 @@
 import { DisposableStore, type IDisposable } from '@marigoldbank/base/lifecycle';
 import type { Logger } from '@marigoldbank/daemon/telemetry/Logger';
 import type { LogService } from '@marigoldbank/protocol/gen/marigoldbank/v1/log_pb';
-import type { IReplicatedLog, Member } from '@marigoldbank/replicated-log';
+import { transferMs, type IReplicatedLog, type Member } from '@marigoldbank/replicated-log';
 import { isNewerVersion } from '@marigoldbank/routing/plan';
 import { commandKey, readPlanVersion, type CommandInit } from './commands.js';
 import type { PlanStateMachine } from './PlanStateMachine.js';
@@ -18,8 +18,8 @@
 const CHECK_MS = 20;
 
 /**
- * A command is sent to the same leader again after this time: the connection may have gone silent. Sooner would keep a leader
- * busy that answers late.
+ * A command is sent to the same leader again after this time and that of its transfer: the connection may have gone silent. Sooner
+ * would keep a leader busy that answers late.
  */
 const RESEND_MS = 1_000;
 
@@ -33,7 +33,7 @@
 const MAX_CALLS = 2;
 const NEXT_CALL_MS = 150;
 
-/** A command counts as committed as soon as it is in effect here, so a later answer is not needed. */
+/** Besides the transfer. A command counts as committed as soon as it is in effect here, so a later answer is not needed. */
 const CALL_TIMEOUT_MS = 2_000;
 
 /** Commits that take longer are logged. */
@@ -189,7 +189,8 @@
     if (leader === undefined) return;
     if (this.called.vm !== leader.vm) this.called = { vm: leader.vm, at: -Infinity, open: 0 };
     const due = [...this.submissions.values()].filter(
-      ({ sentTo, sentAt }) => sentTo !== leader.vm || now - sentAt >= RESEND_MS,
+      ({ sentTo, sentAt, data }) =>
+        sentTo !== leader.vm || now - sentAt >= RESEND_MS + transferMs(data.length),
     );
     const isReady = this.called.open < MAX_CALLS || now - this.called.at >= NEXT_CALL_MS;
     if (due.length > 0 && isReady) this.send(leader, due);
@@ -224,13 +225,17 @@
   }
 
   private retrySoon(sent: readonly Submission[]): void {
-    const sentAt = this.ctx.clock.now() - RESEND_MS + RETRY_MS;
-    sent.forEach((submission) => Object.assign(submission, { sentAt }));
+    const retryAt = this.ctx.clock.now() + RETRY_MS;
+    sent.forEach((submission) => {
+      const sentAt = retryAt - RESEND_MS - transferMs(submission.data.length);
+      Object.assign(submission, { sentAt });
+    });
   }
 
   private async forward(leader: Member, due: readonly Submission[]): Promise<boolean> {
     const commands = due.map(({ key, data }) => ({ key, data }));
-    const options = { timeoutMs: CALL_TIMEOUT_MS };
+    const bytes = due.reduce((sum, { data }) => sum + data.length, 0);
+    const options = { timeoutMs: CALL_TIMEOUT_MS + transferMs(bytes) };
     const res = await this.ctx.clientOf(leader.address).submit({ commands }, options);
     return res.isCommitted;
   }
