--- a/packages/gateway/src/control/CommitHistory.ts
+++ b/packages/gateway/src/control/CommitHistory.ts
@@ -143,7 +143,7 @@
   }
 
   private committedFor(held: HeldState, ageMs: number): CommittedStateInit | undefined {
-    const {current} = this.plans;
+    const { current } = this.plans;
     if (current === undefined) return undefined;
     const { version } = current.plan;
     const isNewer = version > held.planVersion;
